--- /dev/null
+++ b/src/decide/prefixindex.cpp
@@ -0,0 +1,146 @@
+#include "decide/prefixindex.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace burdock {
+
+std::vector<std::uint64_t> prefixChain(std::string_view text, std::size_t blockBytes,
+                                       std::size_t maxBlocks)
+{
+    assert(blockBytes > 0 && "blocks need a length");
+    std::vector<std::uint64_t> chain;
+    std::uint64_t hash = 0;
+    while (text.size() >= blockBytes && chain.size() < maxBlocks) {
+        hash = hashPair(hash, text.substr(0, blockBytes));
+        chain.push_back(hash);
+        text.remove_prefix(blockBytes);
+    }
+    return chain;
+}
+
+PrefixIndex::PrefixIndex(PrefixIndexSettings settings)
+    : m_settings(settings)
+{
+}
+
+// ---- Events -------------------------------------------------------------------------------------
+
+void PrefixIndex::onCacheEvent(std::uint32_t upstream, const CacheEvent &event)
+{
+    Source &source = m_sources[upstream];
+    if (event.incarnation < source.incarnation)
+        return;
+    if (event.incarnation > source.incarnation) {
+        forget(source);
+        source.incarnation = event.incarnation;
+        source.nextSequence = 1;
+    }
+    for (std::uint64_t block : event.evicted)
+        evict(upstream, block);
+    if (event.sequence < source.nextSequence)
+        return; // late or doubled: what it stored may have been evicted since
+
+    const bool gap = event.sequence > source.nextSequence;
+    if (event.cleared || (gap && m_settings.forgetOnGap))
+        forget(source);
+    source.nextSequence = event.sequence + 1;
+    for (std::uint64_t block : event.stored)
+        store(upstream, block);
+}
+
+void PrefixIndex::onSent(std::uint32_t upstream, const std::vector<std::uint64_t> &chain)
+{
+    // Last block first, so that the beginning of the chain is forgotten last.
+    for (auto block = chain.rbegin(); block != chain.rend(); ++block)
+        store(upstream, *block);
+}
+
+void PrefixIndex::onGone(std::uint32_t upstream)
+{
+    const auto source = m_sources.find(upstream);
+    if (source != m_sources.end())
+        forget(source->second);
+}
+
+// ---- Beliefs ------------------------------------------------------------------------------------
+
+void PrefixIndex::store(std::uint32_t upstream, std::uint64_t block)
+{
+    if (holds(upstream, block))
+        return;
+    evict(upstream, block); // a belief of an earlier generation
+    const Belief belief { upstream, m_sources[upstream].generation, m_nextSerial++ };
+    m_blocks[block].push_back(belief);
+    m_order.push_back({ block, belief.serial });
+    while (m_order.size() > m_settings.maxBeliefs)
+        dropOldest();
+}
+
+void PrefixIndex::evict(std::uint32_t upstream, std::uint64_t block)
+{
+    const auto entry = m_blocks.find(block);
+    if (entry == m_blocks.end())
+        return;
+    std::erase_if(entry->second, [&](const Belief &each) { return each.upstream == upstream; });
+    if (entry->second.empty())
+        m_blocks.erase(entry);
+}
+
+void PrefixIndex::dropOldest()
+{
+    const Entry oldest = m_order.front();
+    m_order.pop_front();
+    const auto entry = m_blocks.find(oldest.block);
+    if (entry == m_blocks.end())
+        return;
+    std::erase_if(entry->second, [&](const Belief &each) { return each.serial == oldest.serial; });
+    if (entry->second.empty())
+        m_blocks.erase(entry);
+}
+
+bool PrefixIndex::holds(std::uint32_t upstream, std::uint64_t block) const
+{
+    const auto entry = m_blocks.find(block);
+    const auto source = m_sources.find(upstream);
+    if (entry == m_blocks.end() || source == m_sources.end())
+        return false;
+    return std::any_of(entry->second.begin(), entry->second.end(), [&](const Belief &each) {
+        return each.upstream == upstream && each.generation == source->second.generation;
+    });
+}
+
+// ---- Questions ----------------------------------------------------------------------------------
+
+std::size_t PrefixIndex::matchLength(std::uint32_t upstream,
+                                     const std::vector<std::uint64_t> &chain) const
+{
+    std::size_t length = 0;
+    while (length < chain.size() && holds(upstream, chain[length]))
+        length++;
+    return length;
+}
+
+std::vector<PrefixMatch> PrefixIndex::find(const std::vector<std::uint64_t> &chain,
+                                           std::size_t most, std::size_t offset) const
+{
+    std::vector<PrefixMatch> matches;
+    for (std::size_t length = chain.size(); length > 0 && matches.empty(); --length) {
+        const auto entry = m_blocks.find(chain[length - 1]);
+        if (entry == m_blocks.end())
+            continue;
+        const std::vector<Belief> &beliefs = entry->second;
+        const std::size_t tries = std::min(most, beliefs.size());
+        for (std::size_t each = 0; each < tries; ++each) {
+            const Belief &belief = beliefs[(offset + each) % beliefs.size()];
+            const std::size_t held = matchLength(belief.upstream, chain);
+            if (held > 0)
+                matches.push_back({ belief.upstream, held });
+        }
+    }
+    return matches;
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/decide/retrybudget.cpp
@@ -0,0 +1,29 @@
+#include "decide/retrybudget.h"
+
+#include <algorithm>
+
+namespace burdock {
+
+RetryBudget::RetryBudget(RetryBudgetSettings settings)
+    : m_settings(settings)
+    , m_tokens(settings.initial)
+{
+}
+
+void RetryBudget::onSuccess()
+{
+    m_tokens = std::min(m_settings.most, m_tokens + m_settings.share);
+}
+
+bool RetryBudget::trySpend()
+{
+    if (m_tokens < 1.0) {
+        m_refused++;
+        return false;
+    }
+    m_tokens -= 1.0;
+    m_spent++;
+    return true;
+}
+
+} // namespace burdock
