--- /dev/null
+++ b/src/control/controlprogram.cpp
@@ -0,0 +1,165 @@
+#include "control/controlprogram.h"
+
+#include "net/coroutines.h"
+#include "platform/catalogstore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include <glog/logging.h>
+
+#include <csignal>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds PlacementTick { 50 };
+constexpr std::chrono::milliseconds FleetInterval { 1'000 };
+constexpr std::chrono::milliseconds EnginePollInterval { 500 };
+constexpr std::chrono::milliseconds ReleaseTimeout { 3'000 };
+
+PlacementSettings placementSettings(const NodeSettings &settings)
+{
+    PlacementSettings placement;
+    placement.region = settings.region;
+    placement.node = settings.name;
+    placement.incarnation = static_cast<std::uint64_t>(steadyNow().time_since_epoch().count());
+    placement.lease.leaseTime = settings.leaseTime;
+    placement.lease.holdTime = settings.leaseTime * 2 / 3;
+    placement.lease.renewInterval = settings.leaseTime / 5;
+    placement.lease.pollInterval = settings.leaseTime / 5;
+    placement.warmUp = settings.leaseTime;
+    return placement;
+}
+
+} // namespace
+
+ControlProgram::ControlProgram(asio::io_context &io, NodeSettings settings)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_http(io)
+    , m_objects(m_http, { m_settings.platformAddress, m_settings.platformPort })
+    , m_log(m_settings.name + "-control")
+    , m_shell(io, m_objects, m_http, m_log, m_metrics, placementSettings(m_settings))
+    , m_statusServer(io, HttpLimits {}, *this)
+    , m_signals(io, SIGTERM, SIGINT)
+{
+}
+
+Result<Done> ControlProgram::start()
+{
+    const auto listening =
+            m_statusServer.listen({ m_settings.address, m_settings.controlStatusPort });
+    if (!isOk(listening))
+        return listening;
+    m_signals.async_wait([this](const auto &failure, int) {
+        if (!failure)
+            asio::co_spawn(m_io, stop(), asio::detached);
+    });
+    asio::co_spawn(m_io, placementTicks(), asio::detached);
+    asio::co_spawn(m_io, followFleet(), asio::detached);
+    asio::co_spawn(m_io, enginePolls(), asio::detached);
+    return Done {};
+}
+
+asio::awaitable<void> ControlProgram::placementTicks()
+{
+    while (true) {
+        m_shell.tick();
+        co_await sleepFor(PlacementTick);
+    }
+}
+
+asio::awaitable<void> ControlProgram::followFleet()
+{
+    while (true) {
+        auto catalog = co_await readCatalog(m_objects, m_catalog);
+        if (isOk(catalog))
+            m_catalog = takeValue(std::move(catalog));
+        const auto vms = co_await m_objects.vms();
+        if (isOk(vms))
+            m_shell.onFleet(valueOf(vms), m_catalog);
+        co_await sleepFor(FleetInterval);
+    }
+}
+
+asio::awaitable<void> ControlProgram::enginePolls()
+{
+    while (true) {
+        m_shell.pollEngines();
+        co_await sleepFor(EnginePollInterval);
+    }
+}
+
+asio::awaitable<void> ControlProgram::stop()
+{
+    LOG(INFO) << "stopping: gives the lease back";
+    m_shell.release();
+    const Instant deadline = steadyNow() + ReleaseTimeout;
+    while (m_shell.placement().owns() && steadyNow() < deadline)
+        co_await sleepFor(PlacementTick);
+    m_io.stop();
+}
+
+std::string ControlProgram::statusText()
+{
+    const Placement &placement = m_shell.placement();
+    json::array engines;
+    for (const auto &[name, row] : placement.engines()) {
+        json::array copies;
+        for (const ResidentCopy &copy : row.state.copies) {
+            copies.push_back({ { "model", copy.model },
+                               { "version", copy.version },
+                               { "memory_mb", copy.memoryMb },
+                               { "ready", copy.state == CopyState::Ready } });
+        }
+        engines.push_back({ { "name", name },
+                            { "availability_zone", row.state.zone },
+                            { "memory_mb", row.state.memoryMb },
+                            { "copies", std::move(copies) } });
+    }
+    const json::value status = { { "node", m_settings.name },
+                                 { "availability_zone", m_settings.availabilityZone },
+                                 { "config_revision", m_catalog.revision },
+                                 { "active", placement.isActive(steadyNow()) },
+                                 { "term", placement.term() },
+                                 { "lease_holder", placement.lease().holder },
+                                 { "open_orders", placement.openOrders().size() },
+                                 { "platform_calls", m_objects.calls() },
+                                 { "engines", std::move(engines) } };
+    return json::serialize(status);
+}
+
+asio::awaitable<void> ControlProgram::handle(const HttpRequest &request, HttpReply &reply)
+{
+    const std::string path = pathOf(request);
+    int status = 200;
+    std::string type = "text/plain";
+    std::string body;
+    if (path == "/live") {
+        body = "live\n";
+    } else if (path == "/ready") {
+        status = m_catalog.revision > 0 ? 200 : 503;
+        body = status == 200 ? "ready\n" : "not ready\n";
+    } else if (path == "/metrics") {
+        body = m_metrics.text();
+    } else if (path == "/explain") {
+        body = m_log.linesWith(queryValue(request, "about").value_or(""));
+    } else if (path == "/status") {
+        type = "application/json";
+        body = statusText();
+    } else {
+        status = 404;
+        body = "no such page\n";
+    }
+    std::vector<HttpHeader> headers;
+    headers.push_back({ "Content-Type", type });
+    co_await reply.send(status, std::move(headers), std::move(body));
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/control/controlprogram.h
@@ -0,0 +1,43 @@
+// Runs one control process: placement under a lease, and its status pages.
+#pragma once
+
+#include "control/placementshell.h"
+#include "net/httpserver.h"
+#include "settings/nodesettings.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace burdock {
+
+class ControlProgram : public HttpHandler
+{
+public:
+    ControlProgram(boost::asio::io_context &io, NodeSettings settings);
+
+    /// Opens the ports and starts the periodic work.
+    /// @return the error that kept a port from being opened
+    Result<Done> start();
+
+    /// Status pages: /live, /ready, /metrics, /status, /explain?about=TEXT.
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
+
+private:
+    boost::asio::awaitable<void> placementTicks();
+    boost::asio::awaitable<void> followFleet();
+    boost::asio::awaitable<void> enginePolls();
+    boost::asio::awaitable<void> stop();
+    std::string statusText();
+
+    boost::asio::io_context &m_io;
+    NodeSettings m_settings;
+    HttpClient m_http;
+    ObjectClient m_objects;
+    DecisionLog m_log;
+    Metrics m_metrics;
+    ServiceCatalog m_catalog;
+    PlacementShell m_shell;
+    HttpServer m_statusServer;
+    boost::asio::signal_set m_signals;
+};
+
+} // namespace burdock
--- /dev/null
+++ b/src/entry/entryprogram.cpp
@@ -0,0 +1,141 @@
+#include "entry/entryprogram.h"
+
+#include "net/coroutines.h"
+#include "platform/catalogstore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <glog/logging.h>
+
+#include <csignal>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds DispatchTick { 10 };
+constexpr std::chrono::milliseconds EnginePollInterval { 250 };
+constexpr std::chrono::milliseconds VmListInterval { 1'000 };
+constexpr std::chrono::milliseconds CatalogWatchWait { 10'000 };
+constexpr std::chrono::milliseconds CatalogRetryDelay { 500 };
+constexpr std::chrono::milliseconds DrainPollInterval { 20 };
+
+HttpLimits callerLimits(const NodeSettings &settings)
+{
+    HttpLimits limits;
+    limits.maxHeaderBytes = settings.maxHeaderBytes;
+    limits.maxBodyBytes = settings.maxBodyBytes;
+    limits.readTimeout = settings.headerTimeout + settings.bodyTimeout;
+    limits.maxConnections = settings.maxOpenRequests;
+    return limits;
+}
+
+} // namespace
+
+EntryProgram::EntryProgram(asio::io_context &io, NodeSettings settings)
+    : m_io(io)
+    , m_state(io, std::move(settings))
+    , m_callerApi(m_state)
+    , m_statusPages(m_state, [this] { beginDrain(); })
+    , m_callerServer(io, callerLimits(m_state.settings), m_callerApi)
+    , m_statusServer(io, HttpLimits {}, m_statusPages)
+    , m_signals(io, SIGTERM, SIGINT)
+{
+}
+
+Result<Done> EntryProgram::start()
+{
+    const NodeSettings &settings = m_state.settings;
+    const auto callers = m_callerServer.listen({ settings.address, settings.callerPort });
+    if (!isOk(callers))
+        return callers;
+    const auto status = m_statusServer.listen({ settings.address, settings.entryStatusPort });
+    if (!isOk(status))
+        return status;
+    m_signals.async_wait([this](const auto &failure, int) {
+        if (!failure)
+            beginDrain();
+    });
+    asio::co_spawn(m_io, dispatchTicks(), asio::detached);
+    asio::co_spawn(m_io, followVmList(), asio::detached);
+    asio::co_spawn(m_io, followCatalog(), asio::detached);
+    asio::co_spawn(m_io, followEngines(), asio::detached);
+    return Done {};
+}
+
+asio::awaitable<void> EntryProgram::dispatchTicks()
+{
+    while (true) {
+        m_state.board.tick();
+        co_await sleepFor(DispatchTick);
+    }
+}
+
+std::set<std::string> EntryProgram::modelGroups() const
+{
+    std::set<std::string> groups;
+    for (const auto &[name, service] : m_state.catalog.services) {
+        if (service.kind == ServiceKind::Models)
+            groups.insert(service.upstreamGroup);
+    }
+    return groups;
+}
+
+asio::awaitable<void> EntryProgram::followVmList()
+{
+    while (true) {
+        auto vms = co_await m_state.objects.vms();
+        if (isOk(vms))
+            m_state.vms = takeValue(std::move(vms));
+        m_state.feed.onVmList(m_state.vms, modelGroups());
+        co_await sleepFor(VmListInterval);
+    }
+}
+
+asio::awaitable<void> EntryProgram::followEngines()
+{
+    while (true) {
+        co_await m_state.feed.pollEngines();
+        co_await sleepFor(EnginePollInterval);
+    }
+}
+
+asio::awaitable<void> EntryProgram::followCatalog()
+{
+    std::uint64_t sequence = 0;
+    while (true) {
+        auto read = co_await readCatalog(m_state.objects, m_state.catalog);
+        if (isOk(read) && valueOf(read).revision > m_state.catalog.revision) {
+            m_state.catalog = takeValue(std::move(read));
+            LOG(INFO) << "configuration revision " << m_state.catalog.revision << " is in force";
+        }
+        const auto changes =
+                co_await m_state.objects.watch("config/head", sequence, CatalogWatchWait);
+        if (isOk(changes))
+            sequence = valueOf(changes).sequence;
+        else
+            co_await sleepFor(CatalogRetryDelay);
+    }
+}
+
+void EntryProgram::beginDrain()
+{
+    if (m_state.draining)
+        return;
+    asio::co_spawn(m_io, drain(), asio::detached);
+}
+
+asio::awaitable<void> EntryProgram::drain()
+{
+    LOG(INFO) << "draining: refuses new requests, finishes those in progress";
+    m_state.draining = true;
+    while (m_callerServer.requestsInProgress() > 0)
+        co_await sleepFor(DrainPollInterval);
+    LOG(INFO) << "drained";
+    m_io.stop();
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/entry/statuspages.cpp
@@ -0,0 +1,87 @@
+#include "entry/statuspages.h"
+
+#include <boost/json.hpp>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+json::value upstreamStatus(const EntryState &state, const UpstreamRow &row)
+{
+    json::array models;
+    for (const ResidentModel &model : row.info.resident)
+        models.push_back(json::string(servingKey(model.model, model.version)));
+    return { { "name", row.info.name },
+             { "group", row.info.group },
+             { "availability_zone", row.info.zone },
+             { "state", upstreamStateName(row.state) },
+             { "resident", std::move(models) },
+             { "own_in_flight", row.ownInFlight },
+             { "estimated_load", state.upstreams.estimatedLoad(row, steadyNow()) } };
+}
+
+json::value entryStatus(const EntryState &state)
+{
+    json::array upstreams;
+    for (const auto &[name, row] : state.upstreams.rows())
+        upstreams.push_back(upstreamStatus(state, row));
+    json::array services;
+    for (const auto &[name, service] : state.catalog.services)
+        services.push_back(json::string(name));
+    return { { "node", state.settings.name },
+             { "availability_zone", state.settings.availabilityZone },
+             { "config_revision", state.catalog.revision },
+             { "publish_id", state.catalog.publishId },
+             { "draining", state.draining },
+             { "services", std::move(services) },
+             { "queued", state.dispatcher.admission().queued() },
+             { "active", state.dispatcher.active().size() },
+             { "retry_tokens", state.dispatcher.retryBudget().tokens() },
+             { "platform_calls", state.objects.calls() },
+             { "upstreams", std::move(upstreams) } };
+}
+
+} // namespace
+
+StatusPages::StatusPages(EntryState &state, std::function<void()> drain)
+    : m_state(state)
+    , m_drain(std::move(drain))
+{
+}
+
+asio::awaitable<void> StatusPages::handle(const HttpRequest &request, HttpReply &reply)
+{
+    const std::string path = pathOf(request);
+    int status = 200;
+    std::string type = "text/plain";
+    std::string body;
+    if (path == "/live") {
+        body = "live\n";
+    } else if (path == "/ready") {
+        const bool ready = m_state.catalog.revision > 0 && !m_state.draining;
+        status = ready ? 200 : 503;
+        body = ready ? "ready\n" : "not ready\n";
+    } else if (path == "/metrics") {
+        body = m_state.metrics.text();
+    } else if (path == "/explain") {
+        body = m_state.log.linesWith(queryValue(request, "about").value_or(""));
+    } else if (path == "/status") {
+        type = "application/json";
+        body = json::serialize(entryStatus(m_state));
+    } else if (path == "/drain" && request.method == "POST") {
+        m_drain();
+        status = 202;
+        body = "draining\n";
+    } else {
+        status = 404;
+        body = "no such page\n";
+    }
+    std::vector<HttpHeader> headers;
+    headers.push_back({ "Content-Type", type });
+    co_await reply.send(status, std::move(headers), std::move(body));
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/net/decisionlog.cpp
@@ -0,0 +1,91 @@
+#include "net/decisionlog.h"
+
+#include <glog/logging.h>
+
+namespace burdock {
+
+namespace {
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\t") != std::string_view::npos;
+}
+
+void appendQuoted(std::string &text, std::string_view value)
+{
+    text += '"';
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\')
+            text += '\\';
+        text += letter == '\n' ? ' ' : letter;
+    }
+    text += '"';
+}
+
+} // namespace
+
+void startLogging(const char *program)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_logbuflevel = -1;
+    google::InitGoogleLogging(program);
+}
+
+DecisionLine::DecisionLine(std::string_view kind)
+    : m_text("kind=")
+{
+    m_text += kind;
+}
+
+DecisionLine &DecisionLine::field(std::string_view name, std::string_view value)
+{
+    m_text += ' ';
+    m_text += name;
+    m_text += '=';
+    if (needsQuotes(value))
+        appendQuoted(m_text, value);
+    else
+        m_text += value;
+    return *this;
+}
+
+DecisionLine &DecisionLine::field(std::string_view name, std::int64_t value)
+{
+    return field(name, std::to_string(value));
+}
+
+DecisionLine &DecisionLine::reason(std::string_view text)
+{
+    m_text += " reason=";
+    appendQuoted(m_text, text);
+    return *this;
+}
+
+DecisionLog::DecisionLog(std::string node, std::size_t keep)
+    : m_node(std::move(node))
+    , m_keep(keep)
+{
+}
+
+std::string DecisionLog::write(const DecisionLine &line)
+{
+    const std::string id = m_node + "-" + std::to_string(m_next++);
+    std::string text = "decision=" + id + " " + line.text();
+    LOG(INFO) << text;
+    m_lines.push_back(std::move(text));
+    if (m_lines.size() > m_keep)
+        m_lines.pop_front();
+    return id;
+}
+
+std::string DecisionLog::linesWith(std::string_view text) const
+{
+    std::string found;
+    for (const std::string &line : m_lines) {
+        if (line.find(text) != std::string::npos)
+            found += line + "\n";
+    }
+    return found;
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,326 @@
+#include "net/httpclient.h"
+
+#include "net/coroutines.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t PartBytes = 16 * 1024;
+constexpr std::size_t MaxAnswerHeaderBytes = 64 * 1024;
+constexpr std::size_t MaxIdlePerEndpoint = 64;
+
+struct Connection
+{
+    explicit Connection(asio::io_context &io)
+        : stream(io)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+bool isHopByHop(http::field field)
+{
+    return field == http::field::content_length || field == http::field::connection
+            || field == http::field::transfer_encoding || field == http::field::keep_alive;
+}
+
+} // namespace
+
+// ---- Idle connections ---------------------------------------------------------------------------
+
+struct HttpClient::State
+{
+    explicit State(asio::io_context &context)
+        : io(context)
+    {
+    }
+
+    std::unique_ptr<Connection> takeIdle(const Endpoint &endpoint);
+    void keepIdle(const Endpoint &endpoint, std::unique_ptr<Connection> connection);
+
+    asio::io_context &io;
+    std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle;
+};
+
+std::unique_ptr<Connection> HttpClient::State::takeIdle(const Endpoint &endpoint)
+{
+    auto &connections = idle[endpoint];
+    while (!connections.empty()) {
+        auto connection = std::move(connections.back());
+        connections.pop_back();
+        // A byte or an end of stream waiting on an idle connection means it is no longer usable.
+        std::array<char, 1> byte {};
+        boost::system::error_code failure;
+        connection->stream.socket().non_blocking(true, failure);
+        connection->stream.socket().receive(asio::buffer(byte), Tcp::socket::message_peek, failure);
+        if (failure == asio::error::would_block)
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClient::State::keepIdle(const Endpoint &endpoint, std::unique_ptr<Connection> connection)
+{
+    auto &connections = idle[endpoint];
+    if (connections.size() < MaxIdlePerEndpoint)
+        connections.push_back(std::move(connection));
+}
+
+// ---- Exchange -----------------------------------------------------------------------------------
+
+namespace {
+
+enum class ConnectionUse {
+    Kept,  // takes an idle connection and gives it back
+    Fresh, // opens a connection and gives it back
+    Own,   // opens a connection at first and keeps it for the next request
+};
+
+class BeastExchange : public HttpExchange
+{
+public:
+    BeastExchange(std::shared_ptr<HttpClient::State> client, Endpoint endpoint, ConnectionUse use)
+        : m_client(std::move(client))
+        , m_endpoint(std::move(endpoint))
+        , m_use(use)
+    {
+    }
+
+    asio::awaitable<CallResult<HttpResponseHead>> start(const HttpRequest &request,
+                                                        Instant deadline) override;
+    asio::awaitable<CallResult<std::string>> readPart(Instant deadline) override;
+    void cancel() override;
+
+private:
+    asio::awaitable<std::optional<CallFailure>> connect(Instant deadline);
+    HttpResponseHead takeHead();
+    CallFailure failed(boost::system::error_code failure);
+    void finish();
+
+    std::shared_ptr<HttpClient::State> m_client;
+    Endpoint m_endpoint;
+    ConnectionUse m_use;
+    bool m_bytesSent = false;
+    bool m_cancelled = false;
+    bool m_closed = false;
+    std::unique_ptr<Connection> m_connection;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::array<char, PartBytes> m_part {};
+};
+
+CallFailure BeastExchange::failed(boost::system::error_code failure)
+{
+    m_connection.reset();
+    m_closed = m_use == ConnectionUse::Own;
+    return { m_bytesSent, failure == beast::error::timeout,
+             toText(m_endpoint) + ": " + failure.message() };
+}
+
+asio::awaitable<std::optional<CallFailure>> BeastExchange::connect(Instant deadline)
+{
+    if (m_use == ConnectionUse::Kept)
+        m_connection = m_client->takeIdle(m_endpoint);
+    if (m_connection)
+        co_return std::nullopt;
+    if (m_closed)
+        co_return CallFailure { false, false, toText(m_endpoint) + ": the session has ended" };
+
+    boost::system::error_code failure;
+    const auto address = asio::ip::make_address(m_endpoint.address, failure);
+    if (failure)
+        co_return failed(failure);
+    m_connection = std::make_unique<Connection>(m_client->io);
+    m_connection->stream.expires_at(toSteady(deadline));
+    co_await m_connection->stream.async_connect(Tcp::endpoint(address, m_endpoint.port),
+                                                withError(failure));
+    if (m_cancelled)
+        failure = asio::error::operation_aborted;
+    if (failure)
+        co_return failed(failure);
+    m_connection->stream.socket().set_option(Tcp::no_delay(true), failure);
+    co_return std::nullopt;
+}
+
+asio::awaitable<CallResult<HttpResponseHead>> BeastExchange::start(const HttpRequest &request,
+                                                                   Instant deadline)
+{
+    if (auto failure = co_await connect(deadline))
+        co_return std::move(*failure);
+
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
+                                             11);
+    message.method_string(request.method);
+    message.set(http::field::host, toText(m_endpoint));
+    for (const HttpHeader &header : request.headers)
+        message.insert(header.name, header.value);
+    message.body() = request.body;
+    message.prepare_payload();
+
+    boost::system::error_code failure;
+    m_connection->stream.expires_at(toSteady(deadline));
+    m_parser.reset();
+    m_bytesSent = true;
+    co_await http::async_write(m_connection->stream, message, withError(failure));
+    if (failure)
+        co_return failed(failure);
+
+    m_parser.emplace();
+    m_parser->header_limit(MaxAnswerHeaderBytes);
+    m_parser->body_limit(boost::none);
+    co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
+                                     withError(failure));
+    if (failure)
+        co_return failed(failure);
+    co_return takeHead();
+}
+
+HttpResponseHead BeastExchange::takeHead()
+{
+    HttpResponseHead head;
+    head.status = static_cast<int>(m_parser->get().result_int());
+    for (const auto &field : m_parser->get()) {
+        if (!isHopByHop(field.name()))
+            head.headers.push_back(
+                    { std::string(field.name_string()), std::string(field.value()) });
+    }
+    if (m_parser->is_done())
+        finish();
+    return head;
+}
+
+asio::awaitable<CallResult<std::string>> BeastExchange::readPart(Instant deadline)
+{
+    std::string part;
+    boost::system::error_code failure;
+    while (part.empty() && m_connection && !m_parser->is_done()) {
+        m_parser->get().body().data = m_part.data();
+        m_parser->get().body().size = m_part.size();
+        m_connection->stream.expires_at(toSteady(deadline));
+        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
+                                       withError(failure));
+        if (failure == http::error::need_buffer)
+            failure = {};
+        if (failure)
+            co_return failed(failure);
+        part.assign(m_part.data(), m_part.size() - m_parser->get().body().size);
+    }
+    if (!m_parser || (!m_connection && !m_parser->is_done()))
+        co_return CallFailure { m_bytesSent, false, toText(m_endpoint) + ": cancelled" };
+    if (m_parser->is_done())
+        finish();
+    co_return part;
+}
+
+void BeastExchange::finish()
+{
+    if (!m_connection)
+        return;
+    m_connection->stream.expires_never();
+    const bool keep = m_parser->keep_alive();
+    if (keep && m_use == ConnectionUse::Own)
+        return;
+    m_closed = m_use == ConnectionUse::Own;
+    if (keep)
+        m_client->keepIdle(m_endpoint, std::move(m_connection));
+    m_connection.reset();
+}
+
+void BeastExchange::cancel()
+{
+    m_cancelled = true;
+    if (m_connection)
+        m_connection->stream.close();
+}
+
+} // namespace
+
+// ---- Whole answers ------------------------------------------------------------------------------
+
+namespace {
+
+asio::awaitable<CallResult<HttpResponse>>
+readWholeAnswer(HttpExchange &exchange, const HttpRequest &request, Instant deadline)
+{
+    auto head = co_await exchange.start(request, deadline);
+    if (const auto *failure = std::get_if<CallFailure>(&head))
+        co_return *failure;
+
+    HttpResponse response;
+    response.head = std::move(std::get<HttpResponseHead>(head));
+    while (true) {
+        auto part = co_await exchange.readPart(deadline);
+        if (const auto *failure = std::get_if<CallFailure>(&part))
+            co_return *failure;
+        const auto &text = std::get<std::string>(part);
+        if (text.empty())
+            break;
+        response.body += text;
+    }
+    co_return response;
+}
+
+class BeastSession : public HttpSession
+{
+public:
+    explicit BeastSession(BeastExchange exchange)
+        : m_exchange(std::move(exchange))
+    {
+    }
+
+    asio::awaitable<CallResult<HttpResponse>> call(const HttpRequest &request,
+                                                   Instant deadline) override
+    {
+        co_return co_await readWholeAnswer(m_exchange, request, deadline);
+    }
+
+private:
+    BeastExchange m_exchange;
+};
+
+} // namespace
+
+// ---- Client -------------------------------------------------------------------------------------
+
+HttpClient::HttpClient(asio::io_context &io)
+    : m_state(std::make_shared<State>(io))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpExchange> HttpClient::exchange(const Endpoint &endpoint, bool freshConnection)
+{
+    const auto use = freshConnection ? ConnectionUse::Fresh : ConnectionUse::Kept;
+    return std::make_shared<BeastExchange>(m_state, endpoint, use);
+}
+
+std::shared_ptr<HttpSession> HttpClient::session(const Endpoint &endpoint)
+{
+    return std::make_shared<BeastSession>(m_state, endpoint);
+}
+
+asio::awaitable<CallResult<HttpResponse>> HttpClient::call(Endpoint endpoint, HttpRequest request,
+                                                           Instant deadline)
+{
+    const auto own = exchange(endpoint, false);
+    co_return co_await readWholeAnswer(*own, request, deadline);
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/net/httpclient.h
@@ -0,0 +1,112 @@
+// An HTTP/1.1 client on one thread, over Boost.Beast.
+//
+// Index
+//   CallFailure     why a call failed, and whether any byte of it was sent
+//   HttpExchange    one request over one connection, its answer read part by part
+//   HttpSession     several calls over one and the same connection
+//   HttpClient      keeps idle connections and makes exchanges and whole calls
+//
+// What failed matters: a request whose first byte was never written has certainly not run; once a
+// byte was written, a missing answer says nothing about that.
+#pragma once
+
+#include "base/instant.h"
+#include "base/result.h"
+#include "net/endpoint.h"
+#include "net/httptypes.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <variant>
+
+namespace burdock {
+
+// ---- Failures -----------------------------------------------------------------------------------
+
+struct CallFailure
+{
+    bool bytesSent = false; // whether a byte of the request may have left this process
+    bool timedOut = false;  // the deadline passed
+    std::string message;    // what the operating system or the parser said
+};
+
+template <typename T>
+using CallResult = std::variant<T, CallFailure>;
+
+/// A whole answer.
+struct HttpResponse
+{
+    HttpResponseHead head; // status and headers
+    std::string body;      // whole body
+};
+
+// ---- Exchange -----------------------------------------------------------------------------------
+
+class HttpExchange
+{
+public:
+    virtual ~HttpExchange() = default;
+
+    /// Sends the request and reads the answer's head.
+    /// @param request what to send
+    /// @param deadline when to give up
+    virtual boost::asio::awaitable<CallResult<HttpResponseHead>> start(const HttpRequest &request,
+                                                                       Instant deadline) = 0;
+
+    /// Reads the next part of the body.
+    /// @param deadline when to give up
+    /// @return the part; empty at the proper end of the body
+    virtual boost::asio::awaitable<CallResult<std::string>> readPart(Instant deadline) = 0;
+
+    /// Ends the exchange now; a pending read fails. The upstream sees the connection close.
+    virtual void cancel() = 0;
+};
+
+// ---- Session ------------------------------------------------------------------------------------
+
+/// Calls that must reach the same process: a connection does not survive the other side's restart.
+class HttpSession
+{
+public:
+    virtual ~HttpSession() = default;
+
+    /// Sends a request over the session's connection, which the first call opens, and reads the
+    /// whole answer. Once a call has failed, all later ones do, without a byte sent.
+    virtual boost::asio::awaitable<CallResult<HttpResponse>> call(const HttpRequest &request,
+                                                                  Instant deadline) = 0;
+};
+
+// ---- Client -------------------------------------------------------------------------------------
+
+class HttpClient
+{
+public:
+    /// @param io runs the client; must outlive it
+    explicit HttpClient(boost::asio::io_context &io);
+    ~HttpClient();
+
+    /// Makes an exchange with an upstream.
+    /// @param endpoint where to
+    /// @param freshConnection whether to open a connection for it alone: on a kept connection that
+    ///        the upstream has just closed, it is uncertain whether the request arrived
+    std::shared_ptr<HttpExchange> exchange(const Endpoint &endpoint, bool freshConnection);
+
+    /// @return a session with an upstream
+    std::shared_ptr<HttpSession> session(const Endpoint &endpoint);
+
+    /// Sends a request and reads the whole answer.
+    /// @param endpoint where to
+    /// @param request what to send
+    /// @param deadline when to give up
+    boost::asio::awaitable<CallResult<HttpResponse>> call(Endpoint endpoint, HttpRequest request,
+                                                          Instant deadline);
+
+    struct State; // shared with the exchanges; defined in httpclient.cpp
+
+private:
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace burdock
