--- /dev/null
+++ b/src/decide/lease.cpp
@@ -0,0 +1,196 @@
+#include "decide/lease.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace burdock {
+
+Lease::Lease(LeaseSettings settings, std::string node, std::uint64_t incarnation)
+    : m_settings(settings)
+    , m_node(std::move(node))
+    , m_incarnation(incarnation)
+{
+    assert(settings.holdTime < settings.leaseTime && "set holdTime below leaseTime");
+    assert(!m_node.empty() && "name the node; an empty holder means that nobody holds");
+}
+
+void Lease::setCandidate(bool candidate, Instant now)
+{
+    if (candidate && !m_candidate)
+        m_nextCallAt = std::min(m_nextCallAt, now);
+    m_candidate = candidate;
+}
+
+// ---- Answers ------------------------------------------------------------------------------------
+
+void Lease::onRead(const LeaseReadAnswer &answer, Instant now)
+{
+    if (m_call != Call::Read || answer.callId != m_callId)
+        return;
+    m_call = Call::None;
+    if (!answer.available) {
+        afterFailure(now);
+        return;
+    }
+    adopt(answer.version, answer.value, now);
+}
+
+void Lease::onWritten(const LeaseWriteAnswer &answer, Instant now)
+{
+    if (m_call != Call::Write || answer.callId != m_callId)
+        return;
+    m_call = Call::None;
+    switch (answer.status) {
+    case PlacementWriteStatus::Done:
+        adopt(answer.version, m_pending, now);
+        break;
+    case PlacementWriteStatus::Unavailable:
+        afterFailure(now);
+        break;
+    case PlacementWriteStatus::Conflict:
+    case PlacementWriteStatus::Unknown:
+        // A write without an answer may still take effect. Reading back tells, and the next write
+        // is conditional on what was read, so at most one of the two takes effect.
+        m_known = false;
+        m_nextCallAt = now;
+        break;
+    }
+}
+
+// ---- Time ---------------------------------------------------------------------------------------
+
+void Lease::tick(Instant now)
+{
+    if (m_call != Call::None) {
+        if (now < m_callTimeoutAt)
+            return;
+        m_call = Call::None;
+        m_known = false;
+        m_nextCallAt = now;
+    }
+    const bool canTake = m_known && !m_held && m_candidate && now >= m_freeAt;
+    if (now < m_nextCallAt && !canTake)
+        return;
+    if (!m_known) {
+        sendRead(now);
+        return;
+    }
+    if (m_held && m_releasing)
+        sendWrite(LeaseValue { "", m_incarnation, m_value.term, 0 }, now);
+    else if (m_held)
+        sendWrite(LeaseValue { m_node, m_incarnation, renewalTerm(), 0 }, now);
+    else if (canTake)
+        sendWrite(LeaseValue { m_node, m_incarnation, takeoverTerm(), 0 }, now);
+    else
+        sendRead(now);
+}
+
+void Lease::release(Instant now)
+{
+    m_candidate = false;
+    m_actUntil = Instant {};
+    if (!m_held)
+        return;
+    m_releasing = true;
+    m_nextCallAt = now;
+}
+
+void Lease::raiseTerm(std::uint64_t floor)
+{
+    m_termFloor = std::max(m_termFloor, floor);
+}
+
+std::vector<LeaseAction> Lease::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::vector<LeaseEvent> Lease::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+// ---- Parts --------------------------------------------------------------------------------------
+
+void Lease::sendRead(Instant now)
+{
+    m_call = Call::Read;
+    m_callTimeoutAt = now + m_settings.answerTimeout;
+    m_actions.emplace_back(LeaseRead { ++m_callId });
+}
+
+void Lease::sendWrite(LeaseValue value, Instant now)
+{
+    value.writeId = ++m_writeCount;
+    m_pending = value;
+    m_pendingSentAt = now;
+    m_pendingActUntil = value.holder.empty() ? Instant {} : now + m_settings.holdTime;
+    m_call = Call::Write;
+    m_callTimeoutAt = now + m_settings.answerTimeout;
+    m_actions.emplace_back(LeaseWrite { ++m_callId, m_version, std::move(value) });
+}
+
+std::uint64_t Lease::renewalTerm() const
+{
+    return m_value.term > m_termFloor ? m_value.term : m_termFloor + 1;
+}
+
+std::uint64_t Lease::takeoverTerm() const
+{
+    return std::max(m_value.term, m_termFloor) + 1;
+}
+
+bool Lease::isMine(const LeaseValue &value) const
+{
+    return value.holder == m_node && value.incarnation == m_incarnation;
+}
+
+std::chrono::milliseconds Lease::readInterval() const
+{
+    return m_candidate ? m_settings.pollInterval : m_settings.slowPollInterval;
+}
+
+void Lease::afterFailure(Instant now)
+{
+    m_nextCallAt = now + m_settings.retryInterval;
+}
+
+// Takes in what the object holds, from a read or from a write of our own that took effect.
+void Lease::adopt(std::uint64_t version, const LeaseValue &value, Instant now)
+{
+    const bool changed = !m_seenOnce || version != m_version;
+    const std::uint64_t previousTerm = term();
+    m_seenOnce = true;
+    m_known = true;
+    m_version = version;
+    m_value = value;
+    if (changed)
+        m_freeAt = value.holder.empty() ? now : now + m_settings.leaseTime;
+
+    if (!isMine(value)) {
+        m_releasing = false;
+        setHeld(false);
+        m_nextCallAt = now + readInterval();
+        return;
+    }
+    // The write that made us holder was read back: it counts from when it was sent.
+    if (value == m_pending && !m_releasing)
+        m_actUntil = std::max(m_actUntil, m_pendingActUntil);
+    const bool renewNow = m_releasing || m_actUntil <= now;
+    m_nextCallAt = renewNow ? now : m_pendingSentAt + m_settings.renewInterval;
+    m_held = true;
+    if (previousTerm != value.term)
+        m_events.push_back(LeaseEvent::Taken);
+}
+
+void Lease::setHeld(bool held)
+{
+    if (m_held && !held)
+        m_events.push_back(LeaseEvent::Lost);
+    m_held = held;
+    if (!held)
+        m_actUntil = Instant {};
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/decide/placementorders.cpp
@@ -0,0 +1,272 @@
+// The part of Placement that plans, stores and sends orders.
+#include "decide/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdock {
+
+// ---- Plans --------------------------------------------------------------------------------------
+
+bool Placement::isReadyToPlan(Instant now) const
+{
+    if (now < m_planAt || !m_journal.idle() || m_committing || m_catalog.revision == 0)
+        return false;
+    // A holder that has not yet seen the newest catalog would undo what it asks for.
+    if (m_catalog.revision < m_journal.value().catalogRevision)
+        return false;
+    const bool allSent = std::all_of(m_open.begin(), m_open.end(), [now](const OpenOrder &open) {
+        return open.sent || open.overdueAt <= now;
+    });
+    if (!allSent)
+        return false;
+    if (now >= m_warmUntil)
+        return true;
+    return m_vmListKnown && std::all_of(m_vmList.begin(), m_vmList.end(), [this](const auto &vm) {
+               const auto row = m_engines.find(vm.first);
+               return vm.second || (row != m_engines.end() && row->second.state.epoch == m_epoch);
+           });
+}
+
+void Placement::planAll(Instant now)
+{
+    std::vector<EngineOrder> orders;
+    for (auto &[name, group] : m_groups)
+        planGroup(group, orders, now);
+    if (!orders.empty() || m_shrink)
+        commitOrders(std::move(orders), now);
+}
+
+void Placement::planGroup(Group &group, std::vector<EngineOrder> &orders, Instant now)
+{
+    const PlacementTables known = tables();
+    PlacementInput input = placementInput(group.models, known, now);
+    const int underWay = loadsUnderWay(group.models.group, now);
+    input.settings.maxLoads = static_cast<std::size_t>(group.budget.available(underWay, now));
+    PlacementPlan plan = burdock::plan(input);
+    for (const PlannedMove &move : plan.moves) {
+        const PlannerEngine &engine = input.engines[move.engine];
+        EngineOrder order;
+        order.number = fencingNumber(m_lease.term(), ++m_counter);
+        order.kind = move.load ? EngineOrderKind::Load : EngineOrderKind::Unload;
+        order.engine = engine.name;
+        order.incarnation = m_engines[engine.name].state.incarnation;
+        order.model = move.model;
+        order.version = move.version;
+        order.memoryMb = move.memoryMb;
+        orders.push_back(order);
+
+        PlacementDecision decision;
+        decision.id = order.number;
+        decision.kind = order.kind;
+        decision.engine = order.engine;
+        decision.model = order.model;
+        decision.version = order.version;
+        decision.reason = moveReasonName(move.reason);
+        decision.term = m_lease.term();
+        decision.gain = move.gain;
+        decision.demand = m_demand.demandOf(move.model);
+        decision.freeMb = engine.freeMb;
+        decision.revision = m_catalog.revision;
+        m_actions.emplace_back(decision);
+    }
+    m_plans[group.models.group] = std::move(plan);
+}
+
+void Placement::commitOrders(std::vector<EngineOrder> orders, Instant now)
+{
+    for (EngineOrder &order : orders) {
+        OpenOrder row;
+        row.order = std::move(order);
+        row.overdueAt = now + m_settings.orderTimeout;
+        row.slotUntil = now + m_settings.loadTimeout;
+        m_open.push_back(std::move(row));
+    }
+    JournalValue next;
+    next.catalogRevision = std::max(m_catalog.revision, m_journal.value().catalogRevision);
+    next.retired = m_retired;
+    for (const OpenOrder &open : m_open)
+        next.orders.push_back(open.order);
+    m_committing = true;
+    m_shrink = false;
+    m_journal.commit(std::move(next), now);
+}
+
+// ---- Orders -------------------------------------------------------------------------------------
+
+void Placement::sendOrders(Instant now)
+{
+    if (m_committing)
+        return;
+    for (OpenOrder &row : m_open) {
+        if (row.sent || now >= row.overdueAt || !maySend(row, now))
+            continue;
+        row.sent = true;
+        row.overdueAt = now + m_settings.orderTimeout;
+        row.slotUntil = now + m_settings.loadTimeout;
+        if (row.order.kind == EngineOrderKind::Load)
+            m_keepUntil[{ row.order.engine, row.order.model, row.order.version }] =
+                    now + m_settings.dwell;
+        m_actions.emplace_back(SendEngineOrder { row.order });
+    }
+}
+
+bool Placement::maySend(OpenOrder &row, Instant now)
+{
+    const auto engine = m_engines.find(row.order.engine);
+    if (engine == m_engines.end() || engine->second.state.incarnation != row.order.incarnation)
+        return false;
+    if (row.order.kind == EngineOrderKind::Unload)
+        return unloadIsSafe(row.order, now);
+    Group *group = groupOf(row.order.engine);
+    return group != nullptr && group->budget.take(loadsUnderWay(group->models.group, now), now);
+}
+
+// Things may have changed since the plan: asks again whether the model keeps a copy.
+bool Placement::unloadIsSafe(const EngineOrder &order, Instant now) const
+{
+    const auto group = m_groups.find(m_engines.at(order.engine).state.group);
+    if (group == m_groups.end())
+        return true;
+    const auto &models = group->second.models.models;
+    const auto model = std::find_if(models.begin(), models.end(), [&order](const ModelEntry &each) {
+        return each.name == order.model;
+    });
+    if (model == models.end())
+        return true;
+    const PlacementTables known = tables();
+    for (const auto &[name, row] : m_engines) {
+        if (name == order.engine && order.version == model->version)
+            continue;
+        if (!isServing(row, known, now))
+            continue;
+        const bool keeps = std::any_of(
+                row.state.copies.begin(), row.state.copies.end(), [&](const ResidentCopy &copy) {
+                    const bool vanishing =
+                            std::any_of(m_open.begin(), m_open.end(), [&](const OpenOrder &open) {
+                                return open.order.kind == EngineOrderKind::Unload
+                                        && open.order.engine == name
+                                        && open.order.model == copy.model
+                                        && open.order.version == copy.version;
+                            });
+                    return copy.model == order.model && copy.version == model->version
+                            && copy.state == CopyState::Ready && !vanishing;
+                });
+        if (keeps)
+            return true;
+    }
+    return false;
+}
+
+int Placement::loadsUnderWay(const std::string &group, Instant now) const
+{
+    int count = 0;
+    std::set<CopyOnEngine> counted;
+    for (const auto &[name, row] : m_engines) {
+        if (row.state.group != group || now >= row.staleAt + m_settings.loadTimeout)
+            continue;
+        for (const ResidentCopy &copy : row.state.copies) {
+            if (copy.state == CopyState::Loading)
+                ++count;
+            counted.emplace(name, copy.model, copy.version);
+        }
+    }
+    for (const OpenOrder &open : m_open) {
+        const EngineOrder &order = open.order;
+        if (order.kind != EngineOrderKind::Load || !open.sent || now >= open.slotUntil)
+            continue;
+        if (counted.emplace(order.engine, order.model, order.version).second)
+            ++count;
+    }
+    return count;
+}
+
+// At an engine that checks, a raised number settles orders whose fate is unknown. It is not stored:
+// it has no other effect, and it is below the numbers of any later holder.
+void Placement::raiseNumbers(Instant now)
+{
+    if (m_committing)
+        return;
+    std::map<std::string, bool> unknown; // engine to whether an order of ours is still timely
+    for (const OpenOrder &open : m_open) {
+        const bool timely = !open.inherited && now < open.overdueAt;
+        bool &anyTimely = unknown[open.order.engine];
+        anyTimely = anyTimely || timely;
+    }
+    std::erase_if(m_raiseAt, [&unknown](const auto &row) { return unknown.count(row.first) == 0; });
+    for (const auto &[name, timely] : unknown) {
+        const auto row = m_engines.find(name);
+        if (timely || row == m_engines.end() || !row->second.state.checksFencing
+            || row->second.state.epoch != m_epoch || now < m_raiseAt[name])
+            continue;
+        m_raiseAt[name] = now + m_settings.orderTimeout / 4;
+        EngineOrder order;
+        order.number = fencingNumber(m_lease.term(), ++m_counter);
+        order.kind = EngineOrderKind::Raise;
+        order.engine = name;
+        order.incarnation = row->second.state.incarnation;
+        m_actions.emplace_back(SendEngineOrder { order });
+    }
+}
+
+// ---- Adapters -----------------------------------------------------------------------------------
+
+// Adapters take no memory of their own and a repeated load changes nothing, so these orders are
+// neither stored nor numbered anew.
+void Placement::loadAdapters(Instant now)
+{
+    if (!m_settings.preloadAdapters)
+        return;
+    const PlacementTables known = tables();
+    for (const auto &[name, row] : m_engines) {
+        const auto group = m_groups.find(row.state.group);
+        if (group == m_groups.end() || !isServing(row, known, now))
+            continue;
+        const GroupModels &models = group->second.models;
+        const auto limit = static_cast<std::size_t>(models.policy.adapterLoadsInFlight);
+        for (const ResidentCopy &copy : row.state.copies) {
+            const auto model = std::find_if(
+                    models.models.begin(), models.models.end(), [&copy](const ModelEntry &each) {
+                        return each.name == copy.model && each.version == copy.version;
+                    });
+            if (model != models.models.end() && copy.state == CopyState::Ready)
+                orderAdapters(row, *model, copy, limit, now);
+        }
+    }
+}
+
+void Placement::orderAdapters(const EngineRow &row, const ModelEntry &model,
+                              const ResidentCopy &copy, std::size_t limit, Instant now)
+{
+    for (const AdapterEntry &adapter : model.adapters) {
+        const std::string name = adapter.name + "@" + adapter.version;
+        const std::string key = row.state.name + "/" + model.name + "/" + name;
+        if (std::find(copy.adapters.begin(), copy.adapters.end(), name) != copy.adapters.end()) {
+            m_adapterLoads.erase(key);
+            continue;
+        }
+        if (m_adapterLoads.size() >= limit || m_adapterLoads.count(key) > 0)
+            continue;
+        m_adapterLoads[key] = now + m_settings.adapterTimeout;
+        EngineOrder order;
+        order.number = row.state.highestNumber;
+        order.kind = EngineOrderKind::LoadAdapter;
+        order.engine = row.state.name;
+        order.incarnation = row.state.incarnation;
+        order.model = model.name;
+        order.version = model.version;
+        order.adapter = name;
+        m_actions.emplace_back(SendEngineOrder { order });
+    }
+}
+
+Placement::Group *Placement::groupOf(const std::string &engine)
+{
+    const auto row = m_engines.find(engine);
+    if (row == m_engines.end())
+        return nullptr;
+    const auto group = m_groups.find(row->second.state.group);
+    return group == m_groups.end() ? nullptr : &group->second;
+}
+
+} // namespace burdock
