--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -279,8 +279,8 @@
 class BeastSession : public HttpSession
 {
 public:
-    explicit BeastSession(BeastExchange exchange)
-        : m_exchange(std::move(exchange))
+    BeastSession(std::shared_ptr<HttpClient::State> client, const Endpoint &endpoint)
+        : m_exchange(std::move(client), endpoint, ConnectionUse::Own)
     {
     }
 
