--- a/src/control/controlprogram.cpp
+++ b/src/control/controlprogram.cpp
@@ -53,8 +53,7 @@
 
 Result<Done> ControlProgram::start()
 {
-    const auto listening =
-            m_statusServer.listen({ m_settings.address, m_settings.controlStatusPort });
+    auto listening = m_statusServer.listen({ m_settings.address, m_settings.controlStatusPort });
     if (!isOk(listening))
         return listening;
     m_signals.async_wait([this](const auto &failure, int) {
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -49,10 +49,10 @@
 Result<Done> EntryProgram::start()
 {
     const NodeSettings &settings = m_state.settings;
-    const auto callers = m_callerServer.listen({ settings.address, settings.callerPort });
+    auto callers = m_callerServer.listen({ settings.address, settings.callerPort });
     if (!isOk(callers))
         return callers;
-    const auto status = m_statusServer.listen({ settings.address, settings.entryStatusPort });
+    auto status = m_statusServer.listen({ settings.address, settings.entryStatusPort });
     if (!isOk(status))
         return status;
     m_signals.async_wait([this](const auto &failure, int) {
--- a/src/net/decisionlog.cpp
+++ b/src/net/decisionlog.cpp
@@ -69,7 +69,7 @@
 
 std::string DecisionLog::write(const DecisionLine &line)
 {
-    const std::string id = m_node + "-" + std::to_string(m_next++);
+    std::string id = m_node + "-" + std::to_string(m_next++);
     std::string text = "decision=" + id + " " + line.text();
     LOG(INFO) << text;
     m_lines.push_back(std::move(text));
--- a/src/net/endpoint.h
+++ b/src/net/endpoint.h
@@ -13,7 +13,7 @@
     std::string address;    // IP number, never a host name
     std::uint16_t port = 0; // TCP port
 
-    auto operator<=>(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// @param text "IP:PORT"
