--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -201,6 +201,7 @@
     m_raiseAt.clear();
     m_keepUntil.clear();
     m_avoidUntil.clear();
+    m_graceUntil.clear();
     m_adapterLoads.clear();
     m_counter = 0;
     m_journalRead = false;
@@ -300,6 +301,7 @@
     for (const auto &[name, at] : m_retireAt) {
         if (now < at)
             continue;
+        const std::string &gone = name;
         for (const OpenOrder &open : m_open) {
             const RetiredEngine retired { name, open.order.incarnation };
             const bool known =
@@ -307,7 +309,7 @@
             if (open.order.engine == name && !known)
                 m_retired.push_back(retired);
         }
-        std::erase_if(m_open, [&name](const OpenOrder &open) { return open.order.engine == name; });
+        std::erase_if(m_open, [&gone](const OpenOrder &open) { return open.order.engine == gone; });
         m_shrink = true;
     }
     if (m_retired.size() > RetiredEnginesKept)
@@ -317,7 +319,7 @@
 
 PlacementTables Placement::tables() const
 {
-    return PlacementTables { m_engines,    m_open,   m_retired,       m_keepUntil,
+    return PlacementTables { m_engines,    m_open,   m_retired,       m_keepUntil, m_graceUntil,
                              m_avoidUntil, m_demand, m_settings.rule, m_epoch };
 }
 
--- a/src/decide/placement.h
+++ b/src/decide/placement.h
@@ -55,6 +55,7 @@
     std::chrono::milliseconds orderTimeout { 10'000 };     // an order unseen for this long is lost
     std::chrono::milliseconds loadTimeout { 60'000 };      // a load occupies the store this long
     std::chrono::milliseconds dwell { 300'000 };           // a new copy is kept at least this long
+    std::chrono::milliseconds unpublishGrace { 60'000 };   // copies outlive their model this long
     std::chrono::milliseconds retireAfter { 60'000 };      // out of VM list and silent: forgotten
     std::chrono::milliseconds adapterTimeout { 5'000 };    // an adapter load is under way this long
     bool preloadAdapters = true;                           // load published adapters onto copies
@@ -143,12 +144,15 @@
 
     // Plans and orders.
     bool isReadyToPlan(Instant now) const;
+    void noteUnpublished(Instant now);
     void planAll(Instant now);
     void planGroup(Group &group, std::vector<EngineOrder> &orders, Instant now);
     void commitOrders(std::vector<EngineOrder> orders, Instant now);
     void sendOrders(Instant now);
     bool maySend(OpenOrder &row, Instant now);
     bool unloadIsSafe(const EngineOrder &order, Instant now) const;
+    bool hasFirmCopy(const EngineState &state, const std::string &model,
+                     const std::string &version) const;
     int loadsUnderWay(const std::string &group, Instant now) const;
     void raiseNumbers(Instant now);
     void loadAdapters(Instant now);
@@ -169,6 +173,7 @@
     std::vector<OpenOrder> m_open;                 // not settled
     std::vector<RetiredEngine> m_retired;          // see RetiredEngine
     std::map<CopyOnEngine, Instant> m_keepUntil;   // see dwell
+    std::map<std::string, Instant> m_graceUntil;   // resident models that are not published
     std::map<CopyOnEngine, Instant> m_avoidUntil;  // loads that failed a short time ago
     std::map<std::string, Instant> m_retireAt;     // engines out of the VM list with open orders
     std::map<std::string, Instant> m_raiseAt;      // engines: next raise of the number
--- a/src/decide/placementinput.cpp
+++ b/src/decide/placementinput.cpp
@@ -180,7 +180,9 @@
         planned.cancellable = checks;
     }
     const auto keep = m_tables.keepUntil.find({ row.state.name, copy.model, copy.version });
-    planned.recent = keep != m_tables.keepUntil.end() && m_now < keep->second;
+    const auto grace = m_tables.graceUntil.find(copy.model);
+    planned.recent = (keep != m_tables.keepUntil.end() && m_now < keep->second)
+            || (grace != m_tables.graceUntil.end() && m_now < grace->second);
     // A load that may still arrive keeps the memory reserved, so an unload would free nothing.
     planned.pinned = !checks && orders.load;
     if (planned.state == PlannerCopyState::Vanishing && !planned.pinned)
--- a/src/decide/placementinput.h
+++ b/src/decide/placementinput.h
@@ -44,6 +44,7 @@
     const std::vector<OpenOrder> &open;                    // unsettled orders
     const std::vector<RetiredEngine> &retired;             // see RetiredEngine
     const std::map<CopyOnEngine, Instant> &keepUntil;      // copies loaded a short time ago
+    const std::map<std::string, Instant> &graceUntil;      // unpublished models, kept until then
     const std::map<CopyOnEngine, Instant> &avoidUntil;     // loads that failed a short time ago
     const DemandTable &demand;                             // smoothed
     UncheckedEngines rule = UncheckedEngines::NeverUnload; // for engines that ignore numbers
--- a/src/decide/placementorders.cpp
+++ b/src/decide/placementorders.cpp
@@ -28,8 +28,34 @@
            });
 }
 
+// Copies of a model that was taken out stay for a while: it may be published again at once, and
+// other nodes learn of it at different times.
+void Placement::noteUnpublished(Instant now)
+{
+    std::map<std::string, Instant> grace;
+    for (const auto &[name, row] : m_engines) {
+        const auto group = m_groups.find(row.state.group);
+        if (group == m_groups.end())
+            continue;
+        for (const ResidentCopy &copy : row.state.copies) {
+            const auto &models = group->second.models.models;
+            const auto model =
+                    std::find_if(models.begin(), models.end(), [&copy](const ModelEntry &each) {
+                        return each.name == copy.model;
+                    });
+            if (model != models.end())
+                continue;
+            const auto noted = m_graceUntil.find(copy.model);
+            grace[copy.model] =
+                    noted == m_graceUntil.end() ? now + m_settings.unpublishGrace : noted->second;
+        }
+    }
+    m_graceUntil = std::move(grace);
+}
+
 void Placement::planAll(Instant now)
 {
+    noteUnpublished(now);
     std::vector<EngineOrder> orders;
     for (auto &[name, group] : m_groups)
         planGroup(group, orders, now);
@@ -135,27 +161,27 @@
     if (model == models.end())
         return true;
     const PlacementTables known = tables();
-    for (const auto &[name, row] : m_engines) {
-        if (name == order.engine && order.version == model->version)
-            continue;
-        if (!isServing(row, known, now))
-            continue;
-        const bool keeps = std::any_of(
-                row.state.copies.begin(), row.state.copies.end(), [&](const ResidentCopy &copy) {
-                    const bool vanishing =
-                            std::any_of(m_open.begin(), m_open.end(), [&](const OpenOrder &open) {
-                                return open.order.kind == EngineOrderKind::Unload
-                                        && open.order.engine == name
-                                        && open.order.model == copy.model
-                                        && open.order.version == copy.version;
-                            });
-                    return copy.model == order.model && copy.version == model->version
-                            && copy.state == CopyState::Ready && !vanishing;
-                });
-        if (keeps)
-            return true;
-    }
-    return false;
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &each) {
+        const bool other = each.first != order.engine || order.version != model->version;
+        return other && isServing(each.second, known, now)
+                && hasFirmCopy(each.second.state, model->name, model->version);
+    });
+}
+
+// A firm copy serves, and no open unload may remove it.
+bool Placement::hasFirmCopy(const EngineState &state, const std::string &model,
+                            const std::string &version) const
+{
+    const bool ready =
+            std::any_of(state.copies.begin(), state.copies.end(), [&](const ResidentCopy &copy) {
+                return copy.model == model && copy.version == version
+                        && copy.state == CopyState::Ready;
+            });
+    return ready && std::none_of(m_open.begin(), m_open.end(), [&](const OpenOrder &open) {
+               const EngineOrder &order = open.order;
+               return order.kind == EngineOrderKind::Unload && order.engine == state.name
+                       && order.model == model && order.version == version;
+           });
 }
 
 int Placement::loadsUnderWay(const std::string &group, Instant now) const
--- a/src/decide/placementplanner.cpp
+++ b/src/decide/placementplanner.cpp
@@ -171,7 +171,7 @@
         || copy.state != PlannerCopyState::Ready)
         return false;
     if (copy.model == UnpublishedModel)
-        return true;
+        return !copy.recent;
     const ModelCounts &counts = m_counts[copy.model];
     const int wanted = std::max(1, m_input.models[copy.model].minReplicas);
     if (isCurrent(copy))
--- a/src/decide/placementplanner.h
+++ b/src/decide/placementplanner.h
@@ -70,9 +70,9 @@
     std::string version;                              // as resident
     std::int64_t memoryMb = 0;                        // memory that it takes
     PlannerCopyState state = PlannerCopyState::Ready; // what it is good for
-    bool recent = false;                              // loaded a short time ago; kept for now
-    bool pinned = false;                              // an unload of it would free nothing
-    bool cancellable = false;                         // Vanishing: a new load revokes the unload
+    bool recent = false;      // loaded or taken out a short time ago; kept for now
+    bool pinned = false;      // an unload of it would free nothing
+    bool cancellable = false; // Vanishing: a new load revokes the unload
 };
 
 struct PlannerSettings
