--- a/src/decide/placementinput.cpp
+++ b/src/decide/placementinput.cpp
@@ -47,6 +47,7 @@
     bool load = false;           // any load
     bool timelyLoad = false;     // a load that is not overdue
     bool unload = false;         // any unload
+    bool timelyUnload = false;   // an unload that is not overdue
     bool newestIsUnload = false; // the order with the highest number is an unload
     std::int64_t memoryMb = 0;   // what a load of it takes
 };
@@ -64,6 +65,7 @@
         const bool isUnload = order.kind == EngineOrderKind::Unload;
         orders.unload = orders.unload || isUnload;
         orders.load = orders.load || !isUnload;
+        orders.timelyUnload = orders.timelyUnload || (isUnload && now < row->overdueAt);
         orders.timelyLoad = orders.timelyLoad || (!isUnload && now < row->overdueAt);
         orders.memoryMb = std::max(orders.memoryMb, order.memoryMb);
         if (order.number >= newest[key]) {
@@ -178,6 +180,7 @@
         const bool revoked = checks && !orders.newestIsUnload;
         planned.state = revoked ? PlannerCopyState::Coming : PlannerCopyState::Vanishing;
         planned.cancellable = checks;
+        planned.stuck = !checks && !orders.timelyUnload;
     }
     const auto keep = m_tables.keepUntil.find({ row.state.name, copy.model, copy.version });
     const auto grace = m_tables.graceUntil.find(copy.model);
@@ -185,7 +188,7 @@
             || (grace != m_tables.graceUntil.end() && m_now < grace->second);
     // A load that may still arrive keeps the memory reserved, so an unload would free nothing.
     planned.pinned = !checks && orders.load;
-    if (planned.state == PlannerCopyState::Vanishing && !planned.pinned)
+    if (planned.state == PlannerCopyState::Vanishing && !planned.pinned && orders.timelyUnload)
         m_input.engines.back().comingMb += copy.memoryMb;
     m_input.copies.push_back(planned);
 }
--- a/src/decide/placementplanner.cpp
+++ b/src/decide/placementplanner.cpp
@@ -49,6 +49,7 @@
     };
 
     void count();
+    void finishUnloads();
     void unloadUnpublished();
     void repair();
     void repairModel(std::size_t model);
@@ -110,6 +111,7 @@
 {
     m_plan.demand = m_fill.demand();
     m_plan.unserved = m_fill.unserved();
+    finishUnloads();
     unloadUnpublished();
     repair();
     unloadOldVersions();
@@ -259,6 +261,25 @@
 
 // ---- Repair -------------------------------------------------------------------------------------
 
+// A copy with an overdue unload cannot be relied upon; ordering the unload anew gives its memory
+// back. Not if it may be the last copy that serves.
+void Planner::finishUnloads()
+{
+    for (std::size_t index = 0; index < m_input.copies.size(); ++index) {
+        const PlannerCopy &copy = m_input.copies[index];
+        const PlannerEngine &engine = m_input.engines[copy.engine];
+        if (copy.state != PlannerCopyState::Vanishing || !copy.stuck || copy.pinned
+            || !engine.serving || !engine.takesUnloads || !unloadsLeft())
+            continue;
+        if (copy.model != UnpublishedModel && m_counts[copy.model].readyCurrent == 0)
+            continue;
+        m_plan.moves.push_back({ false, copy.engine, copy.modelName, copy.version, copy.memoryMb,
+                                 MoveReason::FinishUnload, 0.0 });
+        ++m_unloads;
+        m_comingMb[copy.engine] += copy.memoryMb;
+    }
+}
+
 void Planner::unloadUnpublished()
 {
     for (std::size_t index = 0; index < m_input.copies.size(); ++index) {
@@ -565,6 +586,8 @@
         return "old-version";
     case MoveReason::Demand:
         return "demand";
+    case MoveReason::FinishUnload:
+        return "finish-unload";
     case MoveReason::MakeRoom:
         return "make-room";
     case MoveReason::Relocate:
--- a/src/decide/placementplanner.h
+++ b/src/decide/placementplanner.h
@@ -72,6 +72,7 @@
     PlannerCopyState state = PlannerCopyState::Ready; // what it is good for
     bool recent = false;      // loaded or taken out a short time ago; kept for now
     bool pinned = false;      // an unload of it would free nothing
+    bool stuck = false;       // Vanishing: the unload is overdue
     bool cancellable = false; // Vanishing: a new load revokes the unload
 };
 
@@ -101,6 +102,7 @@
     ZoneSpread,    // load: all copies stand in too few availability zones
     OldVersion,    // unload: the published version serves
     Demand,        // load: demand is above what the copies serve
+    FinishUnload,  // unload: an unload whose fate is unknown is ordered anew
     MakeRoom,      // unload: a surplus copy gives way to a load that is worth more
     Relocate,      // load: a copy moves so that another model finds room
 };
