Let surplus old copies make room for a version that has no copy yet

Now an old copy may go if enough copies of any version stay; for other models' demand it still may not while the published version has none.

--- a/src/decide/placement.h
+++ b/src/decide/placement.h
@@ -151,8 +151,7 @@
     void sendOrders(Instant now);
     bool maySend(OpenOrder &row, Instant now);
     bool unloadIsSafe(const EngineOrder &order, Instant now) const;
-    bool hasFirmCopy(const EngineState &state, const std::string &model,
-                     const std::string &version) const;
+    bool hasOtherFirmCopy(const EngineState &state, const EngineOrder &unload) const;
     int loadsUnderWay(const std::string &group, Instant now) const;
     void raiseNumbers(Instant now);
     void loadAdapters(Instant now);
--- a/src/decide/placementorders.cpp
+++ b/src/decide/placementorders.cpp
@@ -162,26 +162,22 @@
         return true;
     const PlacementTables known = tables();
     return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &each) {
-        const bool other = each.first != order.engine || order.version != model->version;
-        return other && isServing(each.second, known, now)
-                && hasFirmCopy(each.second.state, model->name, model->version);
+        return isServing(each.second, known, now) && hasOtherFirmCopy(each.second.state, order);
     });
 }
 
 // A firm copy serves, and no open unload may remove it.
-bool Placement::hasFirmCopy(const EngineState &state, const std::string &model,
-                            const std::string &version) const
+bool Placement::hasOtherFirmCopy(const EngineState &state, const EngineOrder &unload) const
 {
-    const bool ready =
-            std::any_of(state.copies.begin(), state.copies.end(), [&](const ResidentCopy &copy) {
-                return copy.model == model && copy.version == version
-                        && copy.state == CopyState::Ready;
-            });
-    return ready && std::none_of(m_open.begin(), m_open.end(), [&](const OpenOrder &open) {
-               const EngineOrder &order = open.order;
-               return order.kind == EngineOrderKind::Unload && order.engine == state.name
-                       && order.model == model && order.version == version;
-           });
+    const auto isFirm = [&](const ResidentCopy &copy) {
+        return copy.model == unload.model && copy.state == CopyState::Ready
+                && std::none_of(m_open.begin(), m_open.end(), [&](const OpenOrder &open) {
+                       const EngineOrder &order = open.order;
+                       return order.kind == EngineOrderKind::Unload && order.engine == state.name
+                               && order.model == copy.model && order.version == copy.version;
+                   });
+    };
+    return std::any_of(state.copies.begin(), state.copies.end(), isFirm);
 }
 
 int Placement::loadsUnderWay(const std::string &group, Instant now) const
--- a/src/decide/placementplanner.cpp
+++ b/src/decide/placementplanner.cpp
@@ -68,6 +68,7 @@
     bool isCurrent(const PlannerCopy &copy) const;
     bool isFirm(const PlannerCopy &copy) const;
     bool isRemovable(std::size_t copy) const;
+    bool servesRollout(std::size_t copy) const;
     bool mayHost(std::size_t engine, std::size_t model) const;
     std::int64_t neededMb(std::size_t engine, std::size_t model) const;
     bool hasRoom(std::size_t engine, std::size_t model) const;
@@ -163,8 +164,9 @@
     }
 }
 
-// A copy may go if the model keeps its wanted number of firm copies, and the published version at
-// least one. Copies that are loading or may vanish do not count.
+// A copy may go if the model keeps its wanted number of firm copies: a copy of the published
+// version if that many of it stay, one of an old version if that many of any version stay. Copies
+// that are loading or may vanish do not count.
 bool Planner::isRemovable(std::size_t index) const
 {
     const PlannerCopy &copy = m_input.copies[index];
@@ -178,7 +180,15 @@
     const int wanted = std::max(1, m_input.models[copy.model].minReplicas);
     if (isCurrent(copy))
         return !copy.recent && counts.readyCurrent - 1 >= wanted;
-    return counts.readyCurrent >= 1 && counts.readyAll - 1 >= wanted;
+    return counts.readyAll - 1 >= wanted;
+}
+
+// An old version carries the model's load until the published one serves.
+bool Planner::servesRollout(std::size_t index) const
+{
+    const PlannerCopy &copy = m_input.copies[index];
+    return copy.model != UnpublishedModel && !isCurrent(copy)
+            && m_counts[copy.model].readyCurrent == 0;
 }
 
 bool Planner::mayHost(std::size_t engine, std::size_t model) const
@@ -349,7 +359,8 @@
 {
     std::int64_t sum = 0;
     for (const std::size_t index : m_engineCopies[engine]) {
-        if (m_input.copies[index].model != exceptModel && isRemovable(index))
+        const PlannerCopy &copy = m_input.copies[index];
+        if ((copy.model != exceptModel || !isCurrent(copy)) && isRemovable(index))
             sum += m_input.copies[index].memoryMb;
     }
     return sum;
@@ -384,7 +395,8 @@
     }
     std::vector<std::size_t> victims;
     for (const std::size_t index : m_engineCopies[best]) {
-        if (m_input.copies[index].model != model)
+        const PlannerCopy &copy = m_input.copies[index];
+        if (copy.model != model || !isCurrent(copy))
             victims.push_back(index);
     }
     std::sort(victims.begin(), victims.end(), [this](std::size_t left, std::size_t right) {
@@ -442,7 +454,7 @@
         if (copy.model == UnpublishedModel || isCurrent(copy) || !unloadsLeft())
             continue;
         const bool served = m_fill.unservedOf(copy.model) < MinimumGain;
-        if (served && isRemovable(index))
+        if (served && !servesRollout(index) && isRemovable(index))
             addUnload(index, MoveReason::OldVersion);
     }
 }
@@ -528,7 +540,7 @@
     std::int64_t missing = m_input.models[model].memoryMb - m_freeMb[engine] - m_comingMb[engine];
     std::vector<std::pair<double, std::size_t>> victims;
     for (const std::size_t index : m_engineCopies[engine]) {
-        if (m_input.copies[index].model != model && isRemovable(index))
+        if (m_input.copies[index].model != model && isRemovable(index) && !servesRollout(index))
             victims.emplace_back(m_fill.loss(index), index);
     }
     std::sort(victims.begin(), victims.end());
--- a/tests/decide/test_placementfaults.cpp
+++ b/tests/decide/test_placementfaults.cpp
@@ -139,3 +139,29 @@
     }
     printf("total %d violations %d excused %d\n", (int)total.schedules, (int)total.violations, (int)total.excused);
 }
+
+TEST(PlacementFaults, ProbePairs)
+{
+    const int schedules = std::getenv("N") != nullptr ? std::atoi(std::getenv("N")) * 500 : 2'000;
+    Outcome total;
+    for (int number = 1; number <= schedules; ++number) {
+        Random random(number);
+        const Variant &variant = Variants[random.below(4)];
+        std::vector<Injection> in;
+        while (in.size() < 2) {
+            const auto step = (WorldStep)random.below((int)WorldStep::Count);
+            const auto fault = (WorldFault)random.below((int)WorldFault::Count);
+            if (!notRun(step, fault, variant).empty())
+                continue;
+            in.push_back(injectionAt(step, fault, random));
+        }
+        const auto before = total.violations;
+        runOne(variant, in, number, total);
+        if (total.violations > before) {
+            printf("%s: [%d %d %d", variant.name, int(variant.mix), int(variant.rule), number);
+            for (auto &i : in) printf(" %d %d %d", (int)i.step, (int)i.fault, i.occurrence);
+            printf("] %s/%s + %s/%s\n", stepName(in[0].step), faultName(in[0].fault), stepName(in[1].step), faultName(in[1].fault));
+        }
+    }
+    printf("pairs total %d violations %d excused %d\n", (int)total.schedules, (int)total.violations, (int)total.excused);
+}
