--- a/src/decide/placementplanner.cpp
+++ b/src/decide/placementplanner.cpp
@@ -49,6 +49,7 @@
     };
 
     void count();
+    void finishUnloads();
     void unloadUnpublished();
     void repair();
     void repairModel(std::size_t model);
@@ -67,6 +68,7 @@
     bool isCurrent(const PlannerCopy &copy) const;
     bool isFirm(const PlannerCopy &copy) const;
     bool isRemovable(std::size_t copy) const;
+    bool servesRollout(std::size_t copy) const;
     bool mayHost(std::size_t engine, std::size_t model) const;
     std::int64_t neededMb(std::size_t engine, std::size_t model) const;
     bool hasRoom(std::size_t engine, std::size_t model) const;
@@ -110,6 +112,7 @@
 {
     m_plan.demand = m_fill.demand();
     m_plan.unserved = m_fill.unserved();
+    finishUnloads();
     unloadUnpublished();
     repair();
     unloadOldVersions();
@@ -161,8 +164,9 @@
     }
 }
 
-// A copy may go if the model keeps its wanted number of firm copies, and the published version at
-// least one. Copies that are loading or may vanish do not count.
+// A copy may go if the model keeps its wanted number of firm copies: a copy of the published
+// version if that many of it stay, one of an old version if that many of any version stay. Copies
+// that are loading or may vanish do not count.
 bool Planner::isRemovable(std::size_t index) const
 {
     const PlannerCopy &copy = m_input.copies[index];
@@ -171,12 +175,20 @@
         || copy.state != PlannerCopyState::Ready)
         return false;
     if (copy.model == UnpublishedModel)
-        return true;
+        return !copy.recent;
     const ModelCounts &counts = m_counts[copy.model];
     const int wanted = std::max(1, m_input.models[copy.model].minReplicas);
     if (isCurrent(copy))
         return !copy.recent && counts.readyCurrent - 1 >= wanted;
-    return counts.readyCurrent >= 1 && counts.readyAll - 1 >= wanted;
+    return counts.readyAll - 1 >= wanted;
+}
+
+// An old version carries the model's load until the published one serves.
+bool Planner::servesRollout(std::size_t index) const
+{
+    const PlannerCopy &copy = m_input.copies[index];
+    return copy.model != UnpublishedModel && !isCurrent(copy)
+            && m_counts[copy.model].readyCurrent == 0;
 }
 
 bool Planner::mayHost(std::size_t engine, std::size_t model) const
@@ -259,6 +271,25 @@
 
 // ---- Repair -------------------------------------------------------------------------------------
 
+// A copy with an overdue unload cannot be relied upon; ordering the unload anew gives its memory
+// back. Not if it may be the last copy that serves.
+void Planner::finishUnloads()
+{
+    for (std::size_t index = 0; index < m_input.copies.size(); ++index) {
+        const PlannerCopy &copy = m_input.copies[index];
+        const PlannerEngine &engine = m_input.engines[copy.engine];
+        if (copy.state != PlannerCopyState::Vanishing || !copy.stuck || copy.pinned
+            || !engine.serving || !engine.takesUnloads || !unloadsLeft())
+            continue;
+        if (copy.model != UnpublishedModel && m_counts[copy.model].readyCurrent == 0)
+            continue;
+        m_plan.moves.push_back({ false, copy.engine, copy.modelName, copy.version, copy.memoryMb,
+                                 MoveReason::FinishUnload, 0.0 });
+        ++m_unloads;
+        m_comingMb[copy.engine] += copy.memoryMb;
+    }
+}
+
 void Planner::unloadUnpublished()
 {
     for (std::size_t index = 0; index < m_input.copies.size(); ++index) {
@@ -328,7 +359,8 @@
 {
     std::int64_t sum = 0;
     for (const std::size_t index : m_engineCopies[engine]) {
-        if (m_input.copies[index].model != exceptModel && isRemovable(index))
+        const PlannerCopy &copy = m_input.copies[index];
+        if ((copy.model != exceptModel || !isCurrent(copy)) && isRemovable(index))
             sum += m_input.copies[index].memoryMb;
     }
     return sum;
@@ -363,7 +395,8 @@
     }
     std::vector<std::size_t> victims;
     for (const std::size_t index : m_engineCopies[best]) {
-        if (m_input.copies[index].model != model)
+        const PlannerCopy &copy = m_input.copies[index];
+        if (copy.model != model || !isCurrent(copy))
             victims.push_back(index);
     }
     std::sort(victims.begin(), victims.end(), [this](std::size_t left, std::size_t right) {
@@ -421,7 +454,7 @@
         if (copy.model == UnpublishedModel || isCurrent(copy) || !unloadsLeft())
             continue;
         const bool served = m_fill.unservedOf(copy.model) < MinimumGain;
-        if (served && isRemovable(index))
+        if (served && !servesRollout(index) && isRemovable(index))
             addUnload(index, MoveReason::OldVersion);
     }
 }
@@ -507,7 +540,7 @@
     std::int64_t missing = m_input.models[model].memoryMb - m_freeMb[engine] - m_comingMb[engine];
     std::vector<std::pair<double, std::size_t>> victims;
     for (const std::size_t index : m_engineCopies[engine]) {
-        if (m_input.copies[index].model != model && isRemovable(index))
+        if (m_input.copies[index].model != model && isRemovable(index) && !servesRollout(index))
             victims.emplace_back(m_fill.loss(index), index);
     }
     std::sort(victims.begin(), victims.end());
@@ -565,6 +598,8 @@
         return "old-version";
     case MoveReason::Demand:
         return "demand";
+    case MoveReason::FinishUnload:
+        return "finish-unload";
     case MoveReason::MakeRoom:
         return "make-room";
     case MoveReason::Relocate:
