--- a/src/settings/jsonreader.h
+++ b/src/settings/jsonreader.h
@@ -1,9 +1,7 @@
 // Reads JSON with comments and reports every problem with its file, path and reason.
 //
 // Index
-//   readTextFile   a whole file as text
 //   Problems       the errors found in one file
-//   JsonDocument   a parsed text
 //   JsonReader     one value of a document: checked access to it and to its members
 //
 // A reader never stops at the first problem: it notes it, hands out the fallback and goes on. Call
@@ -17,23 +15,12 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
-#include <memory>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace burdock {
 
-// ---- Files --------------------------------------------------------------------------------------
-
-/// Reads a whole file.
-/// @param path the file; its size is bounded by MaxSettingsBytes
-/// @return the text, or SettingsUnreadable
-Result<std::string> readTextFile(const std::string &path);
-
-inline constexpr std::size_t MaxSettingsBytes = 4'000'000; // bytes; above it a file is refused
-
 // ---- Problems -----------------------------------------------------------------------------------
 
 class Problems
@@ -57,25 +44,6 @@
 /// @return the code of the first, and all messages, one a line
 Error joinErrors(const std::vector<Error> &errors);
 
-// ---- Documents ----------------------------------------------------------------------------------
-
-class JsonDocument
-{
-public:
-    /// Parses JSON with comments. Repeated keys are refused.
-    /// @param text the text, UTF-8
-    /// @param fileName named in errors
-    /// @return the document, or SettingsUnreadable with line and column
-    static Result<JsonDocument> parse(std::string_view text, const std::string &fileName);
-
-    const boost::json::value &root() const { return *m_root; }
-
-private:
-    explicit JsonDocument(boost::json::value root);
-
-    std::shared_ptr<const boost::json::value> m_root;
-};
-
 // ---- Reading ------------------------------------------------------------------------------------
 
 struct IntegerBounds
--- a/src/settings/nodesettings.cpp
+++ b/src/settings/nodesettings.cpp
@@ -1,5 +1,6 @@
 #include "settings/nodesettings.h"
 
+#include "settings/jsondocument.h"
 #include "settings/jsonreader.h"
 #include "settings/textrules.h"
 
--- a/src/settings/servicefile.cpp
+++ b/src/settings/servicefile.cpp
@@ -1,5 +1,6 @@
 #include "settings/servicefile.h"
 
+#include "settings/jsondocument.h"
 #include "settings/jsonreader.h"
 #include "settings/textrules.h"
 
