--- a/src/settings/catalogcheck.cpp
+++ b/src/settings/catalogcheck.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-class CatalogChecker
+class FileSetChecker
 {
 public:
-    explicit CatalogChecker(const std::map<std::string, GroupCapacity> &capacities)
+    explicit FileSetChecker(const std::map<std::string, GroupCapacity> &capacities)
         : m_capacities(capacities)
     {
     }
@@ -103,7 +103,7 @@
 std::vector<Error> checkCatalog(const std::vector<ServiceFile> &files,
                                 const std::map<std::string, GroupCapacity> &capacities)
 {
-    CatalogChecker checker(capacities);
+    FileSetChecker checker(capacities);
     for (const ServiceFile &file : files)
         checker.check(file);
     return checker.takeErrors();
