--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,13 +36,18 @@
     return 1
 }
 
+# Addresses of node N: for callers, and the status pages of its two processes.
+caller() { echo "http://127.0.1.$1:17300"; }
+entry_status() { echo "http://127.0.1.$1:17303"; }
+control_status() { echo "http://127.0.1.$1:17304"; }
+
 get() { curl -sf --max-time 5 "$@"; }
 
 # wait_until_serving NODES: each node is ready and every published model is resident.
 wait_until_serving() {
     local node
     for node in $(seq "$1"); do
-        wait_for 20 get "http://127.0.0.1:$((17303 + 10 * node))/ready"
+        wait_for 20 get "$(entry_status "$node")/ready"
     done
     wait_for 30 models_resident "$1"
 }
@@ -51,7 +56,7 @@
 models_resident() {
     local node status
     for node in $(seq "$1"); do
-        status=$(get "http://127.0.0.1:$((17303 + 10 * node))/status") || return 1
+        status=$(get "$(entry_status "$node")/status") || return 1
         grep -q '"promo-writer@' <<< "$status" || return 1
         grep -q '"substitutions@' <<< "$status" || return 1
     done
@@ -66,22 +71,24 @@
 }
 
 write_node_settings() {
-    local node=$1 base=$((17300 + 10 * $1))
-    cat > "$FLEET_DIR/node-$node.json" << EOF
+    cat > "$FLEET_DIR/node-$1.json" << EOF
 {
-  // Node $node of the fleet that scripts/fleet.sh starts.
-  "name": "entry-$node",
-  "availability_zone": "zone-$node",
-  "address": "127.0.0.1",
-  "caller_port": $base,
-  "entry_peer_port": $((base + 1)),
-  "control_peer_port": $((base + 2)),
-  "entry_status_port": $((base + 3)),
-  "control_status_port": $((base + 4)),
+  // Node $1 of the fleet that scripts/fleet.sh starts. Every node has an address of its own; the
+  // ports are the same on all of them.
+  "name": "entry-$1",
+  "availability_zone": "zone-$1",
+  "address": "127.0.1.$1",
+  "caller_port": 17300,
+  "entry_peer_port": 17301,
+  "control_peer_port": 17302,
+  "entry_status_port": 17303,
+  "control_status_port": 17304,
   "platform": "$PLATFORM",
   "answer_lifetime_ms": ${ANSWER_LIFETIME_MS:-2000},
   "lease_time_ms": ${LEASE_TIME_MS:-3000},
-  "seed": $node
+  "seed": $1
+}
+EOF
 }
 EOF
 }
@@ -94,7 +101,7 @@
     {
         echo '['
         for node in $(seq "$nodes"); do
-            echo "  {\"name\":\"entry-$node\",\"address\":\"127.0.0.1\",\"port\":$((17300 + 10 * node)),\"group\":\"entry\",\"availability_zone\":\"zone-$node\",\"state\":\"${VM_STATE[entry-$node]:-live}\"},"
+            echo "  {\"name\":\"entry-$node\",\"address\":\"127.0.1.$node\",\"port\":17300,\"group\":\"entry\",\"availability_zone\":\"zone-$node\",\"state\":\"${VM_STATE[entry-$node]:-live}\"},"
         done
         echo "  {\"name\":\"engine-1\",\"address\":\"127.0.0.1\",\"port\":17101,\"group\":\"model-pool\",\"availability_zone\":\"zone-1\",\"state\":\"${VM_STATE[engine-1]:-live}\"},"
         echo "  {\"name\":\"engine-2\",\"address\":\"127.0.0.1\",\"port\":17102,\"group\":\"model-pool\",\"availability_zone\":\"zone-2\",\"state\":\"${VM_STATE[engine-2]:-live}\"},"
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,13 +1,13 @@
 // burdockctl: what operators change and ask.
-#include "base/hashing.h"
+#include "decide/confighead.h"
 #include "net/coroutines.h"
+#include "node/configjson.h"
 #include "platform/objectclient.h"
 #include "settings/catalogcheck.h"
 #include "settings/servicefile.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json.hpp>
 
 #include <CLI/CLI.hpp>
 
@@ -18,55 +18,49 @@
 namespace burdock {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
-struct PublishResult
-{
-    std::uint64_t revision = 0;
-};
-
-asio::awaitable<Result<PublishResult>> publishHead(ObjectClient &objects, json::object services,
-                                                   std::string publishId)
+asio::awaitable<Result<std::uint64_t>> publishHead(ObjectClient &objects, ConfigHead next)
 {
     std::uint64_t version = 0;
-    std::uint64_t revision = 0;
-    const auto head = co_await objects.read("config/head");
-    if (isOk(head)) {
-        const json::value parsed = json::parse(valueOf(head).value);
-        version = valueOf(head).version;
-        revision = parsed.at("revision").to_number<std::uint64_t>();
-    } else if (errorOf(head).code != ResultCode::PlatformNotFound) {
-        co_return errorOf(head);
+    const auto stored = co_await objects.read(ConfigHeadPath);
+    if (isOk(stored)) {
+        const auto head = configHeadFromJson(valueOf(stored).value);
+        if (!head)
+            co_return Error { ResultCode::PlatformUnavailable, "config/head cannot be read" };
+        version = valueOf(stored).version;
+        next.revision = head->revision;
+        next.history = head->history;
+    } else if (errorOf(stored).code != ResultCode::PlatformNotFound) {
+        co_return errorOf(stored);
     }
-    const json::value next = { { "revision", revision + 1 },
-                               { "publish_id", publishId },
-                               { "services", std::move(services) } };
+    ++next.revision;
+    appendRecord(next, { next.revision, next.publishId, "operator", {} });
     const WriteAnswer answer =
-            co_await objects.write("config/head", json::serialize(next), version);
+            co_await objects.write(ConfigHeadPath, configHeadToJson(next), version);
     if (answer.outcome != WriteOutcome::Done)
         co_return Error { ResultCode::PublishClash, "another publish came first" };
-    co_return PublishResult { revision + 1 };
+    co_return next.revision;
 }
 
-asio::awaitable<Result<PublishResult>> publish(ObjectClient &objects,
+asio::awaitable<Result<std::uint64_t>> publish(ObjectClient &objects,
                                                std::vector<ServiceFile> files)
 {
-    json::object services;
+    ConfigHead head;
+    head.publishId = std::to_string(getpid());
     for (const ServiceFile &file : files) {
         const std::string text = serviceToJson(file.service);
-        const std::string hash = hashToHex(hashText(text));
-        const std::string key = "config/services/" + file.service.name + "/" + hash;
-        const WriteAnswer answer = co_await objects.write(key, text, 0);
+        const std::string key = serviceKey(file.service.name);
+        const std::string hash = contentHash(text);
+        const WriteAnswer answer = co_await objects.write(entryPath(key, hash), text, 0);
         const bool there =
                 answer.outcome == WriteOutcome::Done || answer.outcome == WriteOutcome::Conflict;
         if (!there)
             co_return Error { ResultCode::PlatformUnavailable, "cannot write " + key };
-        services[file.service.name] = hash;
+        head.entries[key] = hash;
     }
-    const std::string publishId = std::to_string(getpid());
-    co_return co_await publishHead(objects, std::move(services), publishId);
+    co_return co_await publishHead(objects, std::move(head));
 }
 
 int runPublish(const std::string &folder, const std::string &platform)
@@ -92,7 +86,7 @@
     const auto work = [&]() -> asio::awaitable<void> {
         const auto published = co_await publish(objects, read.files);
         if (isOk(published)) {
-            std::cout << "published revision " << valueOf(published).revision << '\n';
+            std::cout << "published revision " << valueOf(published) << '\n';
         } else {
             std::cerr << errorOf(published).message << '\n';
             exitCode = describe(errorOf(published).code).exitCode;
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -1,7 +1,6 @@
 #include "entry/entryprogram.h"
 
 #include "net/coroutines.h"
-#include "platform/catalogstore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,8 +18,7 @@
 constexpr std::chrono::milliseconds DispatchTick { 10 };
 constexpr std::chrono::milliseconds EnginePollInterval { 250 };
 constexpr std::chrono::milliseconds VmListInterval { 1'000 };
-constexpr std::chrono::milliseconds CatalogWatchWait { 10'000 };
-constexpr std::chrono::milliseconds CatalogRetryDelay { 500 };
+constexpr std::chrono::milliseconds FleetTick { 20 };
 constexpr std::chrono::milliseconds DrainPollInterval { 20 };
 
 HttpLimits callerLimits(const NodeSettings &settings)
@@ -55,13 +53,16 @@
     auto status = m_statusServer.listen({ settings.address, settings.entryStatusPort });
     if (!isOk(status))
         return status;
+    auto peers = m_state.link.listen({ settings.address, settings.entryPeerPort });
+    if (!isOk(peers))
+        return peers;
     m_signals.async_wait([this](const auto &failure, int) {
         if (!failure)
             beginDrain();
     });
     asio::co_spawn(m_io, dispatchTicks(), asio::detached);
     asio::co_spawn(m_io, followVmList(), asio::detached);
-    asio::co_spawn(m_io, followCatalog(), asio::detached);
+    asio::co_spawn(m_io, fleetTicks(), asio::detached);
     asio::co_spawn(m_io, followEngines(), asio::detached);
     return Done {};
 }
@@ -74,23 +75,12 @@
     }
 }
 
-std::set<std::string> EntryProgram::modelGroups() const
-{
-    std::set<std::string> groups;
-    for (const auto &[name, service] : m_state.catalog.services) {
-        if (service.kind == ServiceKind::Models)
-            groups.insert(service.upstreamGroup);
-    }
-    return groups;
-}
-
 asio::awaitable<void> EntryProgram::followVmList()
 {
     while (true) {
         auto vms = co_await m_state.objects.vms();
         if (isOk(vms))
-            m_state.vms = takeValue(std::move(vms));
-        m_state.feed.onVmList(m_state.vms, modelGroups());
+            m_state.onVmList(takeValue(std::move(vms)));
         co_await sleepFor(VmListInterval);
     }
 }
@@ -103,21 +93,12 @@
     }
 }
 
-asio::awaitable<void> EntryProgram::followCatalog()
+asio::awaitable<void> EntryProgram::fleetTicks()
 {
-    std::uint64_t sequence = 0;
     while (true) {
-        auto read = co_await readCatalog(m_state.objects, m_state.catalog);
-        if (isOk(read) && valueOf(read).revision > m_state.catalog.revision) {
-            m_state.catalog = takeValue(std::move(read));
-            LOG(INFO) << "configuration revision " << m_state.catalog.revision << " is in force";
-        }
-        const auto changes =
-                co_await m_state.objects.watch("config/head", sequence, CatalogWatchWait);
-        if (isOk(changes))
-            sequence = valueOf(changes).sequence;
-        else
-            co_await sleepFor(CatalogRetryDelay);
+        m_state.fleet.tick();
+        m_state.orders.tick();
+        co_await sleepFor(FleetTick);
     }
 }
 
--- a/src/entry/entryprogram.h
+++ b/src/entry/entryprogram.h
@@ -21,11 +21,10 @@
 private:
     boost::asio::awaitable<void> dispatchTicks();
     boost::asio::awaitable<void> followVmList();
-    boost::asio::awaitable<void> followCatalog();
+    boost::asio::awaitable<void> fleetTicks();
     boost::asio::awaitable<void> followEngines();
     boost::asio::awaitable<void> drain();
     void beginDrain();
-    std::set<std::string> modelGroups() const;
 
     boost::asio::io_context &m_io;
     EntryState m_state;
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -11,6 +11,9 @@
 #include "net/decisionlog.h"
 #include "net/httpclient.h"
 #include "net/metrics.h"
+#include "node/fleetshell.h"
+#include "node/ordershell.h"
+#include "peer/peerlink.h"
 #include "platform/objectclient.h"
 #include "settings/nodesettings.h"
 
@@ -20,15 +23,23 @@
 
 namespace burdock {
 
-struct EntryState
+struct EntryState : public PeerHandler, public FleetListener
 {
     EntryState(boost::asio::io_context &context, NodeSettings nodeSettings);
 
+    void onPeerMessage(const wire::PeerMessage &message) override;
+    void onConfiguration(const ApplyConfig &config) override;
+    void onLiveNodes() override;
+
+    /// Takes a reading of the VM list.
+    void onVmList(std::vector<VmEntry> listed);
+
     boost::asio::io_context &io;
     NodeSettings settings;
     HttpClient http;
     ObjectClient objects;
     DecisionLog log;
+    std::uint64_t incarnation; // of this process
     Metrics metrics;
 
     ServiceCatalog catalog;   // the configuration in force here
@@ -38,6 +49,9 @@
     CostRouter router;        // chooses the upstream
     Dispatcher dispatcher;    // queues, retries, refusals
     RequestBoard board;       // waiting callers
+    PeerLink link;            // to the other nodes and to this node's control process
+    FleetShell fleet;         // who runs, and which configuration is in force
+    OrderShell orders;        // the at-most-once ledger
     UpstreamFeed feed;        // keeps the upstream table up to date
     bool draining = false;    // new requests are refused
 };
--- a/src/entry/serviceproxy.cpp
+++ b/src/entry/serviceproxy.cpp
@@ -67,41 +67,4 @@
     state.board.forget(id);
 }
 
-asio::awaitable<void> proxyOrder(EntryState &state, const ServiceCall &call, HttpReply &reply)
-{
-    const auto key = headerValue(call.request.headers, "Idempotency-Key");
-    if (!key && call.route.keyRequired) {
-        const Error error { ResultCode::KeyMissing, "this route needs an Idempotency-Key" };
-        co_await sendError(reply, error);
-        co_return;
-    }
-    const QueuedRequest queued = queuedRequest(state, call);
-    const std::uint64_t id = queued.routing.id;
-    HttpRequest forwarded = call.request;
-    forwarded.target = call.path;
-    RequestDecision decision = co_await state.board.submit(queued);
-    if (const auto *send = std::get_if<SendRequest>(&decision)) {
-        const auto endpoint = parseEndpoint(send->choice.address);
-        const auto exchange = state.http.exchange(valueOf(endpoint), true);
-        WholeAnswer answer = co_await readWhole(exchange, forwarded, queued.deadline);
-        if (answer.end == AttemptEnd::Done) {
-            state.dispatcher.onFinished(id, send->attempt, steadyNow());
-            state.board.carryOut();
-            co_await reply.send(answer.response.head.status, answer.response.head.headers,
-                                std::move(answer.response.body));
-        } else {
-            const bool notRun = answer.end == AttemptEnd::ConnectFailed;
-            if (notRun)
-                state.dispatcher.onConnectFailed(id, send->attempt, steadyNow());
-            else
-                state.dispatcher.onUpstreamFailed(id, send->attempt, false, steadyNow());
-            state.board.carryOut();
-            decision = co_await state.board.next(id);
-        }
-    }
-    if (const auto *refused = std::get_if<GiveAnswer>(&decision))
-        co_await answerRefusal(reply, refused->refusal);
-    state.board.forget(id);
-}
-
 } // namespace burdock
