--- a/src/control/controlprogram.cpp
+++ b/src/control/controlprogram.cpp
@@ -1,7 +1,8 @@
 #include "control/controlprogram.h"
 
 #include "net/coroutines.h"
-#include "platform/catalogstore.h"
+#include "node/configjson.h"
+#include "peer.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,7 +20,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds PlacementTick { 50 };
-constexpr std::chrono::milliseconds FleetInterval { 1'000 };
+constexpr std::chrono::milliseconds ViewInterval { 500 };
 constexpr std::chrono::milliseconds EnginePollInterval { 500 };
 constexpr std::chrono::milliseconds ReleaseTimeout { 3'000 };
 
@@ -45,6 +46,7 @@
     , m_http(io)
     , m_objects(m_http, { m_settings.platformAddress, m_settings.platformPort })
     , m_log(m_settings.name + "-control")
+    , m_link(io, *this)
     , m_shell(io, m_objects, m_http, m_log, m_metrics, placementSettings(m_settings))
     , m_statusServer(io, HttpLimits {}, *this)
     , m_signals(io, SIGTERM, SIGINT)
@@ -56,12 +58,15 @@
     auto listening = m_statusServer.listen({ m_settings.address, m_settings.controlStatusPort });
     if (!isOk(listening))
         return listening;
+    auto peers = m_link.listen({ m_settings.address, m_settings.controlPeerPort });
+    if (!isOk(peers))
+        return peers;
     m_signals.async_wait([this](const auto &failure, int) {
         if (!failure)
             asio::co_spawn(m_io, stop(), asio::detached);
     });
     asio::co_spawn(m_io, placementTicks(), asio::detached);
-    asio::co_spawn(m_io, followFleet(), asio::detached);
+    asio::co_spawn(m_io, viewRequests(), asio::detached);
     asio::co_spawn(m_io, enginePolls(), asio::detached);
     return Done {};
 }
@@ -74,19 +79,59 @@
     }
 }
 
-asio::awaitable<void> ControlProgram::followFleet()
+asio::awaitable<void> ControlProgram::viewRequests()
 {
     while (true) {
-        auto catalog = co_await readCatalog(m_objects, m_catalog);
-        if (isOk(catalog))
-            m_catalog = takeValue(std::move(catalog));
-        const auto vms = co_await m_objects.vms();
-        if (isOk(vms))
-            m_shell.onFleet(valueOf(vms), m_catalog);
-        co_await sleepFor(FleetInterval);
+        wire::PeerMessage message;
+        message.mutable_view_request()->set_have_revision(m_catalog.revision);
+        message.mutable_view_request()->set_lease_holder(m_shell.placement().lease().holder);
+        m_link.send({ m_settings.address, m_settings.entryPeerPort }, message);
+        co_await sleepFor(ViewInterval);
     }
 }
 
+void ControlProgram::onPeerMessage(const wire::PeerMessage &message)
+{
+    if (message.kind_case() == wire::PeerMessage::kNodeView)
+        onView(message.node_view());
+    else if (message.kind_case() == wire::PeerMessage::kDemand)
+        onDemand(message.demand());
+}
+
+void ControlProgram::onView(const wire::NodeView &view)
+{
+    if (view.revision() > m_catalog.revision && view.texts_size() > 0) {
+        const std::map<std::string, std::string> texts(view.texts().begin(), view.texts().end());
+        auto read = catalogFromTexts(view.revision(), view.publish_id(), texts);
+        if (isOk(read))
+            m_catalog = takeValue(std::move(read));
+        else
+            LOG(ERROR) << "the configuration cannot be read: " << errorOf(read).message;
+    }
+    std::vector<VmEntry> vms;
+    for (const wire::Vm &vm : view.vms()) {
+        VmEntry entry;
+        entry.name = vm.name();
+        entry.endpoint = { vm.address(), static_cast<std::uint16_t>(vm.port()) };
+        entry.group = vm.group();
+        entry.availabilityZone = vm.availability_zone();
+        entry.state = vm.leaving() ? VmState::Leaving : VmState::Live;
+        vms.push_back(std::move(entry));
+    }
+    const std::vector<std::string> liveNodes(view.live_nodes().begin(), view.live_nodes().end());
+    if (m_catalog.revision > 0)
+        m_shell.onFleet(liveNodes, vms, m_catalog);
+}
+
+void ControlProgram::onDemand(const wire::DemandReport &report)
+{
+    DemandReport demand;
+    demand.node = report.node();
+    for (const wire::ModelDemand &model : report.models())
+        demand.models.push_back({ model.model(), model.requests_per_second() });
+    m_shell.placement().onDemand(demand, steadyNow());
+}
+
 asio::awaitable<void> ControlProgram::enginePolls()
 {
     while (true) {
--- a/src/control/controlprogram.h
+++ b/src/control/controlprogram.h
@@ -3,13 +3,19 @@
 
 #include "control/placementshell.h"
 #include "net/httpserver.h"
+#include "peer/peerlink.h"
 #include "settings/nodesettings.h"
 
 #include <boost/asio/signal_set.hpp>
 
 namespace burdock {
 
-class ControlProgram : public HttpHandler
+namespace wire {
+class NodeView;
+class DemandReport;
+} // namespace wire
+
+class ControlProgram : public HttpHandler, public PeerHandler
 {
 public:
     ControlProgram(boost::asio::io_context &io, NodeSettings settings);
@@ -18,12 +24,17 @@
     /// @return the error that kept a port from being opened
     Result<Done> start();
 
+    /// Takes the entry process's view and the demand that entry processes report.
+    void onPeerMessage(const wire::PeerMessage &message) override;
+
     /// Status pages: /live, /ready, /metrics, /status, /explain?about=TEXT.
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
 
 private:
     boost::asio::awaitable<void> placementTicks();
-    boost::asio::awaitable<void> followFleet();
+    boost::asio::awaitable<void> viewRequests();
+    void onView(const wire::NodeView &view);
+    void onDemand(const wire::DemandReport &report);
     boost::asio::awaitable<void> enginePolls();
     boost::asio::awaitable<void> stop();
     std::string statusText();
@@ -34,6 +45,7 @@
     ObjectClient m_objects;
     DecisionLog m_log;
     Metrics m_metrics;
+    PeerLink m_link;
     ServiceCatalog m_catalog;
     PlacementShell m_shell;
     HttpServer m_statusServer;
--- a/src/control/placementshell.cpp
+++ b/src/control/placementshell.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds EngineTimeout { 2'000 };
-constexpr std::string_view EntryGroup = "entry";
 
 PlacementWriteStatus writeStatus(WriteOutcome outcome)
 {
@@ -69,27 +68,24 @@
 {
 }
 
-void PlacementShell::onFleet(const std::vector<VmEntry> &vms, const ServiceCatalog &catalog)
+void PlacementShell::onFleet(const std::vector<std::string> &liveNodes,
+                             const std::vector<VmEntry> &vms, const ServiceCatalog &catalog)
 {
     std::set<std::string> modelGroups;
     for (const auto &[name, service] : catalog.services) {
         if (service.kind == ServiceKind::Models)
             modelGroups.insert(service.upstreamGroup);
     }
-    std::vector<std::string> controlNodes;
     std::vector<PlacementVm> engines;
     m_engines.clear();
     for (const VmEntry &vm : vms) {
-        const bool leaving = vm.state == VmState::Leaving;
-        if (vm.group == EntryGroup && !leaving)
-            controlNodes.push_back(vm.name);
         if (!modelGroups.contains(vm.group))
             continue;
-        engines.push_back({ vm.name, leaving });
+        engines.push_back({ vm.name, vm.state == VmState::Leaving });
         m_engines[vm.name] = vm;
     }
     m_placement.onCatalog(catalog);
-    m_placement.onControlNodes(controlNodes, steadyNow());
+    m_placement.onControlNodes(liveNodes, steadyNow());
     m_placement.onVmList(engines, steadyNow());
 }
 
--- a/src/control/placementshell.h
+++ b/src/control/placementshell.h
@@ -24,8 +24,12 @@
     PlacementShell(boost::asio::io_context &io, ObjectClient &objects, HttpClient &http,
                    DecisionLog &log, Metrics &metrics, PlacementSettings settings);
 
-    /// Takes a VM list and the configuration in force.
-    void onFleet(const std::vector<VmEntry> &vms, const ServiceCatalog &catalog);
+    /// Takes this node's view of the fleet.
+    /// @param liveNodes nodes that run; some of them are candidates for the lease
+    /// @param vms the VM list
+    /// @param catalog the configuration in force
+    void onFleet(const std::vector<std::string> &liveNodes, const std::vector<VmEntry> &vms,
+                 const ServiceCatalog &catalog);
 
     /// Lets placement see the time and carries out what it decided.
     void tick();
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds DispatchTick { 10 };
 constexpr std::chrono::milliseconds EnginePollInterval { 250 };
+constexpr std::chrono::milliseconds DemandInterval { 2'000 };
 constexpr std::chrono::milliseconds VmListInterval { 1'000 };
 constexpr std::chrono::milliseconds FleetTick { 20 };
 constexpr std::chrono::milliseconds DrainPollInterval { 20 };
@@ -36,6 +37,7 @@
 EntryProgram::EntryProgram(asio::io_context &io, NodeSettings settings)
     : m_io(io)
     , m_state(io, std::move(settings))
+    , m_controlLink(m_state)
     , m_callerApi(m_state)
     , m_statusPages(m_state, [this] { beginDrain(); })
     , m_callerServer(io, callerLimits(m_state.settings), m_callerApi)
@@ -61,6 +63,10 @@
             beginDrain();
     });
     asio::co_spawn(m_io, dispatchTicks(), asio::detached);
+    m_state.onViewRequest = [this](const wire::ViewRequest &request) {
+        m_controlLink.onViewRequest(request);
+    };
+    asio::co_spawn(m_io, demandReports(), asio::detached);
     asio::co_spawn(m_io, followVmList(), asio::detached);
     asio::co_spawn(m_io, fleetTicks(), asio::detached);
     asio::co_spawn(m_io, followEngines(), asio::detached);
@@ -75,6 +81,14 @@
     }
 }
 
+asio::awaitable<void> EntryProgram::demandReports()
+{
+    while (true) {
+        m_controlLink.reportDemand();
+        co_await sleepFor(DemandInterval);
+    }
+}
+
 asio::awaitable<void> EntryProgram::followVmList()
 {
     while (true) {
--- a/src/entry/entryprogram.h
+++ b/src/entry/entryprogram.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/callerapi.h"
+#include "entry/controllink.h"
 #include "entry/entrystate.h"
 #include "entry/statuspages.h"
 
@@ -20,6 +21,7 @@
 
 private:
     boost::asio::awaitable<void> dispatchTicks();
+    boost::asio::awaitable<void> demandReports();
     boost::asio::awaitable<void> followVmList();
     boost::asio::awaitable<void> fleetTicks();
     boost::asio::awaitable<void> followEngines();
@@ -28,6 +30,7 @@
 
     boost::asio::io_context &m_io;
     EntryState m_state;
+    ControlLink m_controlLink;
     CallerApi m_callerApi;
     StatusPages m_statusPages;
     HttpServer m_callerServer;
--- a/src/entry/entrystate.cpp
+++ b/src/entry/entrystate.cpp
@@ -66,6 +66,8 @@
     if (message.kind_case() == wire::PeerMessage::kLedger) {
         if (const auto ledgerMessage = fromWire(message.ledger()))
             orders.onMessage(*ledgerMessage);
+    } else if (message.kind_case() == wire::PeerMessage::kViewRequest && onViewRequest) {
+        onViewRequest(message.view_request());
     }
 }
 
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -6,6 +6,7 @@
 #include "decide/router.h"
 #include "decide/servicecatalog.h"
 #include "decide/upstreamtable.h"
+#include "entry/demandmeter.h"
 #include "entry/requestboard.h"
 #include "entry/upstreamfeed.h"
 #include "net/decisionlog.h"
@@ -19,10 +20,15 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <vector>
 
 namespace burdock {
 
+namespace wire {
+class ViewRequest;
+}
+
 struct EntryState : public PeerHandler, public FleetListener
 {
     EntryState(boost::asio::io_context &context, NodeSettings nodeSettings);
@@ -31,6 +37,9 @@
     void onConfiguration(const ApplyConfig &config) override;
     void onLiveNodes() override;
 
+    /// Where requests of this node's control process go.
+    std::function<void(const wire::ViewRequest &)> onViewRequest;
+
     /// Takes a reading of the VM list.
     void onVmList(std::vector<VmEntry> listed);
 
@@ -52,6 +61,7 @@
     PeerLink link;            // to the other nodes and to this node's control process
     FleetShell fleet;         // who runs, and which configuration is in force
     OrderShell orders;        // the at-most-once ledger
+    DemandMeter demand;       // what callers ask of each model
     UpstreamFeed feed;        // keeps the upstream table up to date
     bool draining = false;    // new requests are refused
 };
--- a/src/entry/modelproxy.cpp
+++ b/src/entry/modelproxy.cpp
@@ -226,6 +226,7 @@
         co_await sendError(reply, errorOf(read));
         co_return;
     }
+    state.demand.count(valueOf(read).model);
     const QueuedRequest queued = queuedModelRequest(state, call, valueOf(read));
     const std::uint64_t id = queued.routing.id;
     reply.onCallerLeft([&state, id] { state.board.cancel(id); });
