--- a/src/decide/placementplanner.cpp
+++ b/src/decide/placementplanner.cpp
@@ -71,6 +71,7 @@
     bool servesRollout(std::size_t copy) const;
     bool mayHost(std::size_t engine, std::size_t model) const;
     std::int64_t neededMb(std::size_t engine, std::size_t model) const;
+    bool hasRoomToSpare(std::size_t engine, std::size_t model) const;
     bool hasRoom(std::size_t engine, std::size_t model) const;
     int zoneCopies(std::size_t engine, std::size_t model) const;
     std::size_t bestEngine(std::size_t model, bool newZoneOnly) const;
@@ -88,6 +89,7 @@
     std::vector<ModelCounts> m_counts;                        // of each model
     std::vector<bool> m_removed;                              // copies with an unload planned
     std::set<std::pair<std::size_t, std::size_t>> m_occupied; // engine, model: no load there
+    std::int64_t m_largestModelMb = 0;                        // of the published models
     std::size_t m_zones = 0;                                  // zones with a serving engine
     std::size_t m_loads = 0;                                  // planned
     std::size_t m_unloads = 0;                                // planned
@@ -105,6 +107,8 @@
         m_freeMb.push_back(engine.freeMb);
         m_comingMb.push_back(engine.comingMb);
     }
+    for (const PlannerModel &model : input.models)
+        m_largestModelMb = std::max(m_largestModelMb, model.memoryMb);
     count();
 }
 
@@ -212,6 +216,14 @@
     return needed == 0 || m_freeMb[engine] >= needed;
 }
 
+// Memory of an engine that never unloads is spent for good, so a load that could be done without
+// leaves room there for one copy of the largest model.
+bool Planner::hasRoomToSpare(std::size_t engine, std::size_t model) const
+{
+    const std::int64_t kept = m_input.engines[engine].takesUnloads ? 0 : m_largestModelMb;
+    return m_freeMb[engine] - neededMb(engine, model) >= kept;
+}
+
 int Planner::zoneCopies(std::size_t engine, std::size_t model) const
 {
     const auto zone = m_counts[model].perZone.find(m_input.engines[engine].zone);
@@ -227,7 +239,7 @@
         if (!mayHost(engine, model) || !hasRoom(engine, model))
             continue;
         const int zone = zoneCopies(engine, model);
-        if (newZoneOnly && zone > 0)
+        if (newZoneOnly && (zone > 0 || !hasRoomToSpare(engine, model)))
             continue;
         const bool better = best == NoEngine || zone < bestZone
                 || (zone == bestZone && m_fill.spare(engine) > m_fill.spare(best));
@@ -501,7 +513,7 @@
     std::size_t best = NoEngine;
     double bestScore = 0.0;
     for (std::size_t engine = 0; engine < m_input.engines.size(); ++engine) {
-        if (!mayHost(engine, model) || !hasRoom(engine, model))
+        if (!mayHost(engine, model) || !hasRoomToSpare(engine, model))
             continue;
         const double gain = std::min(relief, m_fill.spare(engine));
         const double score = gain / (1.0 + ZonePenalty * zoneCopies(engine, model));
--- a/tests/support/fakeengine.h
+++ b/tests/support/fakeengine.h
@@ -26,11 +26,13 @@
     bool checks = true;                 // refuses old numbers
     bool up = true;                     // the process runs
     bool listed = true;                 // in the VM list
+    Instant orderedAt;                  // when the last order came
     bool leaving = false;               // as the VM list says
 
     /// @return whether the order was taken
     bool apply(const EngineOrder &order, Instant now, Duration loadTime)
     {
+        orderedAt = now;
         if (!up || (checks && order.number < state.highestNumber))
             return false;
         state.highestNumber = std::max(state.highestNumber, order.number);
