--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -90,8 +90,6 @@
 }
 EOF
 }
-EOF
-}
 
 start_entry() { start "entry-$1" "$BIN/burdock-entry" --settings "$FLEET_DIR/node-$1.json"; }
 start_control() { start "control-$1" "$BIN/burdock-control" --settings "$FLEET_DIR/node-$1.json"; }
--- a/src/decide/ledgercommit.cpp
+++ b/src/decide/ledgercommit.cpp
@@ -35,7 +35,8 @@
         return;
     if (owning() && !m_waiting.contains(message.order) && answerSettled(message))
         return;
-    const bool pausing = now < m_retryAt;
+    // While another owner is waited out the request may wait too; while the store is down it may not.
+    const bool pausing = m_storeDown && now < m_retryAt;
     if (pausing || m_queue.size() >= m_context.settings.queuedRequests) {
         refuse(message);
         return;
--- a/src/entry/statuspages.cpp
+++ b/src/entry/statuspages.cpp
@@ -23,6 +23,37 @@
              { "estimated_load", state.upstreams.estimatedLoad(row, steadyNow()) } };
 }
 
+json::array ledgerStatus(const EntryState &state)
+{
+    json::array shards;
+    for (const LedgerShardRow &row : state.orders.ledger().shardRows()) {
+        shards.push_back({ { "shard", row.shard },
+                           { "phase", row.phase },
+                           { "preferred_owner", row.preferredOwner },
+                           { "records", row.records },
+                           { "open_grants", row.openGrants },
+                           { "queued", row.queued },
+                           { "commits", row.commits },
+                           { "takeovers", row.takeovers },
+                           { "read_backs", row.readBacks },
+                           { "refused", row.refused } });
+    }
+    return shards;
+}
+
+json::array memberStatus(const EntryState &state)
+{
+    json::array members;
+    for (const auto &[name, row] : state.fleet.membership().members()) {
+        members.push_back({ { "name", name },
+                            { "availability_zone", row.zone },
+                            { "state", memberStateName(row.state) },
+                            { "incarnation", row.incarnation },
+                            { "config_revision", row.configRevision } });
+    }
+    return members;
+}
+
 json::value entryStatus(const EntryState &state)
 {
     json::array upstreams;
@@ -41,6 +72,10 @@
              { "active", state.dispatcher.active().size() },
              { "retry_tokens", state.dispatcher.retryBudget().tokens() },
              { "platform_calls", state.objects.calls() },
+             { "peer_bytes_sent", state.link.bytesSent() },
+             { "peer_bytes_received", state.link.bytesReceived() },
+             { "members", memberStatus(state) },
+             { "ledger", ledgerStatus(state) },
              { "upstreams", std::move(upstreams) } };
 }
 
--- a/src/platform/objectclient.cpp
+++ b/src/platform/objectclient.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <glog/logging.h>
+
 #include <charconv>
 
 namespace burdock {
@@ -27,6 +29,7 @@
 
 Error unavailable(const std::string &message)
 {
+    LOG(WARNING) << "a read from the Object API failed: " << message;
     return { ResultCode::PlatformUnavailable, "Object API: " + message };
 }
 
@@ -126,6 +129,7 @@
     WriteAnswer result;
     if (const auto *failure = std::get_if<CallFailure>(&answer)) {
         result.outcome = failure->bytesSent ? WriteOutcome::Unknown : WriteOutcome::Unavailable;
+        LOG(WARNING) << "a write to the Object API failed: " << failure->message;
         co_return result;
     }
     const auto &response = std::get<HttpResponse>(answer);
@@ -147,6 +151,8 @@
     default:
         result.outcome = WriteOutcome::Unknown;
     }
+    if (result.outcome == WriteOutcome::Unavailable || result.outcome == WriteOutcome::Unknown)
+        LOG(WARNING) << "a write to the Object API got status " << response.head.status;
     co_return result;
 }
 
