Check streamed answers part by part and resume them where they broke off

Cause: the relay counted events itself and did not know attempts, so a late part of an earlier attempt, or a resumed stream that began elsewhere, could have been spliced in. Now the relay asks AnswerCheck for each event; the stand-in engine says where a stream begins and numbers its end mark. Its failing cases are shown by decide.answerfaults; a resume across a killed engine through the processes is not run yet.

--- a/src/entry/eventstream.cpp
+++ b/src/entry/eventstream.cpp
@@ -9,12 +9,13 @@
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view IndexField = "id: ";
 constexpr std::string_view EndMark = "data: [DONE]";
+constexpr std::string_view EndMarkLine = "\ndata: [DONE]";
 
 StreamEvent readEvent(std::string_view text)
 {
     StreamEvent event;
     event.text = text;
-    event.isEnd = text.starts_with(EndMark);
+    event.isEnd = text.starts_with(EndMark) || text.find(EndMarkLine) != std::string_view::npos;
     if (text.starts_with(IndexField)) {
         std::uint64_t index = 0;
         const char *first = text.data() + IndexField.size();
--- a/src/entry/modelproxy.cpp
+++ b/src/entry/modelproxy.cpp
@@ -110,7 +110,7 @@
         , m_queued(std::move(queued))
         , m_reply(reply)
         , m_requestId(state.settings.name + "-" + std::to_string(m_queued.routing.id))
-        , m_relay(reply, m_requestId)
+        , m_relay(reply, m_queued.routing.id, m_requestId)
     {
     }
 
@@ -169,11 +169,16 @@
     m_state.board.setExchange(m_queued.routing.id, exchange);
     if (!m_model.stream)
         co_return co_await attemptWhole(send, exchange, request);
-    const auto onFirstByte = [this, &send] {
+    StreamAttempt stream;
+    stream.number = send.attempt;
+    stream.exchange = exchange;
+    stream.request = std::move(request);
+    stream.firstByteDeadline = m_queued.deadline;
+    stream.gapTimeout = StreamGapTimeout;
+    stream.onFirstByte = [this, &send] {
         noteFirstByte(send);
     };
-    co_return co_await m_relay.run(exchange, std::move(request), m_queued.deadline,
-                                   StreamGapTimeout, onFirstByte);
+    co_return co_await m_relay.run(std::move(stream));
 }
 
 void ModelRun::report(const SendRequest &send, AttemptEnd end)
@@ -187,7 +192,7 @@
         m_state.dispatcher.onConnectFailed(id, send.attempt, steadyNow());
         break;
     case AttemptEnd::Failed:
-        m_state.dispatcher.onUpstreamFailed(id, send.attempt, true, steadyNow());
+        m_state.dispatcher.onUpstreamFailed(id, send.attempt, !m_relay.givenUp(), steadyNow());
         break;
     case AttemptEnd::CallerLeft:
         m_state.metrics.count("burdock_callers_left_total");
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -1,5 +1,7 @@
 #include "entry/relay.h"
 
+#include <charconv>
+
 namespace burdock {
 
 namespace asio = boost::asio;
@@ -39,77 +41,109 @@
     co_return answer;
 }
 
-StreamRelay::StreamRelay(HttpReply &reply, std::string requestId)
+StreamRelay::StreamRelay(HttpReply &reply, std::uint64_t request, std::string requestName)
     : m_reply(reply)
-    , m_requestId(std::move(requestId))
+    , m_request(request)
+    , m_requestName(std::move(requestName))
+    , m_check(request)
+{
+}
+
+AttemptEnd StreamRelay::breakOff(int attempt, std::string failure)
+{
+    m_failure = std::move(failure);
+    m_check.onStreamEnded(attempt);
+    return m_reply.callerLeft() ? AttemptEnd::CallerLeft : AttemptEnd::Failed;
+}
+
+/// Reads from the head whose answer it is and where it begins.
+bool StreamRelay::acceptHead(const HttpResponseHead &head, AnswerPart &part)
 {
+    const bool own = headerValue(head.headers, "X-Request-Id") == m_requestName;
+    if (head.status != 200) {
+        m_failure = "status " + std::to_string(head.status);
+        return false;
+    }
+    const std::string begin = headerValue(head.headers, "X-Resumed-From").value_or("0");
+    part.request = own ? m_request : 0;
+    std::from_chars(begin.data(), begin.data() + begin.size(), part.begin);
+    part.index = part.begin;
+    return true;
 }
 
-asio::awaitable<AttemptEnd> StreamRelay::run(std::shared_ptr<HttpExchange> exchange,
-                                             HttpRequest request, Instant firstByteDeadline,
-                                             std::chrono::milliseconds gapTimeout,
-                                             const std::function<void()> &onFirstByte)
+asio::awaitable<AttemptEnd> StreamRelay::run(StreamAttempt attempt)
 {
-    if (m_next > 0)
-        request.headers.push_back({ "X-Resume-From", std::to_string(m_next) });
-    auto head = co_await exchange->start(request, firstByteDeadline);
+    m_check.beginAttempt(attempt.number);
+    if (m_check.delivered() > 0)
+        attempt.request.headers.push_back({ "X-Resume-From", std::to_string(m_check.delivered()) });
+    auto head = co_await attempt.exchange->start(attempt.request, attempt.firstByteDeadline);
     if (const auto *failure = std::get_if<CallFailure>(&head)) {
-        m_failure = failure->message;
-        co_return m_reply.callerLeft() ? AttemptEnd::CallerLeft : endOf(*failure);
+        const AttemptEnd end = breakOff(attempt.number, failure->message);
+        co_return failure->bytesSent ? end : AttemptEnd::ConnectFailed;
+    }
+    AnswerPart part;
+    part.attempt = attempt.number;
+    if (!acceptHead(std::get<HttpResponseHead>(head), part)) {
+        attempt.exchange->cancel();
+        co_return breakOff(attempt.number, m_failure);
     }
-    const auto &answer = std::get<HttpResponseHead>(head);
-    const bool ownAnswer = headerValue(answer.headers, "X-Request-Id") == m_requestId;
-    if (answer.status != 200 || !ownAnswer) {
-        m_failure = ownAnswer ? "status " + std::to_string(answer.status)
-                              : "the answer belongs to another request";
-        exchange->cancel();
-        co_return AttemptEnd::Failed;
+    attempt.onFirstByte();
+    const AttemptEnd end = co_await relayEvents(attempt, part);
+    if (end != AttemptEnd::Done) {
+        attempt.exchange->cancel();
+        co_return end;
     }
-    onFirstByte();
+    const bool there = co_await m_reply.finish();
+    co_return there ? AttemptEnd::Done : AttemptEnd::CallerLeft;
+}
 
+asio::awaitable<AttemptEnd> StreamRelay::relayEvents(StreamAttempt &attempt, AnswerPart part)
+{
     EventStreamParser parser;
-    while (!m_ended) {
-        auto part = co_await exchange->readPart(steadyNow() + gapTimeout);
-        if (m_reply.callerLeft())
-            co_return AttemptEnd::CallerLeft;
-        const auto *text = std::get_if<std::string>(&part);
-        if (text == nullptr || text->empty()) {
-            m_failure = text == nullptr ? std::get<CallFailure>(part).message
-                                        : "the stream ended without its end mark";
-            co_return AttemptEnd::Failed;
-        }
-        const AttemptEnd end = co_await deliver(parser.add(*text));
-        if (end != AttemptEnd::Done) {
-            exchange->cancel();
+    while (!m_check.whole()) {
+        auto read = co_await attempt.exchange->readPart(steadyNow() + attempt.gapTimeout);
+        if (const auto *failure = std::get_if<CallFailure>(&read))
+            co_return breakOff(attempt.number, failure->message);
+        const auto &text = std::get<std::string>(read);
+        if (text.empty())
+            co_return breakOff(attempt.number, "the stream ended without its end mark");
+        const AttemptEnd end = co_await deliver(parser.add(text), part);
+        if (end != AttemptEnd::Done)
             co_return end;
-        }
     }
-    const bool there = co_await m_reply.finish();
-    co_return there ? AttemptEnd::Done : AttemptEnd::CallerLeft;
+    co_return AttemptEnd::Done;
 }
 
-asio::awaitable<AttemptEnd> StreamRelay::deliver(std::vector<StreamEvent> events)
+asio::awaitable<AttemptEnd> StreamRelay::deliver(std::vector<StreamEvent> events, AnswerPart &part)
 {
     std::string text;
+    AttemptEnd end = AttemptEnd::Done;
     for (const StreamEvent &event : events) {
-        if (event.index && *event.index < m_next)
-            continue;
-        if (event.index && *event.index > m_next) {
-            m_failure = "event " + std::to_string(m_next) + " is missing";
-            co_return AttemptEnd::Failed;
+        part.index = event.index.value_or(part.index);
+        part.last = event.isEnd;
+        const AnswerAction action = m_check.onPart(part);
+        ++part.index;
+        if (std::holds_alternative<DeliverPart>(action)) {
+            text += event.text;
+        } else if (!std::holds_alternative<DropPart>(action)) {
+            m_failure = "part " + std::to_string(m_check.delivered()) + " is missing";
+            end = AttemptEnd::Failed;
+            break;
         }
-        m_next += event.index ? 1 : 0;
-        m_ended = m_ended || event.isEnd;
-        text += event.text;
     }
+    const bool there = text.empty() || co_await writeText(text);
+    co_return there ? end : AttemptEnd::CallerLeft;
+}
+
+asio::awaitable<bool> StreamRelay::writeText(const std::string &text)
+{
     if (!m_reply.begun()) {
         std::vector<HttpHeader> headers;
         headers.push_back({ "Content-Type", "text/event-stream" });
-        headers.push_back({ "X-Request-Id", m_requestId });
+        headers.push_back({ "X-Request-Id", m_requestName });
         co_await m_reply.begin(200, std::move(headers));
     }
-    const bool there = co_await m_reply.write(text);
-    co_return there ? AttemptEnd::Done : AttemptEnd::CallerLeft;
+    co_return co_await m_reply.write(text);
 }
 
 asio::awaitable<void> StreamRelay::truncate(const Error &error)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -6,6 +6,7 @@
 //   StreamRelay    a streamed answer, event by event, over as many attempts as it takes
 #pragma once
 
+#include "decide/answercheck.h"
 #include "entry/eventstream.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
@@ -39,23 +40,29 @@
 boost::asio::awaitable<WholeAnswer> readWhole(std::shared_ptr<HttpExchange> exchange,
                                               const HttpRequest &request, Instant deadline);
 
+/// One attempt of a streamed answer.
+struct StreamAttempt
+{
+    int number = 0;                             // from the dispatcher; grows with each attempt
+    std::shared_ptr<HttpExchange> exchange;     // carries it
+    HttpRequest request;                        // without the resume header
+    Instant firstByteDeadline;                  // when the answer must have begun
+    std::chrono::milliseconds gapTimeout { 0 }; // how long the upstream may be silent afterwards
+    std::function<void()> onFirstByte;          // called when the answer begins
+};
+
 /// Relays a model's event stream. Only whole events are passed on, in order, each once; after a
 /// broken attempt the next one goes on after the last event that the caller has.
 class StreamRelay
 {
 public:
-    StreamRelay(HttpReply &reply, std::string requestId);
+    /// @param reply where the answer goes
+    /// @param request the request's number
+    /// @param requestName the name under which upstreams know it
+    StreamRelay(HttpReply &reply, std::uint64_t request, std::string requestName);
 
     /// Runs one attempt.
-    /// @param exchange carries it
-    /// @param request the request without the resume header
-    /// @param firstByteDeadline when the answer must have begun
-    /// @param gapTimeout how long the upstream may be silent afterwards
-    /// @param onFirstByte called when the answer begins
-    boost::asio::awaitable<AttemptEnd> run(std::shared_ptr<HttpExchange> exchange,
-                                           HttpRequest request, Instant firstByteDeadline,
-                                           std::chrono::milliseconds gapTimeout,
-                                           const std::function<void()> &onFirstByte);
+    boost::asio::awaitable<AttemptEnd> run(StreamAttempt attempt);
 
     /// Ends a stream that cannot be completed: the caller is told that it is truncated.
     boost::asio::awaitable<void> truncate(const Error &error);
@@ -63,18 +70,23 @@
     /// @return whether the caller has been sent anything
     bool begun() const { return m_reply.begun(); }
 
-    /// @return events that the caller has
-    std::uint64_t delivered() const { return m_next; }
+    /// @return whether no further attempt makes sense
+    bool givenUp() const { return m_check.truncated(); }
 
+    /// @return why the last attempt failed
     const std::string &failure() const { return m_failure; }
 
 private:
-    boost::asio::awaitable<AttemptEnd> deliver(std::vector<StreamEvent> events);
+    boost::asio::awaitable<AttemptEnd> relayEvents(StreamAttempt &attempt, AnswerPart part);
+    boost::asio::awaitable<AttemptEnd> deliver(std::vector<StreamEvent> events, AnswerPart &part);
+    boost::asio::awaitable<bool> writeText(const std::string &text);
+    bool acceptHead(const HttpResponseHead &head, AnswerPart &part);
+    AttemptEnd breakOff(int attempt, std::string failure);
 
     HttpReply &m_reply;
-    std::string m_requestId;
-    std::uint64_t m_next = 0; // index of the next event to deliver
-    bool m_ended = false;     // the end mark was delivered
+    std::uint64_t m_request;
+    std::string m_requestName;
+    AnswerCheck m_check;
     std::string m_failure;
 };
 
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -112,6 +112,11 @@
     return "id: " + std::to_string(index) + "\ndata: " + json::serialize(chunk) + "\n\n";
 }
 
+std::string endEvent(const Generation &generation)
+{
+    return "id: " + std::to_string(generation.tokens) + "\ndata: [DONE]\n\n";
+}
+
 } // namespace
 
 class Engine : public burdock::HttpHandler
@@ -309,6 +314,7 @@
     std::vector<HttpHeader> headers;
     headers.push_back({ "X-Request-Id", generation.requestId });
     headers.push_back({ "X-Engine", m_settings.name });
+    headers.push_back({ "X-Resumed-From", std::to_string(generation.first) });
     headers.push_back({ "X-In-Flight", std::to_string(m_inFlight) });
     if (!generation.stream) {
         std::string text;
@@ -334,7 +340,8 @@
         there = there && !reply.callerLeft();
     }
     if (there) {
-        co_await reply.write("data: [DONE]\n\n");
+        const std::string end = endEvent(generation);
+        co_await reply.write(end);
         co_await reply.finish();
     }
 }
