--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t SendsPerDecade = 3; // sends of one item for each factor of ten in fleet size
 constexpr int PeerGuesses = 8;            // random picks before the whole table is searched
+constexpr std::size_t LastPings = 8;      // to a suspect just before it counts as dead, fleet-wide
 constexpr std::size_t StopNotices = 4;    // peers told directly that this node ends
 
 std::size_t varintSize(std::uint64_t value)
@@ -309,8 +310,10 @@
     m_probes.clear();
     m_lastAck = now;
     for (auto &[name, row] : m_rows) {
-        if (row.state == MemberState::Suspect)
+        if (row.state == MemberState::Suspect) {
             suspectUntil(row, now + m_settings.suspicionTime);
+            spreadItem(row); // what was sent meanwhile reached nobody
+        }
     }
 }
 
@@ -456,6 +459,7 @@
         const MemberItem item { probe.target, MemberState::Suspect, row->second.incarnation, "",
                                 "" };
         applyItem(item, "no answer to pings, its own and by helpers", now);
+        row->second.accusedHere = row->second.state == MemberState::Suspect;
     }
 }
 
@@ -469,8 +473,9 @@
             continue;
         m_nextSweepAt = now; // look again with each tick
         if (!row.lastPingSent && now >= row.stateDeadline - m_settings.probeTimeout) {
-            row.lastPingSent = true; // tells it of the suspicion, in case nobody has
-            send(row, newMessage(GossipKind::Ping, name, now));
+            row.lastPingSent = true; // a few nodes tell it of the suspicion, in case nobody has
+            if (row.accusedHere || m_random.below(m_rows.size()) < LastPings)
+                send(row, newMessage(GossipKind::Ping, name, now));
         }
         if (now < row.stateDeadline)
             continue;
@@ -624,6 +629,7 @@
     m_actions.emplace_back(MemberChanged { row.name, row.state, state, incarnation, reason });
     row.state = state;
     row.incarnation = incarnation;
+    row.accusedHere = false;
     if (state == MemberState::Suspect)
         suspectUntil(row, now + m_settings.suspicionTime);
     if (state == MemberState::Dead)
--- a/src/decide/membership.h
+++ b/src/decide/membership.h
@@ -125,7 +125,8 @@
     std::uint64_t placementRevision = 0;             // as it last told this node itself
     Instant heardAt {};                              // last message from itself
     Instant stateDeadline {};    // suspect: becomes dead; dead: may be forgotten
-    bool lastPingSent = false;   // suspect: pinged once more before it counts as dead
+    bool accusedHere = false;    // suspect: it was this node that had no answer
+    bool lastPingSent = false;   // suspect: the last ping before it counts as dead was decided on
     Instant unlistedDeadline {}; // unlisted: no longer usable from here on
 };
 
@@ -168,7 +169,7 @@
     Duration probeTimeout = std::chrono::seconds(1);      // then the target is suspect
     Duration suspicionTime = std::chrono::seconds(5);     // then a suspect is dead
     Duration hearsayTime = std::chrono::seconds(3); // the same, for "dead" heard of a live node
-    Duration deadProbeInterval = std::chrono::seconds(5); // between pings to a dead node
+    Duration deadProbeInterval = std::chrono::seconds(2); // between pings to a dead node
     Duration forgetTime = std::chrono::minutes(10);       // dead and unlisted: row goes
     Duration unlistedTime = std::chrono::minutes(2);      // heard of, but not in the VM list yet
     Duration newcomerTime = std::chrono::seconds(30);     // tells zone and address in each message
