--- a/src/decide/prefixindex.cpp
+++ b/src/decide/prefixindex.cpp
@@ -69,12 +69,16 @@
 
 void PrefixIndex::store(std::uint32_t upstream, std::uint64_t block)
 {
-    if (holds(upstream, block))
+    const std::uint32_t generation = m_sources[upstream].generation;
+    std::vector<Belief> &beliefs = m_blocks[block];
+    const auto known = std::find_if(beliefs.begin(), beliefs.end(),
+                                    [&](const Belief &each) { return each.upstream == upstream; });
+    if (known != beliefs.end() && known->generation == generation)
         return;
-    evict(upstream, block); // a belief of an earlier generation
-    const Belief belief { upstream, m_sources[upstream].generation, m_nextSerial++ };
-    m_blocks[block].push_back(belief);
-    m_order.push_back({ block, belief.serial });
+    if (known != beliefs.end())
+        beliefs.erase(known); // of an earlier generation
+    beliefs.push_back({ upstream, generation, m_nextSerial });
+    m_order.push_back({ block, m_nextSerial++ });
     while (m_order.size() > m_settings.maxBeliefs)
         dropOldest();
 }
--- a/src/decide/router.h
+++ b/src/decide/router.h
@@ -94,7 +94,7 @@
     int blockTokens = 64;                                     // tokens in a block of the prefix
     Duration stepPerRequest = std::chrono::microseconds(800); // each request slows the others by it
     int meanPromptTokens = 600;                               // of the requests queued upstream
-    int draws = 4;                                            // upstreams drawn at random
+    int draws = 8;                                            // upstreams drawn at random
     int prefixCandidates = 3;                                 // upstreams added for their cache
     double mayWaitShare = 0.8; // of an upstream's slots that requests that may wait can take
 };
--- a/src/decide/upstreamtable.cpp
+++ b/src/decide/upstreamtable.cpp
@@ -150,8 +150,7 @@
     row->reported = true;
     row->report = report;
     row->reportAsOf = now - report.age;
-    while (!row->changes.empty() && row->changes.front().at <= row->reportAsOf)
-        row->changes.pop_front();
+    dropChangesUntil(*row, row->reportAsOf);
 }
 
 void UpstreamTable::onSent(const std::string &name, bool loadsAdapter, Instant now)
@@ -204,11 +203,16 @@
     }
 }
 
+void UpstreamTable::dropChangesUntil(UpstreamRow &row, Instant last)
+{
+    const auto kept = std::find_if(row.changes.begin(), row.changes.end(),
+                                   [last](const LoadChange &each) { return each.at > last; });
+    row.changes.erase(row.changes.begin(), kept);
+}
+
 void UpstreamTable::recordChange(UpstreamRow &row, int change, Instant now) const
 {
-    const Instant oldest = now - m_settings.reportUsable;
-    while (!row.changes.empty() && row.changes.front().at < oldest)
-        row.changes.pop_front();
+    dropChangesUntil(row, now - m_settings.reportUsable);
     row.changes.push_back({ now, change });
 }
 
--- a/src/decide/upstreamtable.h
+++ b/src/decide/upstreamtable.h
@@ -17,7 +17,6 @@
 #include "base/instant.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -86,7 +85,7 @@
     Instant reportAsOf;                             // the moment the newest report speaks of
     int ownInFlight = 0;                            // sent from here and not finished
     int ownAdapterLoads = 0;                        // of these, still waiting for an adapter
-    std::deque<LoadChange> changes;                 // own sends and finishes, oldest first
+    std::vector<LoadChange> changes;                // own sends and finishes, oldest first
 };
 
 /// @return the key that requests for a version of a model are routed under
@@ -173,6 +172,7 @@
     void addToIndex(const UpstreamRow &row);
     void removeFromIndex(const UpstreamRow &row);
     void endAdapterLoads(UpstreamRow &row, int count);
+    static void dropChangesUntil(UpstreamRow &row, Instant last);
     void recordChange(UpstreamRow &row, int change, Instant now) const;
 
     UpstreamTableSettings m_settings;
--- a/src/load/fakeengine.h
+++ b/src/load/fakeengine.h
@@ -148,7 +148,9 @@
     /// Drops a request whose sender has left.
     void cancel(std::uint64_t id)
     {
-        const auto same = [id](const EngineRequest &each) { return each.id == id; };
+        const auto same = [id](const EngineRequest &each) {
+            return each.id == id;
+        };
         std::erase_if(m_batch, same);
         std::erase_if(m_urgent, same);
         std::erase_if(m_others, same);
--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -41,6 +41,7 @@
     router.adapterLoadsInFlight = settings.deployment.adapterKnee;
     router.entryNodes = settings.deployment.entryNodes;
     router.draws = settings.draws;
+    router.mayWaitShare = settings.mayWaitShare;
     if (!settings.prefixAffinity)
         router.prefixCandidates = 0;
     return std::make_unique<CostRouter>(table, prefixes, router, seed);
@@ -182,6 +183,7 @@
 void Fleet::offer(std::uint64_t id)
 {
     RequestRow &row = m_requests[id - 1];
+    row.arrived = true;
     row.node = nodeFor(row.arrival);
     QueuedRequest request;
     request.routing.id = id;
--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -49,7 +49,8 @@
     double moveWeight = 10.0;                         // of the planner
     bool fairCustomers = true;                        // customers take turns in the queues
     bool prefixAffinity = true;                       // the router looks at prefix caches
-    int draws = 4;                                    // of the cost router
+    double mayWaitShare = 0.8; // of the slots that requests that may wait can take
+    int draws = 8;             // of the cost router
 };
 
 // ---- Results ------------------------------------------------------------------------------------
@@ -57,6 +58,7 @@
 struct RequestRow
 {
     Arrival arrival;        // as it came
+    bool arrived = false;   // it has reached an entry node
     std::size_t node = 0;   // entry node it came to last
     std::size_t engine = 0; // where it was sent last
     int attempt = 0;        // last attempt
--- a/src/load/fleetstate.cpp
+++ b/src/load/fleetstate.cpp
@@ -88,7 +88,8 @@
             });
             publishCacheEvent(engine);
         }
-        if (m_random.below(AnnounceEvery) == 0)
+        // Without broadcasts a node knows of adapters from its own requests alone.
+        if (m_settings.reports == ReportMode::Broadcast && m_random.below(AnnounceEvery) == 0)
             announce(engine);
     }
     m_events.after(ReportEvery, [this, engine] { report(engine); });
@@ -183,7 +184,7 @@
 {
     Engine &row = m_engines[move.engine];
     const DemandModel &model = m_workload.models()[move.model];
-    const auto same = [&](const CopyRow &each) {
+    const auto same = [move](const CopyRow &each) {
         return each.engine == move.engine && each.model == move.model;
     };
     const auto copy = std::find_if(m_copies.begin(), m_copies.end(), same);
@@ -242,7 +243,7 @@
     for (const auto &node : m_nodes)
         node->alive = node->zone != zone;
     for (RequestRow &row : m_requests) {
-        const bool open = row.lastToken == Instant() && !row.refused && !row.failed;
+        const bool open = row.arrived && row.lastToken == Instant() && !row.refused && !row.failed;
         if (!open || m_nodes[row.node]->alive)
             continue;
         row.failed = row.firstToken != Instant(); // a stream in progress is cut
--- a/src/load/placementdriver.cpp
+++ b/src/load/placementdriver.cpp
@@ -131,9 +131,12 @@
         constexpr double Cold = 0.2; //
         const std::size_t models = m_models.size();
         std::vector<int> copies(models);
+        std::vector<int> serving(models);
         std::vector<double> assigned(view.engines.size());
-        for (const CopyRow &each : view.copies)
+        for (const CopyRow &each : view.copies) {
             copies[each.model] += each.leaving ? 0 : 1;
+            serving[each.model] += each.ready && !each.leaving ? 1 : 0;
+        }
         for (const CopyRow &each : view.copies)
             assigned[each.engine] += view.demand[each.model] / std::max(1, copies[each.model]);
 
@@ -148,22 +151,22 @@
             if (engine)
                 moves.push_back({ true, *engine, model });
             else if (view.loadsAvailable > 0)
-                makeRoom(view, copies, Cold, moves);
+                makeRoom(view, serving, Cold, moves);
         }
         return moves;
     }
 
 private:
-    void makeRoom(const FleetView &view, std::vector<int> &copies, double cold,
+    void makeRoom(const FleetView &view, std::vector<int> &serving, double cold,
                   std::vector<FleetMove> &moves) const
     {
         for (const CopyRow &each : view.copies) {
-            const double perCopy = view.demand[each.model] / std::max(1, copies[each.model] - 1)
+            const double perCopy = view.demand[each.model] / std::max(1, serving[each.model] - 1)
                     / view.engineCapacity;
-            if (!each.ready || each.leaving || copies[each.model] <= MinCopies || perCopy > cold)
+            if (!each.ready || each.leaving || serving[each.model] <= MinCopies || perCopy > cold)
                 continue;
             moves.push_back({ false, each.engine, each.model });
-            copies[each.model]--;
+            serving[each.model]--;
             return;
         }
     }
--- a/src/load/workload.cpp
+++ b/src/load/workload.cpp
@@ -59,7 +59,7 @@
     made.adapterKnee = 90;
     made.zoneOneWay = 500us;
     made.clientOneWay = 3000us;
-    made.requestsPerSecond = 34;
+    made.requestsPerSecond = 27;
     made.engine.memoryMb = 110'000;
     return made;
 }
@@ -74,7 +74,7 @@
     made.entryNodes = std::max(8, static_cast<int>(380 * scale));
     made.models = std::max(20, static_cast<int>(350 * scale));
     made.adapters = 6 * made.models;
-    made.requestsPerSecond = 52.0 / 18.0 * replicas;
+    made.requestsPerSecond = 44.0 / 18.0 * replicas;
     made.loadsPerSecond = 2.0 * replicas / 18.0;
     made.loadsAtOnce = std::max(3, replicas / 6);
     made.adapterKnee = 24 * replicas / 18;
@@ -116,15 +116,15 @@
     const double done = progress(at, m_length);
     switch (m_scenario) {
     case Scenario::Diurnal: {
-        // Half of the models peak by day, the others early in the morning.
-        const double phase = model % 2 == 0 ? 0.0 : 0.5;
+        // Half of the models peak a few hours before the others.
+        const double phase = model % 2 == 0 ? 0.0 : 0.2;
         return 1.0 - 0.7 * std::cos(2.0 * std::numbers::pi * (done + phase));
     }
     case Scenario::Burst: {
         const bool shiftChange = between(done, 0.2, 0.25) || between(done, 0.6, 0.65);
         const bool cutoff = between(done, 0.4, 0.5);
         if (shiftChange && model % 4 == 0)
-            return 4.0;
+            return 2.5;
         return cutoff && model % 4 == 1 ? 3.0 : 0.8;
     }
     case Scenario::Tenfold: {
--- a/src/load/workload.h
+++ b/src/load/workload.h
@@ -34,7 +34,7 @@
     int adapterKnee = 24;          // adapter loads in flight before they slow down
     Duration zoneOneWay {};        // between availability zones
     Duration clientOneWay {};      // from callers to entry nodes
-    double requestsPerSecond = 52; // mean demand
+    double requestsPerSecond = 44; // mean demand
     EngineSettings engine;         // each engine
 };
 
