--- a/src/decide/publisher.h
+++ b/src/decide/publisher.h
@@ -4,7 +4,7 @@
 //   PublishRequest      what is to be published
 //   CatalogChecker      checks the whole configuration that would result
 //   WriteOutcome        answers of the Object API to a write
-//   ReadHead, ReadEntry, CreateEntry, WriteHead, PublisherAction
+//   ReadConfigHead, ReadConfigEntry, CreateConfigEntry, WriteConfigHead, PublisherAction
 //   Publisher           the system; one for each publish
 //
 // How it works
@@ -18,6 +18,7 @@
 #include "base/instant.h"
 #include "base/result.h"
 #include "decide/confighead.h"
+#include "decide/writeoutcome.h"
 
 #include <cstdint>
 #include <map>
@@ -52,21 +53,14 @@
 
 // ---- Actions ------------------------------------------------------------------------------------
 
-enum class WriteOutcome {
-    Done,        // carried out
-    Conflict,    // another version, or the object exists
-    Unavailable, // not carried out
-    Unknown,     // sent, no answer; may take effect, also later
-};
-
 /// Answer with Publisher::onHeadRead() or onReadFailed().
-struct ReadHead
+struct ReadConfigHead
 {
     std::uint64_t requestId = 0;
 };
 
 /// Answer with Publisher::onEntryRead() or onReadFailed().
-struct ReadEntry
+struct ReadConfigEntry
 {
     std::uint64_t requestId = 0;
     std::string key;
@@ -74,7 +68,7 @@
 };
 
 /// Create if absent. Answer with Publisher::onEntryCreated().
-struct CreateEntry
+struct CreateConfigEntry
 {
     std::uint64_t requestId = 0;
     std::string key;
@@ -84,14 +78,15 @@
 
 /// Put if the stored version is the expected one; 0: create if absent. Answer with
 /// Publisher::onHeadWritten().
-struct WriteHead
+struct WriteConfigHead
 {
     std::uint64_t requestId = 0;
     std::uint64_t expectedVersion = 0;
     ConfigHead head;
 };
 
-using PublisherAction = std::variant<ReadHead, ReadEntry, CreateEntry, WriteHead>;
+using PublisherAction =
+        std::variant<ReadConfigHead, ReadConfigEntry, CreateConfigEntry, WriteConfigHead>;
 
 // ---- System -------------------------------------------------------------------------------------
 
--- a/src/platform/objectclient.h
+++ b/src/platform/objectclient.h
@@ -11,6 +11,7 @@
 
 #include "base/instant.h"
 #include "base/result.h"
+#include "decide/writeoutcome.h"
 #include "net/endpoint.h"
 #include "net/httpclient.h"
 
@@ -59,13 +60,6 @@
     VmState state = VmState::Live;
 };
 
-enum class WriteOutcome {
-    Done,        // took effect
-    Conflict,    // another version is there; nothing changed
-    Unavailable, // refused before it took effect
-    Unknown,     // sent, and no answer came
-};
-
 struct WriteAnswer
 {
     WriteOutcome outcome = WriteOutcome::Unknown;
--- a/tests/decide/test_configkeeper.cpp
+++ b/tests/decide/test_configkeeper.cpp
@@ -44,20 +44,20 @@
         }
     }
 
-    void answer(Publisher &publisher, const ReadHead &call, Instant now)
+    void answer(Publisher &publisher, const ReadConfigHead &call, Instant now)
     {
         publisher.onHeadRead(call.requestId, fleet.storedHead, fleet.headVersion, now);
     }
-    void answer(Publisher &publisher, const ReadEntry &call, Instant now)
+    void answer(Publisher &publisher, const ReadConfigEntry &call, Instant now)
     {
         publisher.onEntryRead(call.requestId, fleet.entries[entryPath(call.key, call.hash)], now);
     }
-    void answer(Publisher &publisher, const CreateEntry &call, Instant now)
+    void answer(Publisher &publisher, const CreateConfigEntry &call, Instant now)
     {
         fleet.entries[entryPath(call.key, call.hash)] = call.text;
         publisher.onEntryCreated(call.requestId, WriteOutcome::Done, now);
     }
-    void answer(Publisher &publisher, const WriteHead &call, Instant now)
+    void answer(Publisher &publisher, const WriteConfigHead &call, Instant now)
     {
         ++headWrites;
         WriteOutcome result = WriteOutcome::Unknown;
@@ -183,11 +183,11 @@
 TEST(Publisher, LateWriteRevertsNothing)
 {
     Publisher publisher({}, change("p1", serviceKey("a"), "1"), checker, fleet.now);
-    std::optional<WriteHead> late;
+    std::optional<WriteConfigHead> late;
     for (auto actions = publisher.takeActions(); !actions.empty();
          actions = publisher.takeActions()) {
         for (const PublisherAction &action : actions) {
-            if (const auto *write = std::get_if<WriteHead>(&action))
+            if (const auto *write = std::get_if<WriteConfigHead>(&action))
                 late = *write; // under way for long
             else
                 std::visit([&](const auto &each) { store.answer(publisher, each, fleet.now); },
