Tell callers which addresses to use, and stop nodes and upstreams as planned

Cause: callers keep an address for a while, so a node that stops at once refuses or cuts them; at 350 models each node should see few models, so that its load view stays small.

Ways weighed: one home list for the fleet (callers would cross zones) against homes in each zone (taken); plain rendezvous against rendezvous with a bound of 1.5 times the average demand (taken). A drain order kept as an entry of the published configuration: one watch serves both, it never reverts, and its history says who gave it.

--- /dev/null
+++ b/tests/decide/test_drain.cpp
@@ -0,0 +1,202 @@
+#include "decide/addressanswer.h"
+#include "decide/confighead.h"
+#include "decide/drain.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<EntryNode> entryNodes(int count, int zones)
+{
+    std::vector<EntryNode> nodes;
+    nodes.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number)
+        nodes.push_back({ "vm-" + std::to_string(number), "zone-" + std::to_string(number % zones),
+                          "10.0.0." + std::to_string(number) + ":8080" });
+    return nodes;
+}
+
+std::vector<ModelDemand> demandOf(int models)
+{
+    std::vector<ModelDemand> demand;
+    demand.reserve(static_cast<std::size_t>(models));
+    double sum = 0;
+    for (int number = 0; number < models; ++number)
+        sum += 1.0 / (number + 1);
+    for (int number = 0; number < models; ++number)
+        demand.push_back({ "model-" + std::to_string(number), 1.0 / (number + 1) / sum });
+    return demand;
+}
+
+} // namespace
+
+// ---- Address answers ----------------------------------------------------------------------------
+
+TEST_GROUP(AddressDirectory) {};
+
+// How a shell uses it: rebuild on a change, answer each caller.
+TEST(AddressDirectory, AnswersWithTheCallersZoneFirstAndAnotherZoneLast)
+{
+    AddressDirectory directory({}, 1);
+    directory.rebuild(entryNodes(8, 2), { { "base", 0.5 } });
+    const AddressAnswer answer = valueOf(directory.answer({ "order-app", "", "zone-1" }));
+    LONGS_EQUAL(4, answer.addresses.size());
+    for (std::size_t index = 0; index < 3; ++index)
+        LONGS_EQUAL(1, (answer.addresses[index][7] - '0') % 2);
+    LONGS_EQUAL(0, (answer.addresses[3][7] - '0') % 2);
+    CHECK(answer.lifetime == Duration(10s));
+}
+
+TEST(AddressDirectory, LeavingNodesAreInNoNewAnswerUnlessNobodyElseIsLeft)
+{
+    std::size_t runs = 0;
+    CHECK(rc::check("states decide who is named", [&] {
+        ++runs;
+        std::vector<EntryNode> nodes = entryNodes(*rc::gen::inRange(1, 12), 3);
+        std::set<std::string> usable;
+        std::set<std::string> leaving;
+        for (EntryNode &node : nodes) {
+            node.state = *rc::gen::element(EntryNodeState::Usable, EntryNodeState::Suspect,
+                                           EntryNodeState::Leaving);
+            if (node.state == EntryNodeState::Usable)
+                usable.insert(node.address);
+            if (node.state == EntryNodeState::Leaving)
+                leaving.insert(node.address);
+        }
+        AddressDirectory directory({}, *rc::gen::arbitrary<std::uint64_t>());
+        directory.rebuild(nodes, demandOf(3));
+        const auto result = directory.answer({ "s", "model-1", "zone-0" });
+        RC_ASSERT(isOk(result));
+        const AddressAnswer &answer = valueOf(result);
+        RC_ASSERT(!answer.addresses.empty());
+        const std::set<std::string> named(answer.addresses.begin(), answer.addresses.end());
+        RC_ASSERT(named.size() == answer.addresses.size());
+        for (const std::string &address : named) {
+            RC_ASSERT(usable.empty() || usable.contains(address));
+            if (leaving.size() < nodes.size())
+                RC_ASSERT(!leaving.contains(address));
+            else
+                RC_ASSERT(answer.lifetime == Duration(2s));
+        }
+    }));
+    AddressDirectory nobody({}, 1);
+    CHECK(errorOf(nobody.answer({})).code == ResultCode::RefusedNoUpstream);
+    std::printf("%zu schedules\n", runs);
+}
+
+TEST(AddressDirectory, HomesAreFewBoundedAndStay)
+{
+    AddressDirectory directory({}, 1);
+    std::vector<EntryNode> nodes = entryNodes(380, 8);
+    directory.rebuild(nodes, demandOf(350));
+    const auto before = directory.homes();
+    std::map<std::string, std::size_t> modelsAt;
+    std::map<std::string, double> shareAt;
+    for (const ModelDemand &each : demandOf(350)) {
+        const auto &homes = before.at(each.model);
+        CHECK(homes.size() >= 16);
+        for (const std::string &name : homes) {
+            ++modelsAt[name];
+            shareAt[name] += each.share / static_cast<double>(homes.size());
+        }
+    }
+    std::size_t most = 0;
+    double highest = 0;
+    for (const auto &[name, count] : modelsAt)
+        most = std::max(most, count);
+    for (const auto &[name, share] : shareAt)
+        highest = std::max(highest, share);
+
+    nodes.erase(nodes.begin() + 100);
+    directory.rebuild(nodes, demandOf(350));
+    std::size_t moved = 0;
+    std::size_t all = 0;
+    for (const auto &[model, homes] : before) {
+        all += homes.size();
+        for (const std::string &name : homes)
+            moved += name != "vm-100" && !directory.isHome(model, name) ? 1 : 0;
+    }
+    std::printf("380 nodes, 350 models: at most %zu models at a node, highest share %.2f of the "
+                "average; one node lost: %zu of %zu homes moved besides its own\n",
+                most, highest * 380, moved, all);
+    CHECK(most < 40);
+    CHECK(highest * 380 < 1.7);
+    CHECK(moved * 50 < all);
+}
+
+// ---- Drain --------------------------------------------------------------------------------------
+
+TEST_GROUP(NodeDrain) {};
+
+// How a shell uses it: start on SIGTERM, count requests, carry out the actions.
+TEST(NodeDrain, ServesUntilAnswersExpiredThenFinishesThenStops)
+{
+    Instant now { 100s };
+    NodeDrain drain({});
+    drain.onOtherUsableNodes(3, now);
+    CHECK(drain.onRequest());
+    drain.start(now);
+    CHECK(std::holds_alternative<AnnounceLeaving>(drain.takeActions().at(0)));
+    CHECK(drain.onRequest()); // its caller holds an answer that is still good
+    drain.onRequestFinished(now);
+    drain.tick(now + 25s);
+    CHECK(drain.phase() == DrainPhase::Leaving);
+    drain.tick(now + 26s);
+    CHECK(drain.phase() == DrainPhase::Refusing);
+    CHECK(!drain.onRequest());
+    drain.onRequestFinished(now + 600s); // a long stream is not cut
+    CHECK(drain.phase() == DrainPhase::Stopped);
+    CHECK(std::holds_alternative<StopNow>(drain.takeActions().back()));
+}
+
+TEST(NodeDrain, LastNodeServesOnUntilAnotherComesOrTheLimit)
+{
+    const Instant now { 100s };
+    NodeDrain drain({});
+    drain.onOtherUsableNodes(1, now);
+    drain.start(now);
+    drain.onOtherUsableNodes(0, now + 5s); // the other drains as well
+    drain.tick(now + 60s);
+    CHECK(drain.phase() == DrainPhase::Leaving);
+    drain.onOtherUsableNodes(2, now + 61s);
+    drain.tick(now + 86s);
+    CHECK(drain.phase() == DrainPhase::Leaving); // answers named it until then
+    drain.tick(now + 87s);
+    CHECK(drain.phase() == DrainPhase::Stopped);
+
+    NodeDrain alone({});
+    alone.start(now);
+    alone.tick(now + 299s);
+    CHECK(alone.phase() == DrainPhase::Leaving);
+    alone.tick(now + 300s);
+    CHECK(alone.phase() == DrainPhase::Stopped);
+}
+
+TEST_GROUP(LeavingUpstreams) {};
+
+TEST(LeavingUpstreams, ListNotesAndOperatorsCountAlike)
+{
+    LeavingUpstreams leaving;
+    CHECK(leaving.mayReceive("engine-1"));
+    LONGS_EQUAL(1, leaving.onVmList({ "engine-1", "engine-2" }, { "engine-1" }).size());
+    LONGS_EQUAL(0, leaving.onVmList({ "engine-1", "engine-2" }, { "engine-1" }).size());
+    leaving.onLeavingNote("engine-2");
+    leaving.onVmList({ "engine-1", "engine-2" }, { "engine-1" }); // this reading is behind the note
+    CHECK(!leaving.mayReceive("engine-1"));
+    CHECK(!leaving.mayReceive("engine-2"));
+    leaving.onConfig({ { drainKey("engine-3"), "{}" }, { serviceKey("a"), "{}" } });
+    CHECK(!leaving.mayReceive("engine-3"));
+    leaving.onConfig({ { serviceKey("a"), "{}" } });
+    CHECK(leaving.mayReceive("engine-3"));
+    leaving.onVmList({ "engine-2" }, {});
+    CHECK(leaving.mayReceive("engine-1")); // gone; one of its name would be new
+}
