Prove at most once through the processes: kills, freezes, platform faults under traffic

tests/process/test_faults.sh kills and restarts entry-2, freezes entry-3 for 8 s, kills every control process, loses the answers of writes, takes the platform down and slows it, and kills entry-1, while orders, lookups and streams flow. The judge is the plain service's own count of runs.

One run failed because another fleet on the machine held the addresses; fleets now take a lock.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,6 +5,10 @@
 #   fleet_publish DIR    publishes the service files below DIR
 #   fleet_stop           ends every process that it started, and no other
 
+# Every fleet uses the same addresses, so only one runs at a time on a machine.
+exec 9> "${TMPDIR:-/tmp}/burdockreel-fleet.lock"
+flock 9
+
 PLATFORM=127.0.0.1:17000
 declare -A PIDS
 
@@ -12,7 +16,7 @@
 start() {
     local name=$1
     shift
-    "$@" > "$FLEET_DIR/$name.log" 2>&1 < /dev/null &
+    "$@" > "$FLEET_DIR/$name.log" 2>&1 < /dev/null 9>&- &
     PIDS[$name]=$!
 }
 
@@ -138,3 +142,17 @@
     wait 2> /dev/null || true
     PIDS=()
 }
+
+# fleet_end: for a script's EXIT trap. Stops the fleet; shows the end of each log after a failure.
+fleet_end() {
+    local status=$? name
+    fleet_stop
+    if [ "$status" -ne 0 ]; then
+        for name in "$FLEET_DIR"/*.log; do
+            printf '%s\n' "--- ${name##*/}"
+            grep -v ' kind=' "$name" | tail -5
+        done
+    fi
+    [ -n "${BURDOCK_FLEET_DIR:-}" ] || rm -rf "$FLEET_DIR"
+    exit "$status"
+}
--- a/standins/plain/main.cpp
+++ b/standins/plain/main.cpp
@@ -3,6 +3,7 @@
 //   GET  any path      a stock or status lookup
 //   POST any path      runs an order and counts it
 //   GET  /runs         {"KEY": runs, ...}: the judge of at most once
+//   GET  /attempts     ["NAME", ...]: X-Attempt of each run
 //   PUT  /faults       {"delay_ms":n,"lose_answers":bool}
 #include "net/coroutines.h"
 #include "net/httpserver.h"
@@ -13,6 +14,7 @@
 #include <CLI/CLI.hpp>
 
 #include <map>
+#include <vector>
 
 namespace standin {
 
@@ -39,6 +41,7 @@
 
     std::string m_name;
     std::map<std::string, int> m_runs;
+    std::vector<std::string> m_attempts; // callers' names of the attempts that ran
     std::uint64_t m_lookups = 0;
     std::chrono::milliseconds m_delay { 0 };
     bool m_loseAnswers = false;
@@ -85,11 +88,19 @@
         co_await answer(reply, runs());
         co_return;
     }
+    if (path == "/attempts") {
+        json::array attempts;
+        for (const std::string &attempt : m_attempts)
+            attempts.push_back(json::string(attempt));
+        co_await answer(reply, std::move(attempts));
+        co_return;
+    }
     json::object result { { "served_by", m_name }, { "path", path } };
     if (request.method == "POST") {
         const auto key = burdock::headerValue(request.headers, "Idempotency-Key").value_or("");
         result["order"] = key;
         result["run"] = ++m_runs[key];
+        m_attempts.push_back(burdock::headerValue(request.headers, "X-Attempt").value_or(""));
     } else {
         result["lookup"] = ++m_lookups;
     }
