Stop nodes as planned without losing a call; quarantine crashing requests

Cause: SIGTERM refused new work at once, although callers keep an address until its answer expires, and nothing kept a request that crashes its upstream from being run again and again.

Now the entry process announces that it leaves, serves until the last answer with its address has expired everywhere, refuses new work, finishes and ends; address answers come from the fleet's view. The loop of attempts, which stood in two places, is one class that asks the quarantine before each.

Quarantine through the processes: not run.

--- a/src/decide/addressanswer.cpp
+++ b/src/decide/addressanswer.cpp
@@ -15,13 +15,13 @@
 
 // ---- Homes --------------------------------------------------------------------------------------
 
-void AddressDirectory::rebuild(std::vector<EntryNode> nodes, std::vector<ModelDemand> demand)
+void AddressDirectory::rebuild(std::vector<EntryNode> nodes, std::vector<ModelShare> demand)
 {
     m_nodes = std::move(nodes);
     m_homes.clear();
     std::sort(m_nodes.begin(), m_nodes.end(),
               [](const EntryNode &left, const EntryNode &right) { return left.name < right.name; });
-    std::sort(demand.begin(), demand.end(), [](const ModelDemand &left, const ModelDemand &right) {
+    std::sort(demand.begin(), demand.end(), [](const ModelShare &left, const ModelShare &right) {
         return left.share != right.share ? left.share > right.share : left.model < right.model;
     });
     // A suspect node keeps its homes: a false suspicion must not move them twice.
@@ -33,7 +33,7 @@
     for (const auto &[zone, zoneNodes] : zones) {
         std::map<std::string, double> carried; // node -> share of demand that it is home to
         const double bound = m_settings.headroom / static_cast<double>(zoneNodes.size());
-        for (const ModelDemand &each : demand)
+        for (const ModelShare &each : demand)
             chooseHomes(each, zoneNodes, bound, carried);
     }
     for (auto &[model, names] : m_homes)
@@ -42,7 +42,7 @@
 
 // Takes the first nodes in rendezvous order that have room. Every zone plans for all the demand,
 // so that shares need not be known by zone.
-void AddressDirectory::chooseHomes(const ModelDemand &demand,
+void AddressDirectory::chooseHomes(const ModelShare &demand,
                                    const std::vector<const EntryNode *> &zoneNodes, double bound,
                                    std::map<std::string, double> &carried)
 {
--- a/src/decide/addressanswer.h
+++ b/src/decide/addressanswer.h
@@ -2,7 +2,7 @@
 //
 // Index
 //   EntryNode          one entry node as the answering node sees it
-//   ModelDemand        the share of the fleet's demand that goes to a model
+//   ModelShare         the share of the fleet's demand that goes to a model
 //   AddressQuery       what a caller asks
 //   AddressAnswer      addresses in order of preference, and how long to keep them
 //   AddressSettings
@@ -46,7 +46,7 @@
     EntryNodeState state = EntryNodeState::Usable;
 };
 
-struct ModelDemand
+struct ModelShare
 {
     std::string model;
     double share = 0; // of all requests to models, 0 to 1; the same on every node
@@ -83,7 +83,7 @@
 
     /// Takes the entry nodes and the demand; call it when either changes. Nodes that know the same
     /// nodes and demand choose the same homes.
-    void rebuild(std::vector<EntryNode> nodes, std::vector<ModelDemand> demand);
+    void rebuild(std::vector<EntryNode> nodes, std::vector<ModelShare> demand);
 
     /// Answers a caller.
     /// @return addresses and lifetime, or RefusedNoUpstream if no entry node is known
@@ -98,7 +98,7 @@
     const std::vector<EntryNode> &nodes() const { return m_nodes; }
 
 private:
-    void chooseHomes(const ModelDemand &demand, const std::vector<const EntryNode *> &zoneNodes,
+    void chooseHomes(const ModelShare &demand, const std::vector<const EntryNode *> &zoneNodes,
                      double bound, std::map<std::string, double> &carried);
     void append(AddressAnswer &answer, std::vector<const EntryNode *> candidates,
                 std::size_t count);
--- a/src/decide/dispatcher.cpp
+++ b/src/decide/dispatcher.cpp
@@ -174,6 +174,7 @@
     m_active.erase(id);
     leaveUpstream(active, true, now);
     active.request.mayHaveRun = true;
+    active.request.routing.leastAtStake = true; // it may have crashed its upstream
     retryOrFail(std::move(active), retryAllowed, now);
 }
 
--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -11,10 +11,25 @@
 
 namespace {
 
-constexpr std::string_view EntryGroup = "entry";
 constexpr std::string_view AddressesPath = "/burdock/v1/addresses";
 constexpr std::chrono::milliseconds DrainRetryAfter { 1'000 };
 
+/// Counts a request as in progress while it lives.
+class RequestGuard
+{
+public:
+    explicit RequestGuard(NodeDrain &drain)
+        : m_drain(drain)
+    {
+    }
+    ~RequestGuard() { m_drain.onRequestFinished(steadyNow()); }
+    RequestGuard(const RequestGuard &) = delete;
+    RequestGuard &operator=(const RequestGuard &) = delete;
+
+private:
+    NodeDrain &m_drain;
+};
+
 struct ServicePath
 {
     std::string service; // first segment
@@ -43,11 +58,17 @@
         co_await answerAddresses(request, reply);
         co_return;
     }
-    if (m_state.draining) {
+    if (!m_state.drain.onRequest()) {
         const Error error { ResultCode::RefusedDraining, "this node is stopping; ask for another" };
         co_await sendError(reply, error, DrainRetryAfter);
         co_return;
     }
+    const RequestGuard guard(m_state.drain);
+    co_await serve(request, reply);
+}
+
+asio::awaitable<void> CallerApi::serve(const HttpRequest &request, HttpReply &reply)
+{
     const ServicePath target = splitTarget(request.target);
     const auto service = m_state.catalog.services.find(target.service);
     if (service == m_state.catalog.services.end()) {
@@ -75,20 +96,28 @@
 
 asio::awaitable<void> CallerApi::answerAddresses(const HttpRequest &request, HttpReply &reply)
 {
-    const std::string service = queryValue(request, "service").value_or("");
-    json::array near;
-    json::array far;
-    for (const VmEntry &vm : m_state.vms) {
-        if (vm.group != EntryGroup || vm.state == VmState::Leaving)
-            continue;
-        const bool sameZone = vm.availabilityZone == m_state.settings.availabilityZone;
-        (sameZone ? near : far).push_back(json::string(toText(vm.endpoint)));
+    AddressQuery query;
+    query.service = queryValue(request, "service").value_or("");
+    query.model = queryValue(request, "model").value_or("");
+    query.callerZone = queryValue(request, "zone").value_or(m_state.settings.availabilityZone);
+    if (!m_state.catalog.services.contains(query.service)) {
+        const Error error { ResultCode::ServiceUnknown, "no service '" + query.service + "'" };
+        co_await sendError(reply, error);
+        co_return;
+    }
+    const auto answered = m_state.addresses.answer(query);
+    if (!isOk(answered)) {
+        co_await sendError(reply, errorOf(answered), DrainRetryAfter);
+        co_return;
     }
-    for (json::value &address : far)
-        near.push_back(std::move(address));
-    const json::value answer = { { "service", service },
-                                 { "addresses", std::move(near) },
-                                 { "expires_in_ms", m_state.settings.answerLifetime.count() } };
+    json::array addresses;
+    for (const std::string &address : valueOf(answered).addresses)
+        addresses.push_back(json::string(address));
+    const auto lifetime =
+            std::chrono::duration_cast<std::chrono::milliseconds>(valueOf(answered).lifetime);
+    const json::value answer = { { "service", query.service },
+                                 { "addresses", std::move(addresses) },
+                                 { "expires_in_ms", lifetime.count() } };
     std::vector<HttpHeader> headers;
     headers.push_back({ "Content-Type", "application/json" });
     co_await reply.send(200, std::move(headers), json::serialize(answer));
--- a/src/entry/callerapi.h
+++ b/src/entry/callerapi.h
@@ -20,6 +20,7 @@
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
 
 private:
+    boost::asio::awaitable<void> serve(const HttpRequest &request, HttpReply &reply);
     boost::asio::awaitable<void> answerAddresses(const HttpRequest &request, HttpReply &reply);
 
     EntryState &m_state;
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::milliseconds DemandInterval { 2'000 };
 constexpr std::chrono::milliseconds VmListInterval { 1'000 };
 constexpr std::chrono::milliseconds FleetTick { 20 };
-constexpr std::chrono::milliseconds DrainPollInterval { 20 };
+constexpr std::chrono::milliseconds LastWordsTime { 200 }; // for the last messages to leave
 
 HttpLimits callerLimits(const NodeSettings &settings)
 {
@@ -112,24 +112,41 @@
     while (true) {
         m_state.fleet.tick();
         m_state.orders.tick();
+        m_state.quarantine.tick();
+        m_state.drain.tick(steadyNow());
+        carryOutDrain();
         co_await sleepFor(FleetTick);
     }
 }
 
 void EntryProgram::beginDrain()
 {
-    if (m_state.draining)
-        return;
-    asio::co_spawn(m_io, drain(), asio::detached);
+    LOG(INFO) << "a planned stop begins";
+    m_state.drain.start(steadyNow());
+    carryOutDrain();
 }
 
-asio::awaitable<void> EntryProgram::drain()
+void EntryProgram::carryOutDrain()
 {
-    LOG(INFO) << "draining: refuses new requests, finishes those in progress";
-    m_state.draining = true;
-    while (m_callerServer.requestsInProgress() > 0)
-        co_await sleepFor(DrainPollInterval);
-    LOG(INFO) << "drained";
+    for (const DrainAction &action : m_state.drain.takeActions()) {
+        if (std::holds_alternative<AnnounceLeaving>(action)) {
+            m_state.fleet.announceLeaving();
+            m_state.rebuildAddresses();
+            m_callerServer.closeAfterAnswers();
+        } else if (const auto *refuse = std::get_if<RefuseNewWork>(&action)) {
+            LOG(INFO) << "refuses new work: " << refuse->reason;
+            m_callerServer.stopAccepting();
+        } else if (std::holds_alternative<StopNow>(action)) {
+            asio::co_spawn(m_io, stop(), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> EntryProgram::stop()
+{
+    LOG(INFO) << "stops: nothing is in progress";
+    m_state.fleet.announceStopped();
+    co_await sleepFor(LastWordsTime);
     m_io.stop();
 }
 
--- a/src/entry/entryprogram.h
+++ b/src/entry/entryprogram.h
@@ -25,8 +25,9 @@
     boost::asio::awaitable<void> followVmList();
     boost::asio::awaitable<void> fleetTicks();
     boost::asio::awaitable<void> followEngines();
-    boost::asio::awaitable<void> drain();
+    boost::asio::awaitable<void> stop();
     void beginDrain();
+    void carryOutDrain();
 
     boost::asio::io_context &m_io;
     EntryState m_state;
--- a/src/entry/entrystate.cpp
+++ b/src/entry/entrystate.cpp
@@ -40,6 +40,27 @@
     return groups;
 }
 
+AddressSettings addressSettings(const NodeSettings &settings)
+{
+    AddressSettings addresses;
+    addresses.lifetime = settings.answerLifetime;
+    return addresses;
+}
+
+DrainSettings drainSettings(const NodeSettings &settings)
+{
+    DrainSettings drain;
+    drain.answerLifetime = settings.answerLifetime;
+    return drain;
+}
+
+EntryNodeState entryNodeState(MemberState state)
+{
+    if (state == MemberState::Alive)
+        return EntryNodeState::Usable;
+    return state == MemberState::Leaving ? EntryNodeState::Leaving : EntryNodeState::Suspect;
+}
+
 } // namespace
 
 EntryState::EntryState(boost::asio::io_context &context, NodeSettings nodeSettings)
@@ -55,10 +76,15 @@
     , link(io, *this)
     , fleet(io, link, objects, log, *this, fleetSettings(settings, incarnation))
     , orders(io, fleet, objects, log, { settings.name, processOf(incarnation) })
+    , quarantine(io, fleet, log, settings.name)
     , feed(http, upstreams, prefixes)
+    , addresses(addressSettings(settings), settings.seed)
+    , drain(drainSettings(settings))
 {
 }
 
+// ---- Events -------------------------------------------------------------------------------------
+
 void EntryState::onPeerMessage(const wire::PeerMessage &message)
 {
     if (fleet.onPeerMessage(message))
@@ -66,6 +92,9 @@
     if (message.kind_case() == wire::PeerMessage::kLedger) {
         if (const auto ledgerMessage = fromWire(message.ledger()))
             orders.onMessage(*ledgerMessage);
+    } else if (message.kind_case() == wire::PeerMessage::kQuarantine) {
+        if (const auto quarantineMessage = fromWire(message.quarantine()))
+            quarantine.onMessage(*quarantineMessage);
     } else if (message.kind_case() == wire::PeerMessage::kViewRequest && onViewRequest) {
         onViewRequest(message.view_request());
     }
@@ -80,19 +109,84 @@
         return;
     }
     catalog = takeValue(std::move(read));
-    feed.onVmList(vms, modelGroups(catalog));
+    const std::set<std::string> drainedBefore = leaving.byOperator();
+    leaving.onConfig(config.texts);
+    for (const std::string &upstream : drainedBefore) {
+        if (leaving.mayReceive(upstream))
+            upstreams.onGone(upstream); // announced again below, with nothing against it
+    }
+    updateUpstreams();
+    rebuildAddresses();
 }
 
 void EntryState::onLiveNodes()
 {
     orders.onLiveNodes();
+    quarantine.onLiveNodes();
+    drain.onOtherUsableNodes(fleet.otherUsableNodes(), steadyNow());
+    rebuildAddresses();
+}
+
+void EntryState::onNote(const FleetNote &note)
+{
+    if (note.topic != UpstreamLeavingTopic)
+        return;
+    leaving.onLeavingNote(note.key);
+    upstreams.onLeaving(note.key);
 }
 
 void EntryState::onVmList(std::vector<VmEntry> listed)
 {
     vms = std::move(listed);
     fleet.onVmList(vms);
-    feed.onVmList(vms, modelGroups(catalog));
+    std::set<std::string> names;
+    std::set<std::string> leavingNames;
+    for (const VmEntry &vm : vms) {
+        names.insert(vm.name);
+        if (vm.state == VmState::Leaving)
+            leavingNames.insert(vm.name);
+    }
+    for (const std::string &upstream : leaving.onVmList(names, leavingNames))
+        fleet.spreadNote({ UpstreamLeavingTopic, upstream, incarnation, "" });
+    updateUpstreams();
+}
+
+// ---- Tables -------------------------------------------------------------------------------------
+
+void EntryState::updateUpstreams()
+{
+    std::vector<VmEntry> current = vms;
+    for (VmEntry &vm : current) {
+        if (!leaving.mayReceive(vm.name))
+            vm.state = VmState::Leaving;
+    }
+    feed.onVmList(current, modelGroups(catalog));
+}
+
+std::string EntryState::upstreamProcess(const std::string &upstream) const
+{
+    const UpstreamRow *row = upstreams.find(upstream);
+    return upstream + "/" + (row == nullptr ? "" : std::to_string(row->info.incarnation));
+}
+
+void EntryState::rebuildAddresses()
+{
+    std::vector<EntryNode> nodes;
+    for (const VmEntry &vm : vms) {
+        const auto member = fleet.membership().members().find(vm.name);
+        if (member == fleet.membership().members().end() || !isRunning(member->second))
+            continue;
+        nodes.push_back({ vm.name, vm.availabilityZone, toText(vm.endpoint),
+                          entryNodeState(member->second.state) });
+    }
+    std::vector<ModelShare> shares;
+    for (const auto &[name, service] : catalog.services) {
+        for (const ModelEntry &model : service.models)
+            shares.push_back({ model.name, 0.0 });
+    }
+    for (ModelShare &share : shares)
+        share.share = 1.0 / static_cast<double>(shares.size());
+    addresses.rebuild(std::move(nodes), std::move(shares));
 }
 
 } // namespace burdock
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -1,7 +1,9 @@
 // What one entry process knows and does, as plain members that its parts share.
 #pragma once
 
+#include "decide/addressanswer.h"
 #include "decide/dispatcher.h"
+#include "decide/drain.h"
 #include "decide/prefixindex.h"
 #include "decide/router.h"
 #include "decide/servicecatalog.h"
@@ -14,6 +16,7 @@
 #include "net/metrics.h"
 #include "node/fleetshell.h"
 #include "node/ordershell.h"
+#include "node/quarantineshell.h"
 #include "peer/peerlink.h"
 #include "platform/objectclient.h"
 #include "settings/nodesettings.h"
@@ -36,6 +39,7 @@
     void onPeerMessage(const wire::PeerMessage &message) override;
     void onConfiguration(const ApplyConfig &config) override;
     void onLiveNodes() override;
+    void onNote(const FleetNote &note) override;
 
     /// Where requests of this node's control process go.
     std::function<void(const wire::ViewRequest &)> onViewRequest;
@@ -43,6 +47,12 @@
     /// Takes a reading of the VM list.
     void onVmList(std::vector<VmEntry> listed);
 
+    /// @return a name for the process that now runs as an upstream
+    std::string upstreamProcess(const std::string &upstream) const;
+
+    /// Chooses anew which addresses callers are told.
+    void rebuildAddresses();
+
     boost::asio::io_context &io;
     NodeSettings settings;
     HttpClient http;
@@ -51,19 +61,25 @@
     std::uint64_t incarnation; // of this process
     Metrics metrics;
 
-    ServiceCatalog catalog;   // the configuration in force here
-    std::vector<VmEntry> vms; // the last VM list
-    UpstreamTable upstreams;  // every upstream this node routes to
-    PrefixIndex prefixes;     // who is believed to hold which prompt prefix
-    CostRouter router;        // chooses the upstream
-    Dispatcher dispatcher;    // queues, retries, refusals
-    RequestBoard board;       // waiting callers
-    PeerLink link;            // to the other nodes and to this node's control process
-    FleetShell fleet;         // who runs, and which configuration is in force
-    OrderShell orders;        // the at-most-once ledger
-    DemandMeter demand;       // what callers ask of each model
-    UpstreamFeed feed;        // keeps the upstream table up to date
-    bool draining = false;    // new requests are refused
+    ServiceCatalog catalog;     // the configuration in force here
+    std::vector<VmEntry> vms;   // the last VM list
+    UpstreamTable upstreams;    // every upstream this node routes to
+    PrefixIndex prefixes;       // who is believed to hold which prompt prefix
+    CostRouter router;          // chooses the upstream
+    Dispatcher dispatcher;      // queues, retries, refusals
+    RequestBoard board;         // waiting callers
+    PeerLink link;              // to the other nodes and to this node's control process
+    FleetShell fleet;           // who runs, and which configuration is in force
+    OrderShell orders;          // the at-most-once ledger
+    QuarantineShell quarantine; // requests that crash their upstreams
+    DemandMeter demand;         // what callers ask of each model
+    UpstreamFeed feed;          // keeps the upstream table up to date
+    LeavingUpstreams leaving;   // upstreams that get no new work
+    AddressDirectory addresses; // which entry addresses callers are told
+    NodeDrain drain;            // the planned stop of this node
+
+private:
+    void updateUpstreams();
 };
 
 } // namespace burdock
--- a/src/entry/modelproxy.cpp
+++ b/src/entry/modelproxy.cpp
@@ -1,4 +1,5 @@
 #include "entry/relay.h"
+#include "entry/requestrun.h"
 #include "entry/serviceproxy.h"
 
 #include <boost/json.hpp>
@@ -98,56 +99,59 @@
     return queued;
 }
 
-/// Runs the attempts of one model request.
-class ModelRun
+/// A request to a model, streamed or whole.
+class ModelRun : public RequestRun
 {
 public:
     ModelRun(EntryState &state, const ServiceCall &call, const ModelCall &model,
-             QueuedRequest queued, HttpReply &reply)
-        : m_state(state)
-        , m_call(call)
+             QueuedRequest queued, std::uint64_t fingerprint, HttpReply &reply)
+        : RequestRun(state, call, std::move(queued), fingerprint, reply)
         , m_model(model)
-        , m_queued(std::move(queued))
-        , m_reply(reply)
-        , m_requestId(state.settings.name + "-" + std::to_string(m_queued.routing.id))
-        , m_relay(reply, m_queued.routing.id, m_requestId)
+        , m_relay(reply, m_queued.routing.id, requestName())
     {
     }
 
-    asio::awaitable<void> run();
-
 private:
-    asio::awaitable<AttemptEnd> attempt(const SendRequest &send);
-    asio::awaitable<AttemptEnd> attemptWhole(const SendRequest &send,
-                                             std::shared_ptr<HttpExchange> exchange,
-                                             const HttpRequest &request);
-    void noteFirstByte(const SendRequest &send);
-    void report(const SendRequest &send, AttemptEnd end);
-
-    EntryState &m_state;
-    const ServiceCall &m_call;
+    asio::awaitable<AttemptEnd> attempt(const SendRequest &send) override;
+    asio::awaitable<void> giveUp(const Error &error, std::chrono::milliseconds retryAfter) override;
+    bool mayRetry() const override { return !m_relay.givenUp(); }
+    HttpRequest upstreamRequest() const;
+    asio::awaitable<AttemptEnd> attemptWhole(const SendRequest &send);
+    asio::awaitable<AttemptEnd> attemptStream(const SendRequest &send);
+
     const ModelCall &m_model;
-    QueuedRequest m_queued;
-    HttpReply &m_reply;
-    std::string m_requestId;
     StreamRelay m_relay;
 };
 
-void ModelRun::noteFirstByte(const SendRequest &send)
+HttpRequest ModelRun::upstreamRequest() const
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = m_call.path;
+    request.headers.push_back({ "Content-Type", "application/json" });
+    request.headers.push_back({ "X-Request-Id", requestName() });
+    request.body = json::serialize(m_model.body);
+    return request;
+}
+
+asio::awaitable<AttemptEnd> ModelRun::attempt(const SendRequest &send)
 {
-    m_state.dispatcher.onFirstByte(m_queued.routing.id, send.attempt, steadyNow());
-    m_state.metrics.observe("burdock_first_byte_seconds", steadyNow() - m_call.arrived);
+    if (m_model.stream)
+        co_return co_await attemptStream(send);
+    co_return co_await attemptWhole(send);
 }
 
-asio::awaitable<AttemptEnd> ModelRun::attemptWhole(const SendRequest &send,
-                                                   std::shared_ptr<HttpExchange> exchange,
-                                                   const HttpRequest &request)
+asio::awaitable<AttemptEnd> ModelRun::attemptWhole(const SendRequest &send)
 {
-    WholeAnswer answer = co_await readWhole(std::move(exchange), request, m_queued.deadline);
+    const HttpRequest request = upstreamRequest();
+    WholeAnswer answer = co_await readWhole(openExchange(send), request, m_queued.deadline);
     if (m_reply.callerLeft())
         co_return AttemptEnd::CallerLeft;
-    if (answer.end != AttemptEnd::Done || answer.response.head.status != 200)
-        co_return answer.end == AttemptEnd::Done ? AttemptEnd::Failed : answer.end;
+    if (answer.end != AttemptEnd::Done)
+        co_return answer.end;
+    const bool own = headerValue(answer.response.head.headers, "X-Request-Id") == requestName();
+    if (answer.response.head.status != 200 || !own)
+        co_return AttemptEnd::Failed;
     noteFirstByte(send);
     m_reply.onCallerLeft(nullptr);
     co_await m_reply.send(answer.response.head.status, answer.response.head.headers,
@@ -155,24 +159,12 @@
     co_return AttemptEnd::Done;
 }
 
-asio::awaitable<AttemptEnd> ModelRun::attempt(const SendRequest &send)
+asio::awaitable<AttemptEnd> ModelRun::attemptStream(const SendRequest &send)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = m_call.path;
-    request.headers.push_back({ "Content-Type", "application/json" });
-    request.headers.push_back({ "X-Request-Id", m_requestId });
-    request.body = json::serialize(m_model.body);
-
-    const auto endpoint = parseEndpoint(send.choice.address);
-    const auto exchange = m_state.http.exchange(valueOf(endpoint), false);
-    m_state.board.setExchange(m_queued.routing.id, exchange);
-    if (!m_model.stream)
-        co_return co_await attemptWhole(send, exchange, request);
     StreamAttempt stream;
     stream.number = send.attempt;
-    stream.exchange = exchange;
-    stream.request = std::move(request);
+    stream.exchange = openExchange(send);
+    stream.request = upstreamRequest();
     stream.firstByteDeadline = m_queued.deadline;
     stream.gapTimeout = StreamGapTimeout;
     stream.onFirstByte = [this, &send] {
@@ -181,45 +173,16 @@
     co_return co_await m_relay.run(std::move(stream));
 }
 
-void ModelRun::report(const SendRequest &send, AttemptEnd end)
+asio::awaitable<void> ModelRun::giveUp(const Error &error, std::chrono::milliseconds retryAfter)
 {
-    const std::uint64_t id = m_queued.routing.id;
-    switch (end) {
-    case AttemptEnd::Done:
-        m_state.dispatcher.onFinished(id, send.attempt, steadyNow());
-        break;
-    case AttemptEnd::ConnectFailed:
-        m_state.dispatcher.onConnectFailed(id, send.attempt, steadyNow());
-        break;
-    case AttemptEnd::Failed:
-        m_state.dispatcher.onUpstreamFailed(id, send.attempt, !m_relay.givenUp(), steadyNow());
-        break;
-    case AttemptEnd::CallerLeft:
-        m_state.metrics.count("burdock_callers_left_total");
-        break;
-    }
-    m_state.board.carryOut();
-}
-
-asio::awaitable<void> ModelRun::run()
-{
-    const std::uint64_t id = m_queued.routing.id;
-    RequestDecision decision = co_await m_state.board.submit(m_queued);
-    while (const auto *send = std::get_if<SendRequest>(&decision)) {
-        const AttemptEnd end = co_await attempt(*send);
-        report(*send, end);
-        if (end == AttemptEnd::Done || end == AttemptEnd::CallerLeft)
-            co_return;
-        decision = co_await m_state.board.next(id);
-    }
-    const auto *refused = std::get_if<GiveAnswer>(&decision);
-    if (refused == nullptr)
+    if (!m_relay.begun()) {
+        co_await RequestRun::giveUp(error, retryAfter);
         co_return;
-    if (m_relay.begun())
-        co_await m_relay.truncate(
-                { ResultCode::AnswerTruncated, "the answer is not whole: " + m_relay.failure() });
-    else
-        co_await answerRefusal(m_reply, refused->refusal);
+    }
+    const Error truncated { ResultCode::AnswerTruncated,
+                            "the answer is not whole: " + m_relay.failure() + "; "
+                                    + error.message };
+    co_await m_relay.truncate(truncated);
 }
 
 } // namespace
@@ -231,13 +194,12 @@
         co_await sendError(reply, errorOf(read));
         co_return;
     }
-    state.demand.count(valueOf(read).model);
-    const QueuedRequest queued = queuedModelRequest(state, call, valueOf(read));
-    const std::uint64_t id = queued.routing.id;
-    reply.onCallerLeft([&state, id] { state.board.cancel(id); });
-    ModelRun run(state, call, valueOf(read), queued, reply);
+    const ModelCall &model = valueOf(read);
+    state.demand.count(model.model);
+    const std::uint64_t fingerprint =
+            requestFingerprint(call.service.name, model.model, call.request.body);
+    ModelRun run(state, call, model, queuedModelRequest(state, call, model), fingerprint, reply);
     co_await run.run();
-    state.board.forget(id);
 }
 
 } // namespace burdock
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -10,7 +10,9 @@
 
 AttemptEnd endOf(const CallFailure &failure)
 {
-    return failure.bytesSent ? AttemptEnd::Failed : AttemptEnd::ConnectFailed;
+    if (!failure.bytesSent)
+        return AttemptEnd::ConnectFailed;
+    return failure.timedOut ? AttemptEnd::Failed : AttemptEnd::Lost;
 }
 
 } // namespace
@@ -29,6 +31,7 @@
     while (true) {
         auto part = co_await exchange->readPart(deadline);
         if (const auto *failure = std::get_if<CallFailure>(&part)) {
+            answer.end = endOf(*failure);
             answer.failure = failure->message;
             co_return answer;
         }
@@ -49,11 +52,11 @@
 {
 }
 
-AttemptEnd StreamRelay::breakOff(int attempt, std::string failure)
+AttemptEnd StreamRelay::breakOff(int attempt, AttemptEnd end, std::string failure)
 {
     m_failure = std::move(failure);
     m_check.onStreamEnded(attempt);
-    return m_reply.callerLeft() ? AttemptEnd::CallerLeft : AttemptEnd::Failed;
+    return m_reply.callerLeft() ? AttemptEnd::CallerLeft : end;
 }
 
 /// Reads from the head whose answer it is and where it begins.
@@ -78,14 +81,13 @@
         attempt.request.headers.push_back({ "X-Resume-From", std::to_string(m_check.delivered()) });
     auto head = co_await attempt.exchange->start(attempt.request, attempt.firstByteDeadline);
     if (const auto *failure = std::get_if<CallFailure>(&head)) {
-        const AttemptEnd end = breakOff(attempt.number, failure->message);
-        co_return failure->bytesSent ? end : AttemptEnd::ConnectFailed;
+        co_return breakOff(attempt.number, endOf(*failure), failure->message);
     }
     AnswerPart part;
     part.attempt = attempt.number;
     if (!acceptHead(std::get<HttpResponseHead>(head), part)) {
         attempt.exchange->cancel();
-        co_return breakOff(attempt.number, m_failure);
+        co_return breakOff(attempt.number, AttemptEnd::Failed, m_failure);
     }
     attempt.onFirstByte();
     const AttemptEnd end = co_await relayEvents(attempt, part);
@@ -103,10 +105,11 @@
     while (!m_check.whole()) {
         auto read = co_await attempt.exchange->readPart(steadyNow() + attempt.gapTimeout);
         if (const auto *failure = std::get_if<CallFailure>(&read))
-            co_return breakOff(attempt.number, failure->message);
+            co_return breakOff(attempt.number, endOf(*failure), failure->message);
         const auto &text = std::get<std::string>(read);
         if (text.empty())
-            co_return breakOff(attempt.number, "the stream ended without its end mark");
+            co_return breakOff(attempt.number, AttemptEnd::Failed,
+                               "the stream ended without its end mark");
         const AttemptEnd end = co_await deliver(parser.add(text), part);
         if (end != AttemptEnd::Done)
             co_return end;
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -21,7 +21,8 @@
 enum class AttemptEnd {
     Done,          // the whole answer has reached the caller
     ConnectFailed, // no byte of the request was sent
-    Failed,        // bytes were sent, and the answer is missing or not whole
+    Lost,          // bytes were sent, and the connection ended before the whole answer
+    Failed,        // bytes were sent, and the answer is late, refused or not whole
     CallerLeft,    // the caller does not want it any more
 };
 
@@ -81,7 +82,7 @@
     boost::asio::awaitable<AttemptEnd> deliver(std::vector<StreamEvent> events, AnswerPart &part);
     boost::asio::awaitable<bool> writeText(const std::string &text);
     bool acceptHead(const HttpResponseHead &head, AnswerPart &part);
-    AttemptEnd breakOff(int attempt, std::string failure);
+    AttemptEnd breakOff(int attempt, AttemptEnd end, std::string failure);
 
     HttpReply &m_reply;
     std::uint64_t m_request;
--- a/src/entry/serviceproxy.cpp
+++ b/src/entry/serviceproxy.cpp
@@ -1,6 +1,7 @@
 #include "entry/serviceproxy.h"
 
 #include "entry/relay.h"
+#include "entry/requestrun.h"
 
 namespace burdock {
 
@@ -29,42 +30,43 @@
     co_await sendError(reply, error, refusal.retryAfter);
 }
 
-asio::awaitable<void> proxyPlain(EntryState &state, const ServiceCall &call, HttpReply &reply)
+namespace {
+
+/// A request to a plain service that may be repeated.
+class PlainRun : public RequestRun
 {
-    const QueuedRequest queued = queuedRequest(state, call);
-    const std::uint64_t id = queued.routing.id;
-    reply.onCallerLeft([&state, id] { state.board.cancel(id); });
+public:
+    using RequestRun::RequestRun;
+
+private:
+    asio::awaitable<AttemptEnd> attempt(const SendRequest &send) override;
+};
 
-    HttpRequest forwarded = call.request;
-    forwarded.target = call.path;
-    RequestDecision decision = co_await state.board.submit(queued);
-    while (const auto *send = std::get_if<SendRequest>(&decision)) {
-        const auto endpoint = parseEndpoint(send->choice.address);
-        const auto exchange = state.http.exchange(valueOf(endpoint), false);
-        state.board.setExchange(id, exchange);
-        WholeAnswer answer = co_await readWhole(exchange, forwarded, queued.deadline);
-        if (reply.callerLeft())
-            break;
-        if (answer.end == AttemptEnd::Done) {
-            state.dispatcher.onFirstByte(id, send->attempt, steadyNow());
-            state.dispatcher.onFinished(id, send->attempt, steadyNow());
-            state.board.carryOut();
-            state.metrics.observe("burdock_answer_seconds", steadyNow() - call.arrived);
-            reply.onCallerLeft(nullptr);
-            co_await reply.send(answer.response.head.status, answer.response.head.headers,
-                                std::move(answer.response.body));
-            break;
-        }
-        if (answer.end == AttemptEnd::ConnectFailed)
-            state.dispatcher.onConnectFailed(id, send->attempt, steadyNow());
-        else
-            state.dispatcher.onUpstreamFailed(id, send->attempt, true, steadyNow());
-        state.board.carryOut();
-        decision = co_await state.board.next(id);
-    }
-    if (const auto *refused = std::get_if<GiveAnswer>(&decision))
-        co_await answerRefusal(reply, refused->refusal);
-    state.board.forget(id);
+asio::awaitable<AttemptEnd> PlainRun::attempt(const SendRequest &send)
+{
+    HttpRequest forwarded = m_call.request;
+    forwarded.target = m_call.path;
+    const auto exchange = openExchange(send);
+    WholeAnswer answer = co_await readWhole(exchange, forwarded, m_queued.deadline);
+    if (m_reply.callerLeft())
+        co_return AttemptEnd::CallerLeft;
+    if (answer.end != AttemptEnd::Done)
+        co_return answer.end;
+    noteFirstByte(send);
+    m_reply.onCallerLeft(nullptr);
+    co_await m_reply.send(answer.response.head.status, answer.response.head.headers,
+                          std::move(answer.response.body));
+    co_return AttemptEnd::Done;
+}
+
+} // namespace
+
+asio::awaitable<void> proxyPlain(EntryState &state, const ServiceCall &call, HttpReply &reply)
+{
+    const std::uint64_t fingerprint = requestFingerprint(
+            call.service.name, call.request.method + " " + call.path, call.request.body);
+    PlainRun run(state, call, queuedRequest(state, call), fingerprint, reply);
+    co_await run.run();
 }
 
 } // namespace burdock
--- a/src/entry/statuspages.cpp
+++ b/src/entry/statuspages.cpp
@@ -66,7 +66,9 @@
              { "availability_zone", state.settings.availabilityZone },
              { "config_revision", state.catalog.revision },
              { "publish_id", state.catalog.publishId },
-             { "draining", state.draining },
+             { "drain_phase", drainPhaseName(state.drain.phase()) },
+             { "requests_in_progress", state.drain.inProgress() },
+             { "suspects", state.quarantine.quarantine().suspects().size() },
              { "services", std::move(services) },
              { "queued", state.dispatcher.admission().queued() },
              { "active", state.dispatcher.active().size() },
@@ -96,7 +98,8 @@
     if (path == "/live") {
         body = "live\n";
     } else if (path == "/ready") {
-        const bool ready = m_state.catalog.revision > 0 && !m_state.draining;
+        const bool ready =
+                m_state.catalog.revision > 0 && m_state.drain.phase() == DrainPhase::Running;
         status = ready ? 200 : 503;
         body = ready ? "ready\n" : "not ready\n";
     } else if (path == "/metrics") {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -55,6 +55,7 @@
     HttpHandler &handler;
     Tcp::acceptor acceptor;
     bool accepting = false;
+    bool keepAlive = true; // connections outlive their answer
     int requestsInProgress = 0;
     std::set<HttpConnection *> connections;
 };
@@ -74,7 +75,6 @@
     ~HttpConnection() override { m_server->connections.erase(this); }
 
     asio::awaitable<void> run();
-    void closeIfIdle();
 
     asio::awaitable<bool> send(int status, std::vector<HttpHeader> headers,
                                std::string body) override;
@@ -99,7 +99,6 @@
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     std::function<void()> m_onCallerLeft;
-    bool m_idle = true;
     bool m_keepAlive = true;
     bool m_begun = false;
     bool m_streaming = false;
@@ -117,19 +116,13 @@
         co_await answerRequest();
         if (!m_ended)
             break;
-        if (!m_server->accepting)
+        if (!m_server->keepAlive)
             m_keepAlive = false;
     }
     boost::system::error_code ignored;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
-void HttpConnection::closeIfIdle()
-{
-    if (m_idle)
-        m_stream.close();
-}
-
 asio::awaitable<bool> HttpConnection::readRequest()
 {
     http::request_parser<http::string_body> parser;
@@ -137,13 +130,11 @@
     parser.body_limit(m_server->limits.maxBodyBytes);
 
     boost::system::error_code failure;
-    m_idle = m_buffer.size() == 0;
-    if (m_idle) {
+    if (m_buffer.size() == 0) {
         m_stream.expires_after(m_server->limits.idleTimeout);
         const auto bytes =
                 co_await m_stream.async_read_some(m_buffer.prepare(4096), withError(failure));
         m_buffer.commit(bytes);
-        m_idle = false;
         if (failure)
             co_return false;
     }
@@ -260,7 +251,7 @@
         message.insert(header.name, header.value);
     message.body() = std::move(body);
     message.prepare_payload();
-    message.keep_alive(m_keepAlive && m_server->accepting);
+    message.keep_alive(m_keepAlive && m_server->keepAlive);
 
     boost::system::error_code failure;
     m_stream.expires_after(m_server->limits.writeTimeout);
@@ -279,7 +270,7 @@
     for (const HttpHeader &header : headers)
         message.insert(header.name, header.value);
     message.chunked(true);
-    message.keep_alive(m_keepAlive && m_server->accepting);
+    message.keep_alive(m_keepAlive && m_server->keepAlive);
 
     boost::system::error_code failure;
     http::response_serializer<http::empty_body> serializer(message);
@@ -371,15 +362,19 @@
     return Done {};
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    m_state->keepAlive = false;
+}
+
 void HttpServer::stopAccepting()
 {
     if (!m_state->accepting)
         return;
     m_state->accepting = false;
+    m_state->keepAlive = false;
     boost::system::error_code ignored;
     m_state->acceptor.close(ignored);
-    for (HttpConnection *connection : m_state->connections)
-        connection->closeIfIdle();
 }
 
 int HttpServer::connections() const
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -102,7 +102,10 @@
     /// @return SettingsClash when the address cannot be bound
     Result<Done> listen(const Endpoint &endpoint);
 
-    /// Stops accepting connections and closes idle ones; requests in progress go on.
+    /// From now on each connection is closed after its next answer.
+    void closeAfterAnswers();
+
+    /// Stops accepting connections; those that are open go on.
     void stopAccepting();
 
     /// @return connections now open
--- a/src/node/fleetshell.cpp
+++ b/src/node/fleetshell.cpp
@@ -83,15 +83,42 @@
     m_listener.onLiveNodes();
 }
 
-void FleetShell::tellKeeperOfMembers()
+bool isRunning(const MemberRow &row)
+{
+    return row.state == MemberState::Alive || row.state == MemberState::Leaving
+            || row.state == MemberState::Suspect;
+}
+
+std::vector<std::string> FleetShell::runningNodes() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, row] : m_membership.members()) {
+        if (isRunning(row))
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::size_t FleetShell::otherUsableNodes() const
 {
-    std::vector<std::string> peers;
+    std::size_t count = 0;
     for (const auto &[name, row] : m_membership.members()) {
-        const bool running = row.state == MemberState::Alive || row.state == MemberState::Leaving
-                || row.state == MemberState::Suspect;
-        if (running && name != m_settings.name)
-            peers.push_back(name);
+        if (name != m_settings.name && m_membership.isUsable(row, steadyNow()))
+            ++count;
     }
+    return count;
+}
+
+void FleetShell::spreadNote(const FleetNote &note)
+{
+    m_membership.spreadNote(note);
+    carryOut();
+}
+
+void FleetShell::tellKeeperOfMembers()
+{
+    std::vector<std::string> peers = runningNodes();
+    std::erase(peers, m_settings.name);
     m_keeper.onMembers(m_membership.runningInZone(m_settings.zone), peers, steadyNow());
 }
 
@@ -184,6 +211,8 @@
                     .field("after", memberStateName(change->after))
                     .reason(change->reason);
             m_log.write(line);
+        } else if (const auto *arrived = std::get_if<NoteArrived>(&action)) {
+            m_listener.onNote(arrived->note);
         }
     }
     if (!changed)
--- a/src/node/fleetshell.h
+++ b/src/node/fleetshell.h
@@ -46,6 +46,9 @@
     std::uint64_t seed = 1;        // of its random choices
 };
 
+/// @return whether a member's process is there, as far as is known
+bool isRunning(const MemberRow &row);
+
 class FleetListener
 {
 public:
@@ -54,6 +57,9 @@
     /// A revision came into force on this node.
     virtual void onConfiguration(const ApplyConfig &config) = 0;
 
+    /// A fact of another module arrived.
+    virtual void onNote(const FleetNote &note) = 0;
+
     /// The nodes that run, or their incarnations, changed.
     virtual void onLiveNodes() = 0;
 };
@@ -84,6 +90,15 @@
     /// @return whether its address is known
     bool sendTo(const std::string &node, const wire::PeerMessage &message);
 
+    /// @return names of the nodes that run, this one included
+    std::vector<std::string> runningNodes() const;
+
+    /// @return how many other nodes can take callers now
+    std::size_t otherUsableNodes() const;
+
+    /// Spreads a fact through the fleet.
+    void spreadNote(const FleetNote &note);
+
     const Membership &membership() const { return m_membership; }
     const ConfigKeeper &keeper() const { return m_keeper; }
 
--- a/src/node/ordershell.cpp
+++ b/src/node/ordershell.cpp
@@ -161,9 +161,7 @@
 {
     std::vector<NodeIdentity> live;
     for (const auto &[name, row] : m_fleet.membership().members()) {
-        const bool running = row.state == MemberState::Alive || row.state == MemberState::Leaving
-                || row.state == MemberState::Suspect;
-        if (!running)
+        if (!isRunning(row))
             continue;
         live.push_back({ name, processOf(row.incarnation) });
     }
--- a/tests/decide/test_drain.cpp
+++ b/tests/decide/test_drain.cpp
@@ -25,9 +25,9 @@
     return nodes;
 }
 
-std::vector<ModelDemand> demandOf(int models)
+std::vector<ModelShare> demandOf(int models)
 {
-    std::vector<ModelDemand> demand;
+    std::vector<ModelShare> demand;
     demand.reserve(static_cast<std::size_t>(models));
     double sum = 0;
     for (int number = 0; number < models; ++number)
@@ -101,7 +101,7 @@
     const auto before = directory.homes();
     std::map<std::string, std::size_t> modelsAt;
     std::map<std::string, double> shareAt;
-    for (const ModelDemand &each : demandOf(350)) {
+    for (const ModelShare &each : demandOf(350)) {
         const auto &homes = before.at(each.model);
         CHECK(homes.size() >= 16);
         for (const std::string &name : homes) {
--- a/tests/process/judge.py
+++ b/tests/process/judge.py
@@ -1,6 +1,7 @@
 """Holds a traffic report against what the stand-ins counted. Exits 1 when a promise was broken.
 
-Usage: judge.py REPORT RUNS ATTEMPTS ENGINE_STATE...
+Usage: judge.py [--nothing-lost] REPORT RUNS ATTEMPTS ENGINE_STATE...
+With --nothing-lost every call must have been served: for planned stops and changes.
 REPORT is traffic.py's output, RUNS the plain service's own count of runs by key, ATTEMPTS its list of
 the attempts that ran, ENGINE_STATE an engine's report.
 """
@@ -27,7 +28,20 @@
     return problems
 
 
+def judge_nothing_lost(report):
+    problems = [f"a stream through {stream['node']} was {stream['outcome']}"
+                for stream in report["streams"] if stream["outcome"] != "whole"]
+    problems += [f"order {key}: {outcomes}" for key, outcomes in report["orders"].items()
+                 if outcomes != ["answered"]]
+    problems += [f"lookups {outcome}: {count}" for outcome, count in report["lookups"].items()
+                 if outcome != "ok" and count > 0]
+    return problems
+
+
 def main():
+    nothing_lost = sys.argv[1] == "--nothing-lost"
+    if nothing_lost:
+        del sys.argv[1]
     report, runs, ran = load(sys.argv[1]), load(sys.argv[2]), set(load(sys.argv[3]))
     problems = judge_orders(report["orders"], runs, ran)
     outcomes = collections.Counter(stream["outcome"] for stream in report["streams"])
@@ -44,6 +58,8 @@
     print(f"runs: {len(runs)} keys, most runs of one key {max(runs.values(), default=0)}")
     print(f"streams: {dict(outcomes)}")
     print(f"lookups: {report['lookups']}")
+    if nothing_lost:
+        problems += judge_nothing_lost(report)
     if final["answered"] == 0 or outcomes["whole"] == 0:
         problems.append("nothing was served: the run shows nothing")
     for problem in problems:
--- a/tests/process/test_faults.sh
+++ b/tests/process/test_faults.sh
@@ -14,7 +14,7 @@
 wait_for 10 fleet_publish examples/first-steps > /dev/null
 wait_until_serving 3
 
-python3 tests/process/traffic.py 36 127.0.1.1:17300 127.0.1.2:17300 127.0.1.3:17300 \
+python3 tests/process/traffic.py 36 random 127.0.1.1:17300 127.0.1.2:17300 127.0.1.3:17300 \
     > "$FLEET_DIR/report.json" &
 traffic=$!
 
--- a/tests/process/traffic.py
+++ b/tests/process/traffic.py
@@ -1,6 +1,9 @@
 """Sends orders, lookups and streams through the entry nodes while a script brings faults about.
 
-Usage: traffic.py SECONDS NODE_ADDRESS... ; prints a JSON report on standard output.
+Usage: traffic.py SECONDS random|ask NODE_ADDRESS... ; prints a JSON report on standard output.
+
+With "random" each call goes to any node. With "ask" each worker asks which address to use and keeps
+the answer until it expires, as callers do.
 
 Each order has a key of its own and is sent again, through any node, until it has a final answer or
 its tries are used up. Every answer to every attempt is kept, so that the judge can hold the plain
@@ -38,9 +41,42 @@
         return 0
 
 
+class Addresses:
+    """Gives one worker the address for its next call."""
+
+    def __init__(self, nodes, ask, seed):
+        self.nodes = nodes
+        self.ask = ask
+        self.chooser = random.Random(seed)
+        self.answer = []
+        self.expires = 0.0
+
+    def next(self):
+        if not self.ask:
+            return self.chooser.choice(self.nodes)
+        if time.time() >= self.expires:
+            self.renew()
+        return self.answer[0] if self.answer else self.chooser.choice(self.nodes)
+
+    def renew(self):
+        for node in self.chooser.sample(self.nodes, len(self.nodes)):
+            try:
+                asked = time.time()
+                status, body = call(node, "GET",
+                                    "/burdock/v1/addresses?service=model-pool&model=promo-writer")
+                if status == 200:
+                    answer = json.loads(body)
+                    self.answer = answer["addresses"]
+                    self.expires = asked + answer["expires_in_ms"] / 1000
+                    return
+            except (OSError, http.client.HTTPException):
+                continue
+
+
 class Traffic:
-    def __init__(self, nodes, end):
+    def __init__(self, nodes, ask, end):
         self.nodes = nodes
+        self.ask = ask
         self.end = end
         self.lock = threading.Lock()
         self.orders = {}     # key -> list of attempt outcomes
@@ -65,24 +101,24 @@
             return "not-run"
         return {306: "in-progress", 402: "outcome-unknown"}.get(code, f"error-{code}")
 
-    def run_order(self, key, chooser):
+    def run_order(self, key, addresses):
         outcomes = []
         with self.lock:
             self.orders[key] = outcomes
         for number in range(ORDER_TRIES):
             attempt = f"{key}/{number}"
-            outcome = self.attempt_order(chooser.choice(self.nodes), key, attempt)
+            outcome = self.attempt_order(addresses.next(), key, attempt)
             outcomes.append(outcome)
             if outcome in ("answered", "outcome-unknown", "crossed"):
                 return
             time.sleep(0.4)
 
     def order_worker(self, number):
-        chooser = random.Random(SEED + number)
+        addresses = Addresses(self.nodes, self.ask, SEED + number)
         count = 0
         while time.time() < self.end:
             count += 1
-            self.run_order(f"order-{number}-{count}", chooser)
+            self.run_order(f"order-{number}-{count}", addresses)
             time.sleep(0.05)
 
     def run_stream(self, address):
@@ -106,9 +142,9 @@
         return began, "whole" if whole else "wrong"
 
     def stream_worker(self, number):
-        chooser = random.Random(SEED + 100 + number)
+        addresses = Addresses(self.nodes, self.ask, SEED + 100 + number)
         while time.time() < self.end:
-            address = chooser.choice(self.nodes)
+            address = addresses.next()
             began, outcome = self.run_stream(address)
             with self.lock:
                 self.streams.append({"node": address, "outcome": outcome, "began": began,
@@ -116,10 +152,10 @@
             time.sleep(0.05)
 
     def lookup_worker(self, number):
-        chooser = random.Random(SEED + 200 + number)
+        addresses = Addresses(self.nodes, self.ask, SEED + 200 + number)
         while time.time() < self.end:
             try:
-                status, _ = call(chooser.choice(self.nodes), "GET", "/order-app/stock/milk")
+                status, _ = call(addresses.next(), "GET", "/order-app/stock/milk")
                 outcome = "ok" if status == 200 else "refused"
             except (OSError, http.client.HTTPException):
                 outcome = "failed"
@@ -129,7 +165,7 @@
 
 
 def main():
-    traffic = Traffic(sys.argv[2:], time.time() + float(sys.argv[1]))
+    traffic = Traffic(sys.argv[3:], sys.argv[2] == "ask", time.time() + float(sys.argv[1]))
     workers = [threading.Thread(target=traffic.order_worker, args=(n,)) for n in range(6)]
     workers += [threading.Thread(target=traffic.stream_worker, args=(n,)) for n in range(6)]
     workers += [threading.Thread(target=traffic.lookup_worker, args=(n,)) for n in range(2)]
