--- a/src/decide/ledger.h
+++ b/src/decide/ledger.h
@@ -53,13 +53,15 @@
 {
     unsigned shards = 16;                               // the same on every node, for good
     std::chrono::milliseconds commitInterval { 100 };   // at most one write a shard in this time
-    std::size_t recentBytes = 64 * 1024;                // records in the head before a segment
+    std::size_t recentBytes = 8 * 1024;                 // records in the head before a segment
+    std::size_t recentBatches = 4;                      // or as many writes like the last one
     std::size_t segmentBytes = 768 * 1024;              // segments are merged up to this size
     std::size_t answerBytes = 16 * 1024;                // larger answer bodies are not kept
     std::size_t batchBytes = 256 * 1024;                // new records in one write
     std::size_t queuedRequests = 4'096;                 // waiting requests a shard
     std::chrono::milliseconds admitWait { 2'000 };      // then a waiting Admit is refused
     std::chrono::milliseconds retryInterval { 500 };    // between tries when the store is down
+    std::chrono::milliseconds retryAfterMax { 30'000 }; // told to callers in a long outage
     std::chrono::milliseconds takeoverPause { 1'000 };  // after losing a shard to another owner
     std::chrono::milliseconds remindInterval { 2'000 }; // between reminders of one grant
     std::chrono::seconds retention { 24 * 3'600 };      // records are kept this long
--- a/src/decide/ledgercommit.cpp
+++ b/src/decide/ledgercommit.cpp
@@ -1,6 +1,7 @@
 // The requests of a shard and their group commit.
 #include "decide/ledgershard.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace burdock {
@@ -37,7 +38,7 @@
         return;
     const bool pausing = now < m_retryAt;
     if (pausing || m_queue.size() >= m_context.settings.queuedRequests) {
-        refuse(message);
+        refuse(message, now);
         return;
     }
     m_waitingAdmits.insert(message.attempt);
@@ -111,13 +112,20 @@
         m_waitingAdmits.erase(admit->attempt);
 }
 
-void LedgerShard::refuse(const Admit &message)
+void LedgerShard::refuse(const Admit &message, Instant now)
 {
     AdmitReply refusal;
     refusal.order = message.order;
     refusal.attempt = message.attempt;
     refusal.verdict = AdmitVerdict::Refused;
     refusal.retryAfter = m_context.settings.admitWait;
+    if (m_storeDown) {
+        // The longer the store is down, the later callers come back: their number grows.
+        const auto quarter =
+                std::chrono::duration_cast<std::chrono::milliseconds>((now - m_storeDownSince) / 4);
+        refusal.retryAfter =
+                std::clamp(quarter, m_context.settings.admitWait, m_context.settings.retryAfterMax);
+    }
     ++m_counts.refused;
     m_context.send(message.entry.node, std::move(refusal));
 }
@@ -204,6 +212,8 @@
     record.attempt = message.attempt;
     record.node = message.entry.node;
     record.nodeIncarnation = message.entry.incarnation;
+    if (same)
+        record.fingerprint = known->fingerprint;
     record.state = message.state;
     record.answer = message.answer;
     if (record.answer.body.size() > m_context.settings.answerBytes) {
@@ -327,7 +337,9 @@
         m_small.erase(name);
         m_context.actions.emplace_back(DeleteSegment { m_shard, name });
     }
+    m_batchBytes = recordBytes(batch.records);
     m_head = std::move(batch.head);
+    m_recentBytes = recordBytes(m_head.recent);
     deleteOrphans(batch.orphans);
     sendReplies(batch);
     for (const Request &request : batch.requests)
--- a/src/decide/ledgershard.cpp
+++ b/src/decide/ledgershard.cpp
@@ -98,7 +98,7 @@
     if (!owning())
         return;
     remind(now);
-    expireRecords();
+    expireRecords(now);
     startRoll();
     startScan(now);
     if (m_phase == Phase::Serving && now >= m_commitAt && now >= m_retryAt)
@@ -149,6 +149,7 @@
 {
     for (const LedgerRecord &record : m_head.recent)
         apply(record, now);
+    m_recentBytes = recordBytes(m_head.recent);
     m_head.owner = m_context.self.node;
     m_head.ownerIncarnation = m_context.self.incarnation;
     m_head.batch = ++m_context.lastBatch;
@@ -236,6 +237,8 @@
 
 void LedgerShard::pauseForStore(Instant now)
 {
+    if (!m_storeDown)
+        m_storeDownSince = now;
     m_storeDown = true;
     m_retryAt = now + m_context.settings.retryInterval;
     refuseWaiting(true, now);
@@ -261,6 +264,7 @@
     m_orphans.clear();
     m_roll.reset();
     m_head = LedgerHead();
+    m_recentBytes = 0;
     m_version = 0;
     m_call = 0;
     m_listCall = 0;
@@ -279,7 +283,7 @@
             kept.push_back(std::move(request));
             continue;
         }
-        refuse(*admit);
+        refuse(*admit, now);
         forgetRequest(request);
     }
     m_queue = std::move(kept);
@@ -303,7 +307,7 @@
     row.records = m_index.size();
     row.openGrants = m_open.size();
     row.queued = m_queue.size();
-    row.recentBytes = recordBytes(m_head.recent);
+    row.recentBytes = m_recentBytes;
     row.segments = m_head.segments.size();
     return row;
 }
--- a/src/decide/ledgershard.h
+++ b/src/decide/ledgershard.h
@@ -117,7 +117,7 @@
     bool removeQueuedAdmit(const std::string &attempt);
     void enqueue(Message message, Instant now);
     void forgetRequest(const Request &request);
-    void refuse(const Admit &message);
+    void refuse(const Admit &message, Instant now);
     AdmitReply reply(const Admit &message, const LedgerRecord &record) const;
     void commit(Instant now);
     void decideAdmit(Batch &batch, const Admit &message);
@@ -136,7 +136,7 @@
     void startRoll();
     void onRollWritten(ObjectStatus status);
     void remind(Instant now);
-    void expireRecords();
+    void expireRecords(Instant now);
     bool isExpired(const SegmentRef &segment) const;
     void startScan(Instant now);
     void deleteOrphans(const std::vector<std::string> &names);
@@ -148,6 +148,8 @@
     std::uint64_t m_call = 0;           // the call of the head or of a segment that is awaited
     std::uint64_t m_version = 0;        // of m_head
     LedgerHead m_head;                  // as last read or written
+    std::size_t m_batchBytes = 0;       // of the new records in the last write
+    std::size_t m_recentBytes = 0;      // of the records in m_head
     LedgerIndex m_index;                // folded state of the shard
     std::map<OrderKey, Instant> m_open; // grants without an outcome, and when to remind
     std::map<std::string, std::vector<LedgerRecord>> m_small; // segments that may be merged
@@ -163,8 +165,10 @@
     Instant m_retryAt {};                  // nothing is tried before
     Instant m_commitAt {};                 // next write of the head
     Instant m_remindAt {};                 // next look at m_open
+    Instant m_sweepAt {};                  // next search for expired records
     Instant m_scanAt {};                   // next search for lost segments
     bool m_storeDown = false;              // the last call failed
+    Instant m_storeDownSince {};           // the first of those that failed in a row
     LedgerShardRow m_counts;               // counters
 };
 
--- a/src/decide/ledgerupkeep.cpp
+++ b/src/decide/ledgerupkeep.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
-/// Index entries looked at in one tick when searching for expired ones.
-constexpr int SweepCount = 256;
+/// Index entries looked at in one search for expired ones.
+constexpr int SweepCount = 4'096;
+
+/// Time between these searches.
+constexpr std::chrono::seconds SweepInterval { 1 };
 
 /// Reminders of one shard in one look.
 constexpr int MaxReminders = 64;
@@ -28,7 +31,10 @@
 
 void LedgerShard::startRoll()
 {
-    if (m_roll || recordBytes(m_head.recent) < m_context.settings.recentBytes || m_storeDown)
+    // Several batches go into a segment, so that segments do not double the writes under load.
+    const LedgerSettings &settings = m_context.settings;
+    const std::size_t limit = std::max(settings.recentBytes, settings.recentBatches * m_batchBytes);
+    if (m_roll || m_recentBytes < limit || m_storeDown)
         return;
     Roll roll;
     roll.recentCount = m_head.recent.size();
@@ -110,8 +116,11 @@
     }
 }
 
-void LedgerShard::expireRecords()
+void LedgerShard::expireRecords(Instant now)
 {
+    if (now < m_sweepAt)
+        return;
+    m_sweepAt = now + SweepInterval;
     auto entry = m_index.upper_bound(m_sweptTo);
     for (int count = 0; count < SweepCount && entry != m_index.end(); ++count) {
         m_sweptTo = entry->first;
--- a/tests/decide/ledgerfleet.h
+++ b/tests/decide/ledgerfleet.h
@@ -207,6 +207,7 @@
         LedgerSettings settings;
         settings.shards = 2;
         settings.recentBytes = 150; // so that segments are written in a short run
+        settings.recentBatches = 0;
         settings.ablation = m_options.ablation;
         OrderClientSettings clientSettings;
         clientSettings.shards = settings.shards;
