--- a/src/decide/publisher.cpp
+++ b/src/decide/publisher.cpp
@@ -46,6 +46,16 @@
     m_outcome = std::move(result);
 }
 
+// Refuses for good, unless a write that is under way may still put the publish in force.
+void Publisher::refuse(Error error)
+{
+    if (m_unsettledVersion == m_headVersion) {
+        error.code = ResultCode::PlatformUnknownOutcome;
+        error.message += "; but an earlier write of this publish may still arrive";
+    }
+    finish(std::move(error));
+}
+
 // ---- Calls --------------------------------------------------------------------------------------
 
 void Publisher::enter(Step step, Instant now)
@@ -95,7 +105,7 @@
     if (m_outcome)
         return;
     if (now >= m_giveUpDeadline) {
-        if (m_unsettledVersion)
+        if (m_unsettledVersion || m_request.sentBefore)
             finish(Error { ResultCode::PlatformUnknownOutcome,
                            "publish " + m_request.publishId + " was sent and no answer came" });
         else
@@ -121,12 +131,15 @@
         return;
     if (!m_base)
         m_base = head;
+    m_head = head;
+    m_headVersion = version;
+    // A write of an earlier process can now arrive only if it expects this very version.
+    if (std::exchange(m_request.sentBefore, false))
+        m_unsettledVersion = version;
     if (const auto clash = clashWith(head)) {
-        finish(*clash);
+        refuse(*clash);
         return;
     }
-    m_head = head;
-    m_headVersion = version;
     enter(Step::ReadingEntries, now);
 }
 
@@ -256,7 +269,7 @@
     }
     const Result<Done> result = m_checker.check(texts);
     if (!isOk(result))
-        finish(errorOf(result));
+        refuse(errorOf(result));
     else
         enter(Step::CreatingEntries, now);
 }
--- a/src/decide/publisher.h
+++ b/src/decide/publisher.h
@@ -36,6 +36,7 @@
     std::string publishId;                                     // unique; the same when sent again
     std::string operatorName;                                  // for history and refusals
     std::map<std::string, std::optional<std::string>> changes; // key -> text; nothing: removed
+    bool sentBefore = false;        // an earlier process may have sent this publish id
     std::optional<ConfigHead> base; // what the operator saw; nothing: the head as first read
 };
 
@@ -144,6 +145,7 @@
     void checkWhole(Instant now);
     ConfigHead nextHead() const;
     std::optional<std::pair<std::string, std::string>> nextMissingEntry() const;
+    void refuse(Error error);
     void finish(Result<std::uint64_t> result);
 
     PublisherSettings m_settings;
--- a/tests/decide/fleetdriver.h
+++ b/tests/decide/fleetdriver.h
@@ -33,10 +33,9 @@
     bool up = true;
     bool frozen = false;
     std::uint64_t life = 1;
-    Instant membersAt {};                                // the keeper is next told who runs
-    std::uint64_t bytes = 0;                             // sent and received
-    std::map<std::string, std::uint64_t> bytesByMessage; // the same, by step
-    std::vector<std::function<void()>> inbox;            // arrived while frozen
+    Instant membersAt {};                     // the keeper is next told who runs
+    std::uint64_t bytes = 0;                  // sent and received
+    std::vector<std::function<void()>> inbox; // arrived while frozen
     std::vector<std::pair<Instant, MemberChanged>> changes;
     std::vector<FleetNote> notes;
 };
@@ -73,7 +72,14 @@
         keeperSettings.self = node.name;
         keeperSettings.seed = ++seed;
         node.keeper = std::make_unique<ConfigKeeper>(keeperSettings, now);
-        node.membership->onVmList(vmList, now);
+        const std::uint64_t life = node.life + 1;
+        if (listDelay == Duration::zero())
+            node.membership->onVmList(vmList, now);
+        else
+            after(listDelay, [&node, life, this] {
+                if (node.life == life)
+                    node.membership->onVmList(vmList, now);
+            });
         node.membersAt = now;
         node.up = true;
         node.frozen = false;
@@ -130,6 +136,7 @@
     std::vector<VmRecord> vmList;
     Instant now { std::chrono::seconds(1000) };
     std::uint64_t seed;
+    Duration listDelay {}; // a node that starts gets the VM list this late
     Duration tickInterval = std::chrono::milliseconds(200);
     MembershipSettings membershipDefaults;
     KeeperSettings keeperDefaults;
@@ -189,7 +196,6 @@
               const std::function<void(FleetNode &)> &f)
     {
         from.bytes += bytes + TransportBytes;
-        from.bytesByMessage[step] += bytes + TransportBytes;
         const Fate fate = fault(step, from.name, to);
         for (int copy = 0; copy < fate.copies; ++copy) {
             after(std::chrono::milliseconds(2 + copy) + fate.delay, [=, this] {
@@ -216,13 +222,13 @@
 
     void sendGossip(FleetNode &node, SendGossip &gossip)
     {
-        const GossipMessage message = std::move(gossip.message);
-        const char *step = message.kind == GossipKind::Ping ? "ping"
-                : message.kind == GossipKind::Ack           ? "ack"
-                                                            : "ping request";
-        post(step, node, gossip.to, encodedSize(message), [this, message](FleetNode &to) {
-            to.membership->onGossip(message, now);
-            to.keeper->onPeerRevision(message.from, message.configRevision, now);
+        const auto message = std::make_shared<const GossipMessage>(std::move(gossip.message));
+        const char *step = message->kind == GossipKind::Ping ? "ping"
+                : message->kind == GossipKind::Ack           ? "ack"
+                                                             : "ping request";
+        post(step, node, gossip.to, encodedSize(*message), [this, message](FleetNode &to) {
+            to.membership->onGossip(*message, now);
+            to.keeper->onPeerRevision(message->from, message->configRevision, now);
         });
     }
 
--- a/tests/decide/test_configkeeper.cpp
+++ b/tests/decide/test_configkeeper.cpp
@@ -180,6 +180,21 @@
     CHECK(errorOf(*never.outcome()).code == ResultCode::PlatformUnavailable);
 }
 
+// The process that sent it was killed; its write may be under way or done.
+TEST(Publisher, SecondProcessNeverCallsAnEarlierWriteRefused)
+{
+    PublishRequest request = change("p1", serviceKey("a"), "1");
+    request.sentBefore = true;
+    Publisher unanswered({}, request, checker, fleet.now);
+    unanswered.tick(fleet.now + 61s);
+    CHECK(errorOf(*unanswered.outcome()).code == ResultCode::PlatformUnknownOutcome);
+
+    request.changes["services/b"] = "bad"; // refused, but the head is where the write expects it
+    Publisher refused({}, request, checker, fleet.now);
+    store.serve(refused, fleet.now);
+    CHECK(errorOf(*refused.outcome()).code == ResultCode::PlatformUnknownOutcome);
+}
+
 TEST(Publisher, LateWriteRevertsNothing)
 {
     Publisher publisher({}, change("p1", serviceKey("a"), "1"), checker, fleet.now);
