--- a/src/decide/placement.h
+++ b/src/decide/placement.h
@@ -53,7 +53,7 @@
     std::chrono::milliseconds warmUp { 10'000 };           // wait for reports after a takeover
     std::chrono::milliseconds silentAfter { 15'000 };      // an engine without reports is silent
     std::chrono::milliseconds orderTimeout { 10'000 };     // an order unseen for this long is lost
-    std::chrono::milliseconds loadTimeout { 60'000 };      // a load occupies the store this long
+    std::chrono::milliseconds loadTimeout { 30'000 };      // a load occupies the store this long
     std::chrono::milliseconds dwell { 300'000 };           // a new copy is kept at least this long
     std::chrono::milliseconds unpublishGrace { 60'000 };   // copies outlive their model this long
     std::chrono::milliseconds retireAfter { 60'000 };      // out of VM list and silent: forgotten
