--- a/tests/decide/test_placementpairfaults.cpp
+++ b/tests/decide/test_placementpairfaults.cpp
@@ -60,6 +60,7 @@
         cell.violations += checks.violations() > 0 ? 1 : 0;
     }
     std::vector<FaultCell> report;
+    report.reserve(cells.size());
     for (const auto &[key, cell] : cells)
         report.push_back(cell);
     reportCells(report);
