--- a/tests/decide/test_placementpairfaults.cpp
+++ b/tests/decide/test_placementpairfaults.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t PairSchedules = 16'000 / ScheduleShare;
+constexpr std::uint64_t PairSchedules = 20'000 / ScheduleShare;
 
 // Draws two faults, each at a step where it can strike.
 std::vector<Injection> drawPair(const PlacementVariant &variant, Random &random)
@@ -60,6 +60,7 @@
         cell.violations += checks.violations() > 0 ? 1 : 0;
     }
     std::vector<FaultCell> report;
+    report.reserve(cells.size());
     for (const auto &[key, cell] : cells)
         report.push_back(cell);
     reportCells(report);
