--- a/src/load/fleet.h
+++ b/src/load/fleet.h
@@ -31,6 +31,7 @@
 enum class PlacementKind { Planned, Static, Reactive };
 enum class ReportMode {
     Broadcast,   // each engine reports to each node twice a second
+    Digest,      // each second every node gets the load of all engines, 1.5 s old
     WithAnswers, // an answer's first and last byte carry the load; nothing else is sent
 };
 
--- a/src/load/fleetstate.cpp
+++ b/src/load/fleetstate.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration ReportEvery = 500ms;     // load reports and cache events
 constexpr Duration ReportLag = 300ms;       // until they arrive
+constexpr Duration DigestEvery = 1s;        // digests of load reports
+constexpr Duration DigestLag = 1500ms;      // until they arrive
 constexpr Duration AnnounceLag = 300ms;     // until nodes know what an engine holds
 constexpr Duration ListLag = 10s;           // of the VM list
 constexpr Duration PlacementEvery = 2s;     // placement looks at the tables
@@ -79,20 +81,23 @@
 void Fleet::report(std::size_t engine)
 {
     constexpr std::uint64_t AnnounceEvery = 4; // reports; adapters come and go
+    const bool digest = m_settings.reports == ReportMode::Digest;
     if (m_engines[engine].alive) {
-        if (m_settings.reports == ReportMode::Broadcast) {
-            const LoadReport made = loadReport(engine, ReportLag);
-            m_events.after(ReportLag, [this, made] {
+        const Duration lag = digest ? DigestLag : ReportLag;
+        if (m_settings.reports != ReportMode::WithAnswers) {
+            const LoadReport made = loadReport(engine, lag);
+            m_events.after(lag, [this, made] {
                 for (const auto &node : m_nodes)
                     node->table.onLoadReport(made, m_events.now());
             });
-            publishCacheEvent(engine);
         }
+        if (m_settings.reports == ReportMode::Broadcast)
+            publishCacheEvent(engine);
         // Without broadcasts a node knows of adapters from its own requests alone.
         if (m_settings.reports == ReportMode::Broadcast && m_random.below(AnnounceEvery) == 0)
             announce(engine);
     }
-    m_events.after(ReportEvery, [this, engine] { report(engine); });
+    m_events.after(digest ? DigestEvery : ReportEvery, [this, engine] { report(engine); });
 }
 
 void Fleet::publishCacheEvent(std::size_t engine)
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -9,7 +9,7 @@
 {
     burdock::ExperimentSettings settings;
     CLI::App app("Measures routing and placement policies over a fake fleet in virtual time.");
-    app.add_option("--output", settings.folder, "Folder for experiments.md and the plot data")
+    app.add_option("--output", settings.folder, "Folder for experiments.md and the plots' data")
             ->required();
     app.add_option("--minutes", settings.minutes, "Virtual minutes of each run")
             ->check(CLI::Range(1, 600));
