--- /dev/null
+++ b/src/base/writeoutcome.h
@@ -0,0 +1,13 @@
+// What became of a conditional write to the Object API.
+#pragma once
+
+namespace burdock {
+
+enum class WriteOutcome {
+    Done,        // took effect
+    Conflict,    // another version is there; nothing changed
+    Unavailable, // refused before it took effect
+    Unknown,     // sent, and no answer came; it may take effect, also later
+};
+
+} // namespace burdock
--- a/src/decide/publisher.h
+++ b/src/decide/publisher.h
@@ -3,7 +3,6 @@
 // Index
 //   PublishRequest      what is to be published
 //   CatalogChecker      checks the whole configuration that would result
-//   WriteOutcome        answers of the Object API to a write
 //   ReadHead, ReadEntry, CreateEntry, WriteHead, PublisherAction
 //   Publisher           the system; one for each publish
 //
@@ -17,6 +16,7 @@
 
 #include "base/instant.h"
 #include "base/result.h"
+#include "base/writeoutcome.h"
 #include "decide/confighead.h"
 
 #include <cstdint>
@@ -52,13 +52,6 @@
 
 // ---- Actions ------------------------------------------------------------------------------------
 
-enum class WriteOutcome {
-    Done,        // carried out
-    Conflict,    // another version, or the object exists
-    Unavailable, // not carried out
-    Unknown,     // sent, no answer; may take effect, also later
-};
-
 /// Answer with Publisher::onHeadRead() or onReadFailed().
 struct ReadHead
 {
--- a/src/platform/objectclient.h
+++ b/src/platform/objectclient.h
@@ -2,7 +2,7 @@
 //
 // Index
 //   StoredObject, ObjectChange, VmEntry   what the platform answers
-//   WriteOutcome, WriteAnswer             what became of a write
+//   WriteAnswer                           what became of a write
 //   ObjectClient                          the calls; each counts against the platform's rate
 //
 // A write whose answer did not come is WriteOutcome::Unknown: it may have taken effect, or may do
@@ -11,6 +11,7 @@
 
 #include "base/instant.h"
 #include "base/result.h"
+#include "base/writeoutcome.h"
 #include "net/endpoint.h"
 #include "net/httpclient.h"
 
@@ -59,13 +60,6 @@
     VmState state = VmState::Live;
 };
 
-enum class WriteOutcome {
-    Done,        // took effect
-    Conflict,    // another version is there; nothing changed
-    Unavailable, // refused before it took effect
-    Unknown,     // sent, and no answer came
-};
-
 struct WriteAnswer
 {
     WriteOutcome outcome = WriteOutcome::Unknown;
