--- a/src/ctl/publishrun.cpp
+++ b/src/ctl/publishrun.cpp
@@ -56,13 +56,13 @@
     /// @return an error that the publisher cannot know of, or Done
     asio::awaitable<Result<Done>> carryOut(PublisherAction action)
     {
-        if (const auto *read = std::get_if<ReadHead>(&action))
+        if (const auto *read = std::get_if<ReadConfigHead>(&action))
             co_return co_await readHeadFor(read->requestId);
-        if (const auto *read = std::get_if<ReadEntry>(&action))
+        if (const auto *read = std::get_if<ReadConfigEntry>(&action))
             co_await readEntry(*read);
-        else if (const auto *create = std::get_if<CreateEntry>(&action))
+        else if (const auto *create = std::get_if<CreateConfigEntry>(&action))
             co_await createEntry(*create);
-        else if (const auto *write = std::get_if<WriteHead>(&action))
+        else if (const auto *write = std::get_if<WriteConfigHead>(&action))
             co_await writeHead(*write);
         co_return Done {};
     }
@@ -82,7 +82,7 @@
         co_return Done {};
     }
 
-    asio::awaitable<void> readEntry(ReadEntry action)
+    asio::awaitable<void> readEntry(ReadConfigEntry action)
     {
         const auto object = co_await m_objects.read(entryPath(action.key, action.hash));
         if (isOk(object))
@@ -92,7 +92,7 @@
     }
 
     /// An entry's path holds its hash, so one that can be read back was created, by whom ever.
-    asio::awaitable<void> createEntry(CreateEntry action)
+    asio::awaitable<void> createEntry(CreateConfigEntry action)
     {
         const std::string path = entryPath(action.key, action.hash);
         const WriteAnswer answer = co_await m_objects.write(path, action.text, 0);
@@ -105,7 +105,7 @@
         m_publisher.onEntryCreated(action.requestId, outcome, steadyNow());
     }
 
-    asio::awaitable<void> writeHead(WriteHead action)
+    asio::awaitable<void> writeHead(WriteConfigHead action)
     {
         const WriteAnswer answer = co_await m_objects.write(
                 ConfigHeadPath, configHeadToJson(action.head), action.expectedVersion);
--- a/src/decide/publisher.cpp
+++ b/src/decide/publisher.cpp
@@ -59,7 +59,7 @@
     m_requestId = m_nextRequestId++;
     m_answerDeadline = now + m_settings.answerTimeout;
     if (m_step == Step::ReadingHead) {
-        m_actions.emplace_back(ReadHead { m_requestId });
+        m_actions.emplace_back(ReadConfigHead { m_requestId });
         return;
     }
     if (m_step == Step::ReadingEntries) {
@@ -67,21 +67,23 @@
         if (!missing)
             checkWhole(now);
         else
-            m_actions.emplace_back(ReadEntry { m_requestId, missing->first, missing->second });
+            m_actions.emplace_back(
+                    ReadConfigEntry { m_requestId, missing->first, missing->second });
         return;
     }
     if (m_step == Step::CreatingEntries) {
         for (const auto &[key, text] : m_request.changes) {
             if (!text || m_createdKeys.contains(key))
                 continue;
-            m_actions.emplace_back(CreateEntry { m_requestId, key, contentHash(*text), *text });
+            m_actions.emplace_back(
+                    CreateConfigEntry { m_requestId, key, contentHash(*text), *text });
             return;
         }
         enter(Step::MovingHead, now);
         return;
     }
     m_unsettledBefore = std::exchange(m_unsettledVersion, m_headVersion);
-    m_actions.emplace_back(WriteHead { m_requestId, m_headVersion, nextHead() });
+    m_actions.emplace_back(WriteConfigHead { m_requestId, m_headVersion, nextHead() });
 }
 
 void Publisher::retryLater(Instant now)
--- a/src/decide/publisher.h
+++ b/src/decide/publisher.h
@@ -3,7 +3,8 @@
 // Index
 //   PublishRequest      what is to be published
 //   CatalogChecker      checks the whole configuration that would result
-//   ReadHead, ReadEntry, CreateEntry, WriteHead, PublisherAction
+//   WriteOutcome        answers of the Object API to a write
+//   ReadConfigHead, ReadConfigEntry, CreateConfigEntry, WriteConfigHead, PublisherAction
 //   Publisher           the system; one for each publish
 //
 // How it works
@@ -16,8 +17,8 @@
 
 #include "base/instant.h"
 #include "base/result.h"
-#include "base/writeoutcome.h"
 #include "decide/confighead.h"
+#include "decide/writeoutcome.h"
 
 #include <cstdint>
 #include <map>
@@ -53,13 +54,13 @@
 // ---- Actions ------------------------------------------------------------------------------------
 
 /// Answer with Publisher::onHeadRead() or onReadFailed().
-struct ReadHead
+struct ReadConfigHead
 {
     std::uint64_t requestId = 0;
 };
 
 /// Answer with Publisher::onEntryRead() or onReadFailed().
-struct ReadEntry
+struct ReadConfigEntry
 {
     std::uint64_t requestId = 0;
     std::string key;
@@ -67,7 +68,7 @@
 };
 
 /// Create if absent. Answer with Publisher::onEntryCreated().
-struct CreateEntry
+struct CreateConfigEntry
 {
     std::uint64_t requestId = 0;
     std::string key;
@@ -77,14 +78,15 @@
 
 /// Put if the stored version is the expected one; 0: create if absent. Answer with
 /// Publisher::onHeadWritten().
-struct WriteHead
+struct WriteConfigHead
 {
     std::uint64_t requestId = 0;
     std::uint64_t expectedVersion = 0;
     ConfigHead head;
 };
 
-using PublisherAction = std::variant<ReadHead, ReadEntry, CreateEntry, WriteHead>;
+using PublisherAction =
+        std::variant<ReadConfigHead, ReadConfigEntry, CreateConfigEntry, WriteConfigHead>;
 
 // ---- System -------------------------------------------------------------------------------------
 
--- a/src/platform/objectclient.h
+++ b/src/platform/objectclient.h
@@ -2,7 +2,7 @@
 //
 // Index
 //   StoredObject, ObjectChange, VmEntry   what the platform answers
-//   WriteAnswer                           what became of a write
+//   WriteOutcome, WriteAnswer             what became of a write
 //   ObjectClient                          the calls; each counts against the platform's rate
 //
 // A write whose answer did not come is WriteOutcome::Unknown: it may have taken effect, or may do
@@ -11,7 +11,7 @@
 
 #include "base/instant.h"
 #include "base/result.h"
-#include "base/writeoutcome.h"
+#include "decide/writeoutcome.h"
 #include "net/endpoint.h"
 #include "net/httpclient.h"
 
