--- a/tests/decide/test_configfaults.cpp
+++ b/tests/decide/test_configfaults.cpp
@@ -208,7 +208,7 @@
         }
     }
 
-    void call(const ReadHead &action)
+    void call(const ReadConfigHead &action)
     {
         send("head read", [=, this](bool served) -> std::function<void(Publisher &)> {
             const ConfigHead head = m_fleet.storedHead;
@@ -222,7 +222,7 @@
         });
     }
 
-    void call(const ReadEntry &action)
+    void call(const ReadConfigEntry &action)
     {
         send("entry read", [=, this](bool served) -> std::function<void(Publisher &)> {
             const std::string text = m_fleet.entries[entryPath(action.key, action.hash)];
@@ -235,7 +235,7 @@
         });
     }
 
-    void call(const CreateEntry &action)
+    void call(const CreateConfigEntry &action)
     {
         send("entry create", [=, this](bool served) -> std::function<void(Publisher &)> {
             if (served)
@@ -248,7 +248,7 @@
         });
     }
 
-    void call(const WriteHead &action)
+    void call(const WriteConfigHead &action)
     {
         send("head write", [=, this](bool served) -> std::function<void(Publisher &)> {
             const WriteOutcome outcome = served
