--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "decide/answercheck.h"
-#include "entry/eventstream.h"
+#include "net/eventstream.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 
--- a/src/entry/eventstream.cpp
+++ b/src/net/eventstream.cpp
@@ -1,4 +1,4 @@
-#include "entry/eventstream.h"
+#include "net/eventstream.h"
 
 #include <charconv>
 
