--- a/tests/decide/ledgerfleet.h
+++ b/tests/decide/ledgerfleet.h
@@ -28,6 +28,7 @@
     LedgerAblation ablation;       // inside the library
     bool blindWrites = false;      // the store ignores the expected version
     bool releaseAfterSend = false; // a lost answer is reported as "not sent"
+    bool noReminders = false;      // open grants are not repeated
 };
 
 class LedgerFleet
@@ -210,6 +211,8 @@
         settings.shards = 2;
         settings.recentBytes = 150; // so that segments are written in a short run
         settings.recentBatches = 0;
+        if (m_options.noReminders)
+            settings.remindInterval = std::chrono::hours(1);
         settings.ablation = m_options.ablation;
         OrderClientSettings clientSettings;
         clientSettings.shards = settings.shards;
--- a/tests/decide/test_ledgerfaults.cpp
+++ b/tests/decide/test_ledgerfaults.cpp
@@ -149,13 +149,19 @@
     return sum;
 }
 
-void checkHasTeeth(const char *name, const FleetOptions &options)
+/// Runs a part of the matrix with a mechanism switched off.
+Tally runAblation(const char *name, const FleetOptions &options)
 {
     std::vector<FaultCell> ignored;
     Tally tally = runSingles(options, false, ignored);
     tally.add(runPairs(options, Seed, 40, false, ignored));
     tally.print(name);
-    CHECK_TEXT(tally.unsafe > 0, name);
+    return tally;
+}
+
+void checkHasTeeth(const char *name, const FleetOptions &options)
+{
+    CHECK_TEXT(runAblation(name, options).unsafe > 0, name);
 }
 
 } // namespace
@@ -240,3 +246,13 @@
     options.releaseAfterSend = true;
     checkHasTeeth("release after bytes were sent", options);
 }
+
+// Nothing runs twice then, but an order whose release was lost stays in progress.
+TEST(LedgerFaults, NoticesMissingReminders)
+{
+    FleetOptions options;
+    options.noReminders = true;
+    const Tally tally = runAblation("no reminders", options);
+    CHECK(tally.violations > 0);
+    LONGS_EQUAL(0, tally.unsafe);
+}
