--- a/src/decide/placement.h
+++ b/src/decide/placement.h
@@ -150,6 +150,7 @@
     void commitOrders(std::vector<EngineOrder> orders, Instant now);
     void sendOrders(Instant now);
     bool maySend(OpenOrder &row, Instant now);
+    bool isOvertaking(const EngineOrder &order, Instant now) const;
     bool unloadIsSafe(const EngineOrder &order, Instant now) const;
     bool hasOtherFirmCopy(const EngineState &state, const EngineOrder &unload) const;
     int loadsUnderWay(const std::string &group, Instant now) const;
--- a/src/decide/placementorders.cpp
+++ b/src/decide/placementorders.cpp
@@ -142,12 +142,24 @@
     const auto engine = m_engines.find(row.order.engine);
     if (engine == m_engines.end() || engine->second.state.incarnation != row.order.incarnation)
         return false;
+    if (engine->second.state.checksFencing && isOvertaking(row.order, now))
+        return false;
     if (row.order.kind == EngineOrderKind::Unload)
         return unloadIsSafe(row.order, now);
     Group *group = groupOf(row.order.engine);
     return group != nullptr && group->budget.take(loadsUnderWay(group->models.group, now), now);
 }
 
+// Two orders under way to one engine may change places, and an engine that checks numbers would
+// refuse the earlier one. So the next is sent when the one before has been seen, or is overdue.
+bool Placement::isOvertaking(const EngineOrder &order, Instant now) const
+{
+    return std::any_of(m_open.begin(), m_open.end(), [&](const OpenOrder &open) {
+        return open.order.engine == order.engine && open.order.number < order.number && open.sent
+                && !open.inherited && now < open.overdueAt;
+    });
+}
+
 // Things may have changed since the plan: asks again whether the model keeps a copy.
 bool Placement::unloadIsSafe(const EngineOrder &order, Instant now) const
 {
