--- a/tests/support/placementfaults.h
+++ b/tests/support/placementfaults.h
@@ -49,6 +49,7 @@
     StoreSlow,     // its answers take long
     EngineCrash,   // an engine with copies restarts empty
     ZoneCut,       // an availability zone is cut off for some seconds
+    LinkCutOneWay, // orders to a zone's engines are lost and reports come, or the other way round
     VmListLate,    // the VM list shows an old state for some seconds
     OperatorsRace, // operators publish and take back; nodes learn it at different times
     DemandJump,    // one model's demand grows tenfold
@@ -57,11 +58,12 @@
 
 inline const char *faultName(WorldFault fault)
 {
-    constexpr const char *Names[] = { "lost",          "late",           "doubled",
-                                      "answer lost",   "killed before",  "killed after",
-                                      "frozen before", "frozen after",   "store down",
-                                      "store slow",    "engine crash",   "zone cut",
-                                      "VM list late",  "operators race", "demand jump" };
+    constexpr const char *Names[] = {
+        "lost",         "late",          "doubled",          "answer lost",  "killed before",
+        "killed after", "frozen before", "frozen after",     "store down",   "store slow",
+        "engine crash", "zone cut",      "link cut one way", "VM list late", "operators race",
+        "demand jump"
+    };
     return Names[static_cast<std::size_t>(fault)];
 }
 
--- a/tests/support/placementworld.h
+++ b/tests/support/placementworld.h
@@ -349,6 +349,11 @@
                     : zoneName(static_cast<int>(m_random.below(3)));
             m_zoneCutUntil = m_now + 6s;
             break;
+        case WorldFault::LinkCutOneWay:
+            m_oneWayZone = zoneName(static_cast<int>(m_random.below(3)));
+            m_ordersCut = m_random.below(2) == 0;
+            m_oneWayUntil = m_now + 6s;
+            break;
         case WorldFault::VmListLate:
             m_oldVmList = vmList();
             m_vmListLateUntil = m_now + 6s;
@@ -389,6 +394,11 @@
         return m_now < m_zoneCutUntil && zone == m_cutZone;
     }
 
+    bool isCutOneWay(const std::string &zone, bool orders) const
+    {
+        return m_now < m_oneWayUntil && zone == m_oneWayZone && orders == m_ordersCut;
+    }
+
     template <typename... Words>
     void trace(const Words &...words) const
     {
@@ -454,6 +464,9 @@
     Instant m_zoneCutUntil;
     std::vector<PlacementVm> m_oldVmList;
     std::string m_cutZone;
+    Instant m_oneWayUntil;
+    std::string m_oneWayZone;
+    bool m_ordersCut = false;            // else the reports
     std::set<std::uint64_t> m_sentEarly; // see WorldAblations::sendBeforeJournal
     WorldChecks m_checks;
 };
--- a/tests/support/placementworldnodes.h
+++ b/tests/support/placementworldnodes.h
@@ -263,7 +263,7 @@
                                         std::uint64_t catalogRevision)
 {
     FakeEngine &engine = m_engines[order.engine];
-    if (isCut(engine.state.zone))
+    if (isCut(engine.state.zone) || isCutOneWay(engine.state.zone, true))
         return;
     if (order.incarnation != engine.state.incarnation && !m_options.ablations.anyIncarnation)
         return;
@@ -287,7 +287,7 @@
         if (!due || !engine->up || isCut(engine->state.zone) || isCut(node.zone))
             continue;
         send(node, WorldStep::EngineReport, row.first, [this, &node, engine, epoch](const Fate &) {
-            if (!engine->up)
+            if (!engine->up || isCutOneWay(engine->state.zone, false))
                 return;
             engine->state.epoch = epoch;
             EngineState state = engine->report(m_now, m_options.ablations.readyWhenOrdered);
