Back off from an unreachable upstream once a moment, also after a probe

Cause: requests sent together fail together, and each failure doubled the wait, so ten of them at once closed an upstream for 8 s in place of 250 ms. Failures of an upstream that is already unreachable are no longer counted. The first form of this hid a failed probe, because the end of the request was reported before the failed connect: Dispatcher.AFailedProbeDoublesTheWait failed with it and passes with the failed connect reported first.

--- a/src/decide/dispatcher.cpp
+++ b/src/decide/dispatcher.cpp
@@ -159,9 +159,9 @@
         return;
     const ActiveRequest active = *found;
     m_active.erase(id);
-    leaveUpstream(active, true, now);
     if (isSameUpstream(active))
         m_table.onConnectFailed(active.upstream, now);
+    leaveUpstream(active, true, now);
     retryOrFail(active, true, now);
 }
 
--- a/src/decide/upstreamtable.cpp
+++ b/src/decide/upstreamtable.cpp
@@ -254,6 +254,8 @@
     UpstreamRow *row = findRow(name);
     if (row == nullptr || row->leaving)
         return;
+    if (row->state == UpstreamState::Unreachable)
+        return; // requests that were sent together fail together: that counts once
     Duration delay = m_settings.probeDelay;
     for (int failure = 0; failure < row->connectFailures && delay < m_settings.probeDelayMax;
          ++failure)
--- a/tests/decide/test_dispatcher.cpp
+++ b/tests/decide/test_dispatcher.cpp
@@ -178,3 +178,21 @@
         RC_ASSERT(node.dispatcher.active().empty());
     }));
 }
+
+TEST(Dispatcher, AFailedProbeDoublesTheWait)
+{
+    Node node(1);
+    const Instant start = node.now;
+    node.sendOne(request(1, RequestClass::Fast, "baxley", node.now));
+    node.dispatcher.onConnectFailed(1, 1, node.now);
+    LONGS_EQUAL(1, node.take<GiveAnswer>().size()); // there is no other upstream
+    node.now = start + 250ms;
+    CHECK(node.sendOne(request(2, RequestClass::Fast, "baxley", node.now)).choice.probe);
+    node.dispatcher.onConnectFailed(2, 1, node.now);
+    node.take<GiveAnswer>();
+    node.now = start + 250ms + 499ms;
+    node.dispatcher.onRequest(request(3, RequestClass::Fast, "baxley", node.now), node.now);
+    LONGS_EQUAL(0, node.take<SendRequest>().size());
+    node.now = start + 250ms + 500ms;
+    node.sendOne(request(4, RequestClass::Fast, "baxley", node.now));
+}
--- a/tests/decide/test_router.cpp
+++ b/tests/decide/test_router.cpp
@@ -154,6 +154,7 @@
     table.onAnnounced(engine(0, { { "promo", "1", {} } }), now);
     CostRouter router(table, prefixes, RouterSettings(), 7);
     table.onConnectFailed("engine-0", now);
+    table.onConnectFailed("engine-0", now); // another request of the same moment
     CHECK(std::holds_alternative<NoRoute>(router.choose(request("promo@1"), now + 249ms)));
     CHECK(std::holds_alternative<NoRoute>(
             router.choose(request("promo@1", RequestClass::AtMostOnce), now + 250ms)));
