Read the status before searching it, in the test of burdockctl

Cause: process.ctl failed now and then at 'status after the node came back'. The test piped burdockctl into grep -q under pipefail: grep left at its first match, burdockctl met SIGPIPE, and the pipe counted as failed.

--- a/tests/process/test_ctl.sh
+++ b/tests/process/test_ctl.sh
@@ -126,8 +126,11 @@
 expect 75 "entry-2 entry does not answer" "${CTL[@]}" --timeout-ms 200 publish "$files" --wait 2
 grep -q "error 602" "$FLEET_DIR/out" || fail "code 602"
 kill -CONT "${PIDS[entry-2]}"
-in_force() { "${CTL[@]}" status | grep -q "revision 9 is in force on 3 of 3 nodes"; }
-wait_for 20 in_force || fail "status after the node came back"
+in_force() {
+    "${CTL[@]}" status > "$FLEET_DIR/status"
+    grep -q "revision 9 is in force on 3 of 3 nodes" "$FLEET_DIR/status"
+}
+wait_for 10 in_force || fail "status after the node came back"
 expect 0 '"in_force":3' "${CTL[@]}" --json status
 python3 -c 'import json,sys; s=json.load(sys.stdin); assert s["ok"] and len(s["nodes"]) == 3 and not s["lagging"]' \
     < "$FLEET_DIR/out" || fail "status as JSON"
