--- a/bench/bench_membership.cpp
+++ b/bench/bench_membership.cpp
@@ -115,7 +115,7 @@
     nodes.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         nodes.push_back({ nodeName(number), "zone-" + std::to_string(number % Zones), "10.0.0.1" });
-    std::vector<ModelDemand> demand;
+    std::vector<ModelShare> demand;
     demand.reserve(350);
     for (int number = 0; number < 350; ++number)
         demand.push_back({ "model-" + std::to_string(number), 1.0 / 350 });
