--- a/tests/process/test_ctl.sh
+++ b/tests/process/test_ctl.sh
@@ -147,8 +147,22 @@
 expect 0 "no kept decision mentions" "${CTL[@]}" explain never-heard-of
 expect 69 "the VM list has no" "${CTL[@]}" drain never-heard-of
 expect 0 "engine-2 gets no new work from revision 10" "${CTL[@]}" drain engine-2 --operator ann
+# upstream_state NODE NAME STATE: how a node sees an upstream.
+upstream_state() {
+    get "$(entry_status "$1")/status" > "$FLEET_DIR/status"
+    python3 -c 'import json,sys
+rows = json.load(open(sys.argv[1]))["upstreams"]
+sys.exit({row["name"]: row["state"] for row in rows}.get(sys.argv[2]) != sys.argv[3])' \
+        "$FLEET_DIR/status" "$2" "$3"
+}
+for node in 1 2 3; do
+    wait_for 5 upstream_state "$node" engine-2 leaving || fail "engine-2 does not leave on node $node"
+done
 expect 0 "drained already" "${CTL[@]}" drain engine-2
 expect 0 "engine-2 takes new work from revision 11" "${CTL[@]}" drain engine-2 --undo
+for node in 1 2 3; do
+    wait_for 5 upstream_state "$node" engine-2 reachable || fail "engine-2 is not back on node $node"
+done
 expect 0 "entry-3 has stopped" "${CTL[@]}" drain entry-3 --wait 30
 
 echo "burdockctl: $checks commands checked"
