--- a/src/ctl/statuscommand.cpp
+++ b/src/ctl/statuscommand.cpp
@@ -46,8 +46,9 @@
     if (node.entry.answers) {
         text += ", active " + shown(node.entry.status, "active");
         text += ", queued " + shown(node.entry.status, "queued");
-        if (shown(node.entry.status, "draining") == "true")
-            text += ", draining";
+        const std::string phase = shown(node.entry.status, "drain_phase");
+        if (phase != "running")
+            text += ", " + phase;
     }
     if (node.target.control)
         text += "; control " + processText(node.control);
--- a/src/decide/ledgercommit.cpp
+++ b/src/decide/ledgercommit.cpp
@@ -36,7 +36,8 @@
         return;
     if (owning() && !m_waiting.contains(message.order) && answerSettled(message))
         return;
-    // While another owner is waited out the request may wait too; while the store is down it may not.
+    // While another owner is waited out the request may wait too; while the store is down it may
+    // not.
     const bool pausing = m_storeDown && now < m_retryAt;
     const bool full = m_queue.size() >= m_context.settings.queuedRequests
             || m_index.size() >= m_context.settings.maxRecords;
--- a/src/entry/entrystate.cpp
+++ b/src/entry/entrystate.cpp
@@ -72,7 +72,7 @@
     , incarnation(newIncarnation())
     , router(upstreams, prefixes, routerSettings(settings), settings.seed)
     , dispatcher(upstreams, prefixes, router)
-    , board(io, dispatcher, log, metrics)
+    , board(io, dispatcher, log, metrics, settings.name)
     , link(io, *this)
     , fleet(io, link, objects, log, *this, fleetSettings(settings, incarnation))
     , orders(io, fleet, objects, log, { settings.name, processOf(incarnation) })
--- a/src/entry/orderproxy.cpp
+++ b/src/entry/orderproxy.cpp
@@ -15,41 +15,44 @@
     return hashPair(target, call.request.body);
 }
 
-asio::awaitable<void> answerUnrun(HttpReply &reply, const AnswerCaller &decision)
+/// @return what to tell the caller of an attempt that was not run and has no recorded answer
+Error unrunError(OrderVerdict verdict)
 {
-    switch (decision.verdict) {
-    case OrderVerdict::NotRun: {
-        const Error error { ResultCode::RefusedLedger, "not run: the order was not recorded" };
-        co_await sendError(reply, error, decision.retryAfter);
-        break;
-    }
-    case OrderVerdict::InProgress: {
-        const Error error { ResultCode::OrderInProgress, "the order is being run" };
-        co_await sendError(reply, error, decision.retryAfter);
-        break;
-    }
-    case OrderVerdict::OutcomeUnknown: {
-        const Error error { ResultCode::OutcomeUnknown,
-                            "the order was sent and may have run; its answer is not known" };
-        co_await sendError(reply, error);
-        break;
-    }
-    case OrderVerdict::KeyReused: {
-        const Error error { ResultCode::KeyReused,
-                            "the Idempotency-Key belongs to another request; nothing was run" };
-        co_await sendError(reply, error);
-        break;
-    }
-    case OrderVerdict::Recorded: {
-        std::vector<HttpHeader> headers;
-        headers.push_back({ "Content-Type", decision.answer.contentType });
-        headers.push_back({ "Idempotent-Replayed", "true" });
-        if (decision.answer.bodyOmitted)
-            headers.push_back({ "X-Body-Omitted", "true" });
-        co_await reply.send(decision.answer.status, std::move(headers), decision.answer.body);
+    switch (verdict) {
+    case OrderVerdict::InProgress:
+        return { ResultCode::OrderInProgress, "the order is being run" };
+    case OrderVerdict::OutcomeUnknown:
+        return { ResultCode::OutcomeUnknown,
+                 "the order was sent and may have run; its answer is not known" };
+    case OrderVerdict::KeyReused:
+        return { ResultCode::KeyReused,
+                 "the Idempotency-Key belongs to another request; nothing was run" };
+    case OrderVerdict::NotRun:
+    case OrderVerdict::Recorded:
         break;
     }
+    return { ResultCode::RefusedLedger, "not run: the order was not recorded" };
+}
+
+asio::awaitable<void> answerRecorded(HttpReply &reply, const RecordedAnswer &answer)
+{
+    std::vector<HttpHeader> headers;
+    headers.push_back({ "Content-Type", answer.contentType });
+    headers.push_back({ "Idempotent-Replayed", "true" });
+    if (answer.bodyOmitted)
+        headers.push_back({ "X-Body-Omitted", "true" });
+    co_await reply.send(answer.status, std::move(headers), answer.body);
+}
+
+asio::awaitable<void> answerUnrun(EntryState &state, HttpReply &reply, const AnswerCaller &decision)
+{
+    if (decision.verdict == OrderVerdict::Recorded) {
+        co_await answerRecorded(reply, decision.answer);
+        co_return;
     }
+    const Error error = unrunError(decision.verdict);
+    state.board.countRefusal(error.code);
+    co_await sendError(reply, error, decision.retryAfter);
 }
 
 /// Sends one order to an upstream, once.
@@ -162,7 +165,7 @@
         const OrderDecision decision =
                 co_await state.orders.begin(order, orderFingerprint(call), giveUpAt, attempt);
         if (const auto *answer = std::get_if<AnswerCaller>(&decision)) {
-            co_await answerUnrun(reply, *answer);
+            co_await answerUnrun(state, reply, *answer);
             co_return;
         }
     }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -2,7 +2,7 @@
 //
 // Index
 //   AttemptEnd     how one attempt ended
-//   relayWhole     a whole answer, buffered, so that nothing is shown of an answer that fails
+//   readWhole      a whole answer, buffered, so that nothing is shown of an answer that fails
 //   StreamRelay    a streamed answer, event by event, over as many attempts as it takes
 #pragma once
 
--- a/src/entry/requestboard.cpp
+++ b/src/entry/requestboard.cpp
@@ -7,11 +7,12 @@
 namespace asio = boost::asio;
 
 RequestBoard::RequestBoard(asio::io_context &io, Dispatcher &dispatcher, DecisionLog &log,
-                           Metrics &metrics)
+                           Metrics &metrics, std::string node)
     : m_io(io)
     , m_dispatcher(dispatcher)
     , m_log(log)
     , m_metrics(metrics)
+    , m_node(std::move(node))
 {
 }
 
@@ -86,10 +87,15 @@
     carryOut();
 }
 
+std::string RequestBoard::requestName(std::uint64_t id) const
+{
+    return m_node + "-" + std::to_string(id);
+}
+
 void RequestBoard::logSend(const SendRequest &send)
 {
     DecisionLine line("route");
-    line.field("request", static_cast<std::int64_t>(send.id))
+    line.field("request", requestName(send.id))
             .field("attempt", send.attempt)
             .field("upstream", send.choice.upstream)
             .field("address", send.choice.address)
@@ -98,17 +104,22 @@
     m_metrics.count("burdock_sends_total");
 }
 
+void RequestBoard::countRefusal(ResultCode code)
+{
+    const std::string name(describe(code).name);
+    m_metrics.count("burdock_refusals_total{code=\"" + name + "\"}");
+}
+
 void RequestBoard::logRefusal(const Refusal &refusal)
 {
-    const std::string name(describe(refusal.code).name);
     DecisionLine line("refuse");
-    line.field("request", static_cast<std::int64_t>(refusal.id))
+    line.field("request", requestName(refusal.id))
             .field("code", static_cast<int>(refusal.code))
             .field("not_run", refusal.notRun ? "true" : "false")
             .field("retry_after_ms", refusal.retryAfter.count())
             .reason(refusal.reason);
     m_log.write(line);
-    m_metrics.count("burdock_refusals_total{code=\"" + name + "\"}");
+    countRefusal(refusal.code);
 }
 
 } // namespace burdock
--- a/src/entry/requestboard.h
+++ b/src/entry/requestboard.h
@@ -32,11 +32,17 @@
 {
 public:
     RequestBoard(boost::asio::io_context &io, Dispatcher &dispatcher, DecisionLog &log,
-                 Metrics &metrics);
+                 Metrics &metrics, std::string node);
 
     /// @return an id that no other request of this process has
     std::uint64_t newId() { return ++m_lastId; }
 
+    /// @return the name under which callers, upstreams and the log know a request
+    std::string requestName(std::uint64_t id) const;
+
+    /// Counts a final answer that is no answer of an upstream.
+    void countRefusal(ResultCode code);
+
     /// Hands a request to the dispatcher and waits for its decision.
     boost::asio::awaitable<RequestDecision> submit(QueuedRequest request);
 
@@ -81,6 +87,7 @@
     Dispatcher &m_dispatcher;
     DecisionLog &m_log;
     Metrics &m_metrics;
+    std::string m_node;
     std::uint64_t m_lastId = 0;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
 };
--- a/src/entry/requestrun.cpp
+++ b/src/entry/requestrun.cpp
@@ -17,7 +17,7 @@
     , m_queued(std::move(queued))
     , m_reply(reply)
     , m_fingerprint(fingerprint)
-    , m_requestName(state.settings.name + "-" + std::to_string(m_queued.routing.id))
+    , m_requestName(state.board.requestName(m_queued.routing.id))
 {
 }
 
@@ -86,6 +86,7 @@
             ? Error { ResultCode::RefusedQuarantined,
                       "given up: the request crashed each upstream that ran it" }
             : Error { ResultCode::UpstreamFailed, "the request may have crashed an upstream" };
+    m_state.board.countRefusal(error.code);
     co_await giveUp(error, final ? std::chrono::milliseconds(0) : PermitRetryAfter);
     co_return false;
 }
--- a/src/entry/statuspages.cpp
+++ b/src/entry/statuspages.cpp
@@ -98,8 +98,8 @@
     if (path == "/live") {
         body = "live\n";
     } else if (path == "/ready") {
-        const bool ready =
-                m_state.catalog.revision > 0 && m_state.drain.phase() == DrainPhase::Running;
+        const bool ready = m_state.catalog.revision > 0 && !m_state.vms.empty()
+                && m_state.drain.phase() == DrainPhase::Running;
         status = ready ? 200 : 503;
         body = ready ? "ready\n" : "not ready\n";
     } else if (path == "/metrics") {
--- a/src/net/decisionlog.cpp
+++ b/src/net/decisionlog.cpp
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <cctype>
+
 namespace burdock {
 
 namespace {
@@ -61,6 +63,26 @@
     return *this;
 }
 
+namespace {
+
+/// @return whether a line contains a text that does not go on as a longer name or number
+bool containsWord(const std::string &line, std::string_view text)
+{
+    auto found = line.find(text);
+    while (found != std::string::npos) {
+        const auto end = found + text.size();
+        const bool goesOn = end < line.size() && !text.empty()
+                && std::isalnum(static_cast<unsigned char>(line[end])) != 0
+                && std::isalnum(static_cast<unsigned char>(text.back())) != 0;
+        if (!goesOn)
+            return true;
+        found = line.find(text, found + 1);
+    }
+    return false;
+}
+
+} // namespace
+
 DecisionLog::DecisionLog(std::string node, std::size_t keep)
     : m_node(std::move(node))
     , m_keep(keep)
@@ -69,7 +91,7 @@
 
 std::string DecisionLog::write(const DecisionLine &line)
 {
-    std::string id = m_node + "-" + std::to_string(m_next++);
+    std::string id = m_node + "/" + std::to_string(m_next++);
     std::string text = "decision=" + id + " " + line.text();
     LOG(INFO) << text;
     m_lines.push_back(std::move(text));
@@ -82,7 +104,7 @@
 {
     std::string found;
     for (const std::string &line : m_lines) {
-        if (line.find(text) != std::string::npos)
+        if (containsWord(line, text))
             found += line + "\n";
     }
     return found;
--- a/src/net/decisionlog.h
+++ b/src/net/decisionlog.h
@@ -53,7 +53,7 @@
     std::string write(const DecisionLine &line);
 
     /// @param text a decision id, request id, model or other text
-    /// @return the kept lines that contain it, oldest first
+    /// @return the kept lines that contain it as a whole word, oldest first
     std::string linesWith(std::string_view text) const;
 
 private:
