--- a/src/load/fleet.cpp
+++ b/src/load/fleet.cpp
@@ -15,7 +15,6 @@
 constexpr Duration NodeTick = 20ms;        // a node looks at its queues
 constexpr Duration SameZoneOneWay = 150us; // within an availability zone
 constexpr Duration ConnectTimeout = 200ms; // until a dead engine is noticed
-constexpr Duration CallerRetry = 1s;       // until a caller comes back after its node died
 constexpr Duration AdapterLoadMin = 6ms;   // while few are in flight
 constexpr Duration AdapterLoadSpan = 14ms; //
 
--- a/src/node/ordershell.cpp
+++ b/src/node/ordershell.cpp
@@ -62,7 +62,7 @@
 } // namespace
 
 OrderShell::OrderShell(asio::io_context &io, FleetShell &fleet, ObjectClient &objects,
-                       DecisionLog &log, NodeIdentity self)
+                       DecisionLog &log, const NodeIdentity &self)
     : m_io(io)
     , m_fleet(fleet)
     , m_objects(objects)
--- a/src/node/ordershell.h
+++ b/src/node/ordershell.h
@@ -29,7 +29,7 @@
 {
 public:
     OrderShell(boost::asio::io_context &io, FleetShell &fleet, ObjectClient &objects,
-               DecisionLog &log, NodeIdentity self);
+               DecisionLog &log, const NodeIdentity &self);
 
     /// Starts an attempt and waits until it may run or has its answer.
     /// @param attempt receives the attempt's name
