--- a/src/control/controlprogram.cpp
+++ b/src/control/controlprogram.cpp
@@ -179,31 +179,21 @@
     return json::serialize(status);
 }
 
-asio::awaitable<void> ControlProgram::handle(const HttpRequest &request, HttpReply &reply)
+StatusPage ControlProgram::page(const HttpRequest &request)
 {
+    if (auto common = commonPage(request, m_metrics, m_log))
+        return std::move(*common);
     const std::string path = pathOf(request);
-    int status = 200;
-    std::string type = "text/plain";
-    std::string body;
-    if (path == "/live") {
-        body = "live\n";
-    } else if (path == "/ready") {
-        status = m_catalog.revision > 0 ? 200 : 503;
-        body = status == 200 ? "ready\n" : "not ready\n";
-    } else if (path == "/metrics") {
-        body = m_metrics.text();
-    } else if (path == "/explain") {
-        body = m_log.linesWith(queryValue(request, "about").value_or(""));
-    } else if (path == "/status") {
-        type = "application/json";
-        body = statusText();
-    } else {
-        status = 404;
-        body = "no such page\n";
-    }
-    std::vector<HttpHeader> headers;
-    headers.push_back({ "Content-Type", type });
-    co_await reply.send(status, std::move(headers), std::move(body));
+    if (path == "/ready")
+        return readyPage(m_catalog.revision > 0);
+    if (path == "/status")
+        return jsonPage(statusText());
+    return missingPage();
+}
+
+asio::awaitable<void> ControlProgram::handle(const HttpRequest &request, HttpReply &reply)
+{
+    co_await sendPage(reply, page(request));
 }
 
 } // namespace burdock
--- a/src/control/controlprogram.h
+++ b/src/control/controlprogram.h
@@ -3,6 +3,7 @@
 
 #include "control/placementshell.h"
 #include "net/httpserver.h"
+#include "net/statuspage.h"
 #include "peer/peerlink.h"
 #include "settings/nodesettings.h"
 
@@ -37,6 +38,7 @@
     void onDemand(const wire::DemandReport &report);
     boost::asio::awaitable<void> enginePolls();
     boost::asio::awaitable<void> stop();
+    StatusPage page(const HttpRequest &request);
     std::string statusText();
 
     boost::asio::io_context &m_io;
--- a/src/entry/statuspages.cpp
+++ b/src/entry/statuspages.cpp
@@ -89,37 +89,30 @@
 {
 }
 
-asio::awaitable<void> StatusPages::handle(const HttpRequest &request, HttpReply &reply)
+StatusPage StatusPages::page(const HttpRequest &request)
 {
+    if (auto common = commonPage(request, m_state.metrics, m_state.log))
+        return std::move(*common);
     const std::string path = pathOf(request);
-    int status = 200;
-    std::string type = "text/plain";
-    std::string body;
-    if (path == "/live") {
-        body = "live\n";
-    } else if (path == "/ready") {
-        const bool ready = m_state.catalog.revision > 0 && !m_state.vms.empty()
-                && m_state.drain.phase() == DrainPhase::Running;
-        status = ready ? 200 : 503;
-        body = ready ? "ready\n" : "not ready\n";
-    } else if (path == "/metrics") {
-        body = m_state.metrics.text();
-    } else if (path == "/explain") {
-        body = m_state.log.linesWith(queryValue(request, "about").value_or(""));
-    } else if (path == "/status") {
-        type = "application/json";
-        body = json::serialize(entryStatus(m_state));
-    } else if (path == "/drain" && request.method == "POST") {
+    if (path == "/ready") {
+        const bool informed = m_state.catalog.revision > 0 && !m_state.vms.empty();
+        return readyPage(informed && m_state.drain.phase() == DrainPhase::Running);
+    }
+    if (path == "/status")
+        return jsonPage(json::serialize(entryStatus(m_state)));
+    if (path == "/drain" && request.method == "POST") {
         m_drain();
-        status = 202;
-        body = "draining\n";
-    } else {
-        status = 404;
-        body = "no such page\n";
+        StatusPage accepted;
+        accepted.status = 202;
+        accepted.body = "draining\n";
+        return accepted;
     }
-    std::vector<HttpHeader> headers;
-    headers.push_back({ "Content-Type", type });
-    co_await reply.send(status, std::move(headers), std::move(body));
+    return missingPage();
+}
+
+asio::awaitable<void> StatusPages::handle(const HttpRequest &request, HttpReply &reply)
+{
+    co_await sendPage(reply, page(request));
 }
 
 } // namespace burdock
--- a/src/entry/statuspages.h
+++ b/src/entry/statuspages.h
@@ -10,6 +10,7 @@
 
 #include "entry/entrystate.h"
 #include "net/httpserver.h"
+#include "net/statuspage.h"
 
 #include <functional>
 
@@ -25,6 +26,8 @@
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
 
 private:
+    StatusPage page(const HttpRequest &request);
+
     EntryState &m_state;
     std::function<void()> m_drain;
 };
