Ask engines for their reports in one place

The call, its deadline and the reading of its JSON stood three times in the upstream feed. Behaviour is unchanged.

--- a/src/entry/upstreamfeed.cpp
+++ b/src/entry/upstreamfeed.cpp
@@ -29,11 +29,15 @@
     return value.as_object();
 }
 
-HttpRequest requestFor(std::string target)
+/// Asks an engine for one of its reports.
+/// @return the report, or nothing when it did not come
+asio::awaitable<std::optional<json::object>> askEngine(HttpClient &http, Endpoint engine,
+                                                       std::string target)
 {
     HttpRequest request;
     request.target = std::move(target);
-    return request;
+    const auto answer = co_await http.call(engine, request, steadyNow() + PollTimeout);
+    co_return objectOf(answer);
 }
 
 std::vector<ResidentModel> readyModels(const json::object &state)
@@ -111,9 +115,7 @@
 
 asio::awaitable<void> UpstreamFeed::pollState(const VmEntry &vm)
 {
-    const auto answer =
-            co_await m_http.call(vm.endpoint, requestFor("/state"), steadyNow() + PollTimeout);
-    const auto state = objectOf(answer);
+    const auto state = co_await askEngine(m_http, vm.endpoint, "/state");
     if (!state)
         co_return;
     UpstreamInfo info;
@@ -130,9 +132,7 @@
 
 asio::awaitable<void> UpstreamFeed::pollLoad(const VmEntry &vm)
 {
-    const auto answer =
-            co_await m_http.call(vm.endpoint, requestFor("/load"), steadyNow() + PollTimeout);
-    const auto load = objectOf(answer);
+    const auto load = co_await askEngine(m_http, vm.endpoint, "/load");
     if (!load)
         co_return;
     LoadReport report;
@@ -153,9 +153,7 @@
     const std::uint64_t incarnation = row->info.incarnation;
     std::uint64_t &last = m_lastEvents[vm.name + "/" + std::to_string(incarnation)];
     const std::string target = "/cache-events?after=" + std::to_string(last);
-    const auto answer =
-            co_await m_http.call(vm.endpoint, requestFor(target), steadyNow() + PollTimeout);
-    const auto events = objectOf(answer);
+    const auto events = co_await askEngine(m_http, vm.endpoint, target);
     if (!events)
         co_return;
     for (const json::value &item : events->at("events").as_array()) {
