--- /dev/null
+++ b/src/edge/beatlink.cpp
@@ -0,0 +1,215 @@
+#include "edge/beatlink.h"
+
+#include "net/endpoint.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using Udp = asio::ip::udp;
+
+// ---- Text form ----------------------------------------------------------------------------------
+// Short arrays, since a datagram should fit one packet: [type, ...].
+
+namespace {
+
+constexpr std::size_t MostDemandRows = 40; // the largest; more do not fit a packet
+constexpr std::size_t MostDatagram = 8 * 1024;
+
+enum class MessageType : std::int64_t { Beat = 1, Want = 2, Copy = 3, Loss = 4 };
+
+json::array nodeToJson(const NodeInfo &node)
+{
+    return { node.name, node.ip, node.zone };
+}
+
+std::string textAt(const json::array &list, std::size_t index)
+{
+    return std::string(list.at(index).as_string());
+}
+
+NodeInfo nodeFromJson(const json::value &value)
+{
+    const auto &list = value.as_array();
+    return { textAt(list, 0), textAt(list, 1), textAt(list, 2) };
+}
+
+json::array toJson(const BeatMessage &message)
+{
+    json::array others;
+    for (const NodeInfo &node : message.beat.others)
+        others.emplace_back(nodeToJson(node));
+    std::vector<CopyDemand> rows = message.demand;
+    std::sort(rows.begin(), rows.end(), [](const CopyDemand &left, const CopyDemand &right) {
+        return left.tokensPerSecond > right.tokensPerSecond;
+    });
+    if (rows.size() > MostDemandRows)
+        rows.resize(MostDemandRows);
+    json::array demand;
+    for (const CopyDemand &row : rows)
+        demand.emplace_back(json::array { row.service, row.model, row.adapter,
+                                          static_cast<std::int64_t>(row.tokensPerSecond) });
+    const HolderClaim &holder = message.beat.holder;
+    return { static_cast<std::int64_t>(MessageType::Beat), nodeToJson(message.beat.sender),
+             message.beat.started, message.beat.leaving,
+             json::array { holder.name, holder.ip, holder.term }, others, demand };
+}
+
+json::array toJson(const WantNote &note)
+{
+    return { static_cast<std::int64_t>(MessageType::Want), note.service, note.model, note.adapter };
+}
+
+json::array toJson(const CopyNote &note)
+{
+    return { static_cast<std::int64_t>(MessageType::Copy), note.replica, note.copy, note.added,
+             note.usableIn.count() };
+}
+
+json::array toJson(const LossNote &note)
+{
+    return { static_cast<std::int64_t>(MessageType::Loss), note.fingerprint, note.replica };
+}
+
+BeatMessage beatFromJson(const json::array &list)
+{
+    BeatMessage message;
+    message.beat.sender = nodeFromJson(list.at(1));
+    message.beat.started = list.at(2).to_number<std::uint64_t>();
+    message.beat.leaving = list.at(3).as_bool();
+    const auto &holder = list.at(4).as_array();
+    message.beat.holder = { textAt(holder, 0), textAt(holder, 1),
+                            holder.at(2).to_number<std::uint64_t>() };
+    for (const auto &node : list.at(5).as_array())
+        message.beat.others.push_back(nodeFromJson(node));
+    for (const auto &row : list.at(6).as_array()) {
+        const auto &fields = row.as_array();
+        message.demand.push_back({ textAt(fields, 0), textAt(fields, 1), textAt(fields, 2),
+                                   fields.at(3).to_number<double>() });
+    }
+    return message;
+}
+
+PeerMessage fromJson(const json::array &list)
+{
+    switch (static_cast<MessageType>(list.at(0).to_number<std::int64_t>())) {
+    case MessageType::Beat:
+        return beatFromJson(list);
+    case MessageType::Want:
+        return WantNote { textAt(list, 1), textAt(list, 2), textAt(list, 3) };
+    case MessageType::Copy:
+        return CopyNote { textAt(list, 1), textAt(list, 2), list.at(3).as_bool(),
+                          std::chrono::milliseconds(list.at(4).to_number<std::int64_t>()) };
+    case MessageType::Loss:
+        return LossNote { list.at(1).to_number<std::uint64_t>(), textAt(list, 2) };
+    }
+    throw std::invalid_argument("unknown type of message");
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    return json::serialize(
+            std::visit([](const auto &content) { return toJson(content); }, message));
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view text)
+{
+    try {
+        return fromJson(json::parse({ text.data(), text.size() }).as_array());
+    } catch (const std::exception &) {
+        return std::nullopt; // the caller logs it
+    }
+}
+
+// ---- Socket -------------------------------------------------------------------------------------
+
+struct BeatLink::State
+{
+    State(asio::io_context &io, EventLog &eventLog, BeatListener &receiver)
+        : socket(io)
+        , log(eventLog)
+        , listener(receiver)
+    {
+    }
+
+    void receive();
+
+    Udp::socket socket;
+    EventLog &log;
+    BeatListener &listener;
+    std::uint16_t port = 0;
+    std::array<char, MostDatagram> buffer {};
+    Udp::endpoint sender;
+};
+
+void BeatLink::State::receive()
+{
+    socket.async_receive_from(
+            asio::buffer(buffer), sender,
+            [this](boost::system::error_code failure, std::size_t bytes) {
+                if (failure == asio::error::operation_aborted)
+                    return;
+                if (!failure) {
+                    if (const auto message = decodePeerMessage({ buffer.data(), bytes }))
+                        listener.onPeerMessage(*message);
+                    else
+                        log.line("peer_message_invalid")
+                                .field("from", sender.address().to_string());
+                }
+                receive();
+            });
+}
+
+BeatLink::BeatLink(asio::io_context &io, EventLog &log, BeatListener &listener)
+    : m_state(std::make_unique<State>(io, log, listener))
+{
+}
+
+BeatLink::~BeatLink() = default;
+
+Result<Done> BeatLink::listen(const std::string &ip, std::uint16_t port)
+{
+    boost::system::error_code failure;
+    const Udp::endpoint address(asio::ip::make_address(ip, failure), port);
+    if (!failure)
+        m_state->socket.open(Udp::v4(), failure);
+    if (!failure)
+        m_state->socket.bind(address, failure);
+    if (!failure)
+        m_state->socket.non_blocking(true, failure);
+    if (failure)
+        return Error { ResultCode::SettingsClash,
+                       "cannot listen on " + toText(Endpoint { ip, port }) + ": "
+                               + failure.message() };
+    m_state->port = port;
+    m_state->receive();
+    return Done {};
+}
+
+void BeatLink::send(const PeerMessage &message, const std::vector<std::string> &addresses)
+{
+    if (addresses.empty())
+        return;
+    const std::string text = encodePeerMessage(message);
+    for (const std::string &address : addresses) {
+        boost::system::error_code failure;
+        const auto ip = asio::ip::make_address(address, failure);
+        if (failure)
+            continue;
+        // A datagram that cannot be sent is lost like one on its way.
+        m_state->socket.send_to(asio::buffer(text), Udp::endpoint(ip, m_state->port), 0, failure);
+    }
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/beatlink.h
@@ -0,0 +1,86 @@
+// Heartbeats and notes between nodes, as datagrams. They may be lost; what matters is repeated.
+//
+// Index
+//   PeerNote        what a datagram besides a heartbeat says
+//   BeatListener    takes what arrives
+//   BeatLink        the socket
+#pragma once
+
+#include "base/result.h"
+#include "edge/eventlog.h"
+#include "fleet/nodedirectory.h"
+#include "placing/copyplacement.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace burdock {
+
+struct BeatMessage
+{
+    NodeBeat beat;
+    std::vector<CopyDemand> demand; // for the holder
+};
+
+struct WantNote
+{
+    std::string service;
+    std::string model;
+    std::string adapter;
+};
+
+struct CopyNote
+{
+    std::string replica;
+    std::string copy;
+    bool added = true;
+    std::chrono::milliseconds usableIn { 0 };
+};
+
+struct LossNote
+{
+    std::uint64_t fingerprint = 0;
+    std::string replica;
+};
+
+using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, LossNote>;
+
+class BeatListener
+{
+public:
+    virtual ~BeatListener() = default;
+    virtual void onPeerMessage(const PeerMessage &message) = 0;
+};
+
+class BeatLink
+{
+public:
+    /// @param listener, log must outlive the link
+    BeatLink(boost::asio::io_context &io, EventLog &log, BeatListener &listener);
+    ~BeatLink();
+
+    /// Binds and begins to receive.
+    /// @return SettingsClash when the address cannot be bound
+    Result<Done> listen(const std::string &ip, std::uint16_t port);
+
+    /// Sends a message to nodes, once.
+    /// @param addresses their IP addresses; the port is the same on all nodes
+    void send(const PeerMessage &message, const std::vector<std::string> &addresses);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// @return the message as text
+std::string encodePeerMessage(const PeerMessage &message);
+
+/// @return the message, or nothing when the text is none
+std::optional<PeerMessage> decodePeerMessage(std::string_view text);
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/copyshell.cpp
@@ -0,0 +1,271 @@
+#include "edge/copyshell.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <ctime>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *LeaseName = "placement";
+
+/// Nodes that watch the lease closely, to take it over; all others hear of the holder.
+constexpr std::size_t Candidates = 3;
+
+/// A node's processes take over from each other: orders of one node are those of one holder.
+constexpr std::uint64_t NodeIncarnation = 1;
+
+constexpr std::chrono::milliseconds OrderDeadline { 600 }; // as CopyPlacementSettings::orderTimeout
+
+LeaseSettings leaseSettings(const ServingBounds &bounds)
+{
+    LeaseSettings settings;
+    settings.holdTime = std::chrono::milliseconds(2'600);
+    // The next holder's first order comes this much after the last one of the holder before it: the
+    // bound, and the time that an order may take on its way.
+    settings.leaseTime = settings.holdTime + bounds.leaseTime + std::chrono::milliseconds(700);
+    settings.renewInterval = std::chrono::milliseconds(1'000);
+    settings.pollInterval = std::chrono::milliseconds(1'500);
+    settings.answerTimeout = std::chrono::milliseconds(1'600); // the store client's is 1.5 s
+    settings.retryInterval = std::chrono::milliseconds(300);
+    return settings;
+}
+
+CopyPlacementSettings placementSettings(const std::string &node)
+{
+    CopyPlacementSettings settings;
+    settings.node = node;
+    return settings;
+}
+
+json::value leaseToJson(const LeaseValue &value)
+{
+    return { { "holder", value.holder },
+             { "incarnation", value.incarnation },
+             { "term", value.term },
+             { "write", value.writeId } };
+}
+
+std::uint64_t numberIn(const json::value &value, const char *name)
+{
+    const auto *object = value.if_object();
+    const auto *member = object == nullptr ? nullptr : object->if_contains(name);
+    boost::system::error_code failure;
+    const auto number =
+            member == nullptr ? 0 : member->to_number<std::uint64_t>(failure);
+    return failure ? 0 : number;
+}
+
+LeaseValue leaseFromJson(const json::value &value)
+{
+    LeaseValue lease;
+    const auto *object = value.if_object();
+    const auto *holder = object == nullptr ? nullptr : object->if_contains("holder");
+    if (holder != nullptr && holder->is_string())
+        lease.holder = holder->get_string();
+    lease.incarnation = numberIn(value, "incarnation");
+    lease.term = numberIn(value, "term");
+    lease.writeId = numberIn(value, "write");
+    return lease;
+}
+
+PlacementWriteStatus statusOf(WriteOutcome outcome)
+{
+    switch (outcome) {
+    case WriteOutcome::Done:
+        return PlacementWriteStatus::Done;
+    case WriteOutcome::Conflict:
+        return PlacementWriteStatus::Conflict;
+    case WriteOutcome::Unavailable:
+        return PlacementWriteStatus::Unavailable;
+    case WriteOutcome::Unknown:
+        break;
+    }
+    return PlacementWriteStatus::Unknown;
+}
+
+} // namespace
+
+Instant leaseNow()
+{
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(std::chrono::seconds(now.tv_sec)
+                   + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+CopyShell::CopyShell(NodeState &state, BeatLink &link)
+    : m_state(state)
+    , m_link(link)
+    , m_lease(leaseSettings(state.profile.bounds), state.profile.name, NodeIncarnation)
+    , m_placement(placementSettings(state.profile.name))
+{
+}
+
+bool CopyShell::holds() const
+{
+    return m_lease.holds(leaseNow());
+}
+
+void CopyShell::release()
+{
+    m_lease.release(leaseNow());
+    tickLease();
+}
+
+void CopyShell::onWant(const WantNote &want)
+{
+    if (!holds())
+        return;
+    m_placement.onWant(want.service, want.model, want.adapter, steadyNow());
+    tickPlacement();
+}
+
+void CopyShell::onDemand(const std::string &node, std::vector<CopyDemand> demand)
+{
+    m_placement.onDemand(node, std::move(demand), steadyNow());
+}
+
+// ---- Lease --------------------------------------------------------------------------------------
+
+void CopyShell::tick()
+{
+    tickLease();
+    tickPlacement();
+}
+
+void CopyShell::tickLease()
+{
+    const Instant now = leaseNow();
+    if (!m_state.leaving) {
+        const auto live = m_state.directory.liveNames(steadyNow());
+        const auto rank = std::find(live.begin(), live.end(), m_state.profile.name) - live.begin();
+        m_lease.setCandidate(static_cast<std::size_t>(rank) < Candidates || m_lease.owns(), now);
+    }
+    m_lease.tick(now);
+    for (const LeaseAction &action : m_lease.takeActions())
+        carryOut(action);
+    for (const LeaseEvent event : m_lease.takeEvents()) {
+        m_state.log.line("lease")
+                .field("change", event == LeaseEvent::Taken ? "taken" : "lost")
+                .field("term", m_lease.term())
+                .field("holder", m_lease.lastSeen().holder);
+    }
+    const bool holder = m_lease.holds(now);
+    if (holder)
+        m_state.directory.setHolder(
+                { m_state.profile.name, m_state.profile.ip, m_lease.term() });
+    if (holder != m_wasHolder) {
+        m_wasHolder = holder;
+        m_state.log.line("placement_holder")
+                .field("holds", holder ? "yes" : "no")
+                .field("term", m_lease.term());
+        m_placement.setHolder(holder, m_lease.term(), steadyNow());
+    }
+}
+
+void CopyShell::carryOut(const LeaseAction &action)
+{
+    if (const auto *read = std::get_if<LeaseRead>(&action))
+        asio::co_spawn(m_state.io, readLease(*read), asio::detached);
+    else
+        asio::co_spawn(m_state.io, writeLease(std::get<LeaseWrite>(action)), asio::detached);
+}
+
+asio::awaitable<void> CopyShell::readLease(LeaseRead action)
+{
+    const ReadAnswer answer = co_await m_state.ports.store.read(ObjectKind::Leases, LeaseName);
+    LeaseReadAnswer read;
+    read.callId = action.callId;
+    if (const auto *item = std::get_if<StoredItem>(&answer)) {
+        read.available = true;
+        read.version = item->revision;
+        read.value = leaseFromJson(item->content);
+    }
+    m_lease.onRead(read, leaseNow());
+    tickLease();
+}
+
+asio::awaitable<void> CopyShell::writeLease(LeaseWrite action)
+{
+    const StoreWriteAnswer answer = co_await m_state.ports.store.write(
+            ObjectKind::Leases, LeaseName, action.expectedVersion, leaseToJson(action.value));
+    if (answer.outcome != WriteOutcome::Done)
+        m_state.log.line("lease_write_failed")
+                .field("term", action.value.term)
+                .field("expected_revision", action.expectedVersion)
+                .field("failure", answer.message);
+    m_lease.onWritten({ action.callId, statusOf(answer.outcome), answer.revision }, leaseNow());
+    tickLease();
+}
+
+// ---- Orders -------------------------------------------------------------------------------------
+
+void CopyShell::tickPlacement()
+{
+    m_placement.tick(steadyNow());
+    for (PlacingAction &action : m_placement.takeActions()) {
+        if (auto *send = std::get_if<SendCommand>(&action)) {
+            asio::co_spawn(m_state.io, sendOrder(std::move(*send)), asio::detached);
+        } else if (auto *ask = std::get_if<AskReport>(&action)) {
+            asio::co_spawn(m_state.io, askReport(std::move(*ask)), asio::detached);
+        } else {
+            const auto &change = std::get<CopyChanged>(action);
+            const CopyNote note { change.replica, change.copy, change.added,
+                                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          change.usableIn) };
+            m_link.send(note, m_state.directory.liveAddresses(steadyNow()));
+            const Instant now = steadyNow();
+            if (change.added)
+                m_state.replicas.onCopyAdded(change.replica, change.copy, now + change.usableIn);
+            else
+                m_state.replicas.onCopyDenied(change.replica, change.copy, now);
+        }
+    }
+}
+
+asio::awaitable<void> CopyShell::sendOrder(SendCommand action)
+{
+    const auto endpoint = parseEndpoint(action.address);
+    OrderAnswer answer = OrderAnswer::Conflict; // nothing was sent
+    // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so it
+    // is read at the last moment.
+    if (isOk(endpoint) && holds())
+        answer = co_await m_state.ports.engines.order(valueOf(endpoint), action.command,
+                                                      steadyNow() + OrderDeadline);
+    m_state.log.line("order")
+            .field("replica", action.command.replica)
+            .field("operation", action.command.load ? "load" : "unload")
+            .field("copy", copyName(action.command.model, action.command.adapter))
+            .field("reason", action.reason)
+            .field("after_orders", action.command.ordersAccepted)
+            .field("term", action.command.term)
+            .field("demand", action.demand)
+            .field("copies", action.copies)
+            .field("answer", orderAnswerName(answer));
+    m_state.metrics.count("burdock_orders_total");
+    m_placement.onOrderAnswer(action.command, answer, steadyNow());
+    tickPlacement();
+}
+
+asio::awaitable<void> CopyShell::askReport(AskReport action)
+{
+    const auto endpoint = parseEndpoint(action.address);
+    std::optional<EngineReport> report;
+    if (isOk(endpoint))
+        report = co_await m_state.ports.engines.report(valueOf(endpoint), action.replica,
+                                                       steadyNow() + OrderDeadline);
+    m_state.log.line("report")
+            .field("replica", action.replica)
+            .field("answered", report ? "yes" : "no")
+            .field("orders", report ? report->ordersAccepted : 0);
+    m_placement.onReport(action.replica, report, steadyNow());
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/edgeprogram.cpp
@@ -0,0 +1,474 @@
+#include "edge/edgeprogram.h"
+
+#include "net/coroutines.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Callers ask again after this time, and some keep an answer for three times as long; a planned stop
+/// waits for those.
+constexpr milliseconds AnswerLifetime { 1'000 };
+constexpr int KeptAnswers = 3;
+constexpr milliseconds AnswerWay { 200 }; // of an answer to its caller
+/// Left of the grace time when the process ends with requests still under way.
+constexpr milliseconds EndMargin { 500 };
+constexpr milliseconds EndMarginIdle { 50 }; // for last bytes to leave
+
+constexpr milliseconds BeatInterval { 500 };
+constexpr milliseconds IdleTick { 100 };
+constexpr milliseconds BusyTick { 25 }; // while requests wait
+constexpr milliseconds FindInterval { 5'000 };
+constexpr milliseconds FindAfter { 1'500 }; // from the start: seeds have answered by then
+
+/// Descriptors besides callers' connections: replicas, the store, files.
+constexpr std::size_t ReservedDescriptors = 700;
+constexpr std::size_t LeastConnections = 256;
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+HttpLimits callerLimits(const CallerLimits &config, std::size_t descriptors)
+{
+    HttpLimits limits;
+    limits.maxHeaderBytes = config.maxHeaderBytes;
+    limits.maxBodyBytes = config.maxBodyBytes;
+    limits.readTimeout = config.headerTimeout + config.idleTimeout; // bodies take their time
+    limits.idleTimeout = config.idleTimeout;
+    limits.maxConnections = static_cast<int>(
+            std::max(LeastConnections,
+                     descriptors > ReservedDescriptors ? descriptors - ReservedDescriptors : 0));
+    return limits;
+}
+
+} // namespace
+
+// ---- Handlers -----------------------------------------------------------------------------------
+
+CallerHandler::CallerHandler(NodeState &state, LossAnnouncer &announcer)
+    : m_state(state)
+    , m_announcer(announcer)
+{
+}
+
+asio::awaitable<void> CallerHandler::handle(const HttpRequest &request, HttpReply &reply)
+{
+    RequestFlow flow(m_state, m_announcer, request, reply);
+    co_await flow.run();
+}
+
+DirectoryHandler::DirectoryHandler(NodeState &state)
+    : m_state(state)
+{
+}
+
+asio::awaitable<void> DirectoryHandler::handle(const HttpRequest &request, HttpReply &reply)
+{
+    const auto question = m_state.ports.dialect.addressQuestion(request);
+    if (!question) {
+        co_await reply.send(StatusNotFound, {}, "");
+        co_return;
+    }
+    std::vector<std::string> addresses =
+            m_state.directory.addressesFor(question->zone, !m_state.leaving, steadyNow());
+    for (std::string &address : addresses)
+        address = toText(Endpoint { address, m_state.profile.callers.port });
+    m_state.metrics.count("burdock_address_answers_total");
+    std::vector<HttpHeader> headers;
+    headers.push_back({ "Content-Type", "application/json" });
+    co_await reply.send(StatusOk, std::move(headers),
+                        m_state.ports.dialect.addressAnswer(addresses, AnswerLifetime));
+}
+
+ReadinessHandler::ReadinessHandler(NodeState &state)
+    : m_state(state)
+{
+}
+
+asio::awaitable<void> ReadinessHandler::handle(const HttpRequest &, HttpReply &reply)
+{
+    const bool ready = !m_state.leaving && m_state.config->version > 0;
+    co_await reply.send(ready ? StatusOk : StatusUnavailable, {}, "");
+}
+
+MetricsHandler::MetricsHandler(NodeState &state)
+    : m_state(state)
+{
+}
+
+asio::awaitable<void> MetricsHandler::handle(const HttpRequest &, HttpReply &reply)
+{
+    Metrics &metrics = m_state.metrics;
+    metrics.set("burdock_config_version", double(m_state.config->version));
+    metrics.set("burdock_replicas", double(m_state.replicas.rows().size()));
+    metrics.set("burdock_queued_requests", double(m_state.scheduler.queued()));
+    metrics.set("burdock_replica_connections_opened",
+                double(m_state.replicasHttp.connectionsOpened()));
+    metrics.set("burdock_nodes_known", double(m_state.directory.known()));
+    metrics.set("burdock_log_lines_dropped", double(m_state.log.dropped()));
+    std::vector<HttpHeader> headers;
+    headers.push_back({ "Content-Type", "text/plain" });
+    co_await reply.send(StatusOk, std::move(headers), metrics.text());
+}
+
+// ---- Start --------------------------------------------------------------------------------------
+
+EdgeProgram::EdgeProgram(asio::io_context &io, NodeProfile profile, PlatformPorts ports,
+                         std::function<void(EventLog &)> rereadSettings)
+    : m_state(io, std::move(profile), ports)
+    , m_rereadSettings(std::move(rereadSettings))
+    , m_link(io, m_state.log, *this)
+    , m_copies(m_state, m_link)
+    , m_configWatch(io, ports.store, m_state.log, *this, ObjectKind::Configuration)
+    , m_replicaWatch(io, ports.store, m_state.log, *this, ObjectKind::Replicas)
+    , m_callerHandler(m_state, *this)
+    , m_directoryHandler(m_state)
+    , m_readinessHandler(m_state)
+    , m_metricsHandler(m_state)
+    , m_callers(io, callerLimits({}, m_state.profile.descriptors), m_callerHandler)
+    , m_directory(io, {}, m_directoryHandler)
+    , m_readiness(io, {}, m_readinessHandler)
+    , m_metricsServer(io, {}, m_metricsHandler)
+    , m_signals(io, SIGTERM, SIGINT, SIGHUP)
+    , m_tickTimer(io)
+{
+    m_state.waiting.onWant = [this](const WantCopy &want) {
+        const WantNote note { want.service, want.model, want.adapter };
+        m_state.log.line("want_copy")
+                .field("service", want.service)
+                .field("copy", copyName(want.model, want.adapter))
+                .field("holder", m_state.directory.holder().name);
+        if (m_copies.holds())
+            m_copies.onWant(note);
+        else if (!m_state.directory.holder().ip.empty())
+            m_link.send(note, { m_state.directory.holder().ip });
+    };
+}
+
+Result<Done> EdgeProgram::start()
+{
+    const NodeProfile &profile = m_state.profile;
+    const std::pair<HttpServer &, const Endpoint &> servers[] = {
+        { m_callers, profile.callers },
+        { m_directory, profile.directory },
+        { m_readiness, profile.readiness },
+        { m_metricsServer, profile.metrics },
+    };
+    for (const auto &[server, endpoint] : servers) {
+        if (endpoint.port == 0)
+            continue;
+        auto listening = server.listen(endpoint);
+        if (!isOk(listening))
+            return listening;
+    }
+    auto linked = m_link.listen(profile.ip, profile.peerPort);
+    if (!isOk(linked))
+        return linked;
+    m_state.log.line("start")
+            .field("callers", toText(profile.callers))
+            .field("zone", profile.zone)
+            .field("store", toText(profile.store));
+    m_lastDemand = steadyNow();
+    m_nextFind = steadyNow() + FindAfter;
+    m_configWatch.start();
+    m_replicaWatch.start();
+    asio::co_spawn(m_state.io, registerNode(), asio::detached);
+    awaitSignal();
+    tick();
+    return Done {};
+}
+
+asio::awaitable<void> EdgeProgram::registerNode()
+{
+    const NodeProfile &profile = m_state.profile;
+    const boost::json::value content { { "ip", profile.ip }, { "zone", profile.zone } };
+    // A conflict means that an earlier process of this node has written it.
+    co_await m_state.ports.store.write(ObjectKind::Nodes, profile.name, 0, content);
+}
+
+asio::awaitable<void> EdgeProgram::findNodes()
+{
+    const ListAnswer answer = co_await m_state.ports.store.list(ObjectKind::Nodes);
+    const auto *list = std::get_if<ItemList>(&answer);
+    if (list == nullptr)
+        co_return;
+    for (const StoredItem &item : list->items) {
+        const auto *content = item.content.if_object();
+        const auto *ip = content == nullptr ? nullptr : content->if_contains("ip");
+        const auto *zone = content == nullptr ? nullptr : content->if_contains("zone");
+        if (ip != nullptr && ip->is_string() && zone != nullptr && zone->is_string())
+            m_state.directory.onHint(
+                    { item.name, std::string(ip->get_string()), std::string(zone->get_string()) },
+                    steadyNow());
+    }
+}
+
+// ---- Store --------------------------------------------------------------------------------------
+
+void EdgeProgram::onList(ObjectKind kind, const std::vector<StoredItem> &items)
+{
+    const Instant now = steadyNow();
+    if (kind == ObjectKind::Configuration) {
+        for (const StoredItem &item : items)
+            takeConfig(item);
+        return;
+    }
+    std::set<std::string> listed;
+    for (const StoredItem &item : items) {
+        listed.insert(item.name);
+        takeReplica(item, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, row] : m_state.replicas.rows()) {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing)
+        dropReplica(id, m_replicaWatch.disturbed(now), now);
+    m_state.waiting.pump();
+}
+
+void EdgeProgram::onChanges(ObjectKind kind, const std::vector<StoredItem> &items)
+{
+    const Instant now = steadyNow();
+    for (const StoredItem &item : items) {
+        if (kind == ObjectKind::Configuration) {
+            if (!item.deleted)
+                takeConfig(item);
+        } else if (item.deleted) {
+            dropReplica(item.name, m_replicaWatch.disturbed(now), now);
+        } else {
+            takeReplica(item, now);
+        }
+    }
+    m_state.waiting.pump();
+}
+
+void EdgeProgram::takeConfig(const StoredItem &item)
+{
+    auto config = m_state.ports.decoder.configuration(item);
+    if (!isOk(config)) {
+        m_state.log.line("config_invalid")
+                .field("object", item.name)
+                .field("reason", errorOf(config).message);
+        return;
+    }
+    m_state.applyConfig(takeValue(std::move(config)));
+    m_callers.setLimits(callerLimits(m_state.config->limits, m_state.profile.descriptors));
+    m_copies.placement().onConfig(*m_state.config);
+}
+
+void EdgeProgram::takeReplica(const StoredItem &item, Instant now)
+{
+    const auto info = m_state.ports.decoder.replica(item);
+    if (!isOk(info)) {
+        m_state.log.line("replica_invalid")
+                .field("replica", item.name)
+                .field("reason", errorOf(info).message);
+        dropReplica(item.name, false, now);
+        return;
+    }
+    const ReplicaInfo &replica = valueOf(info);
+    const ReplicaRow *row = m_state.replicas.find(replica.id);
+    if (row == nullptr || row->info.draining != replica.draining
+        || row->info.startedMs != replica.startedMs)
+        m_state.log.line("replica")
+                .field("replica", replica.id)
+                .field("service", replica.service)
+                .field("address", replica.address)
+                .field("zone", replica.zone)
+                .field("state", replica.draining ? "draining" : "ready")
+                .field("revision", item.revision);
+    if (row != nullptr && row->info.startedMs != replica.startedMs)
+        m_state.chooser.onGone(row->generation);
+    m_state.replicas.onAnnounced(replica, now);
+    m_copies.placement().onReplica(replica, now);
+}
+
+void EdgeProgram::dropReplica(const std::string &id, bool disturbed, Instant now)
+{
+    const ReplicaRow *row = m_state.replicas.find(id);
+    if (row == nullptr)
+        return;
+    m_state.log.line("replica_missing")
+            .field("replica", id)
+            .field("store_disturbed", disturbed ? "yes" : "no");
+    const std::uint64_t generation = row->generation;
+    m_state.replicas.onMissing(id, disturbed, now);
+    if (m_state.replicas.find(id) == nullptr) {
+        m_state.chooser.onGone(generation);
+        m_copies.placement().onReplicaGone(id);
+    }
+}
+
+// ---- Other nodes --------------------------------------------------------------------------------
+
+void EdgeProgram::onPeerMessage(const PeerMessage &message)
+{
+    const Instant now = steadyNow();
+    if (const auto *beat = std::get_if<BeatMessage>(&message)) {
+        onBeat(*beat);
+    } else if (const auto *want = std::get_if<WantNote>(&message)) {
+        m_copies.onWant(*want);
+    } else if (const auto *copy = std::get_if<CopyNote>(&message)) {
+        if (copy->added)
+            m_state.replicas.onCopyAdded(copy->replica, copy->copy, now + copy->usableIn);
+        else
+            m_state.replicas.onCopyDenied(copy->replica, copy->copy, now);
+    } else {
+        const auto &loss = std::get<LossNote>(message);
+        m_state.suspects.onLost(loss.fingerprint, loss.replica, now);
+    }
+}
+
+void EdgeProgram::onBeat(const BeatMessage &message)
+{
+    const Instant now = steadyNow();
+    const std::string &sender = message.beat.sender.name;
+    const bool wasLive = m_state.directory.isLive(sender, now);
+    m_state.directory.onBeat(message.beat, now);
+    const bool isLive = m_state.directory.isLive(sender, now);
+    if (wasLive != isLive)
+        m_state.log.line("node")
+                .field("name", sender)
+                .field("state", isLive ? "live" : "leaving")
+                .field("zone", message.beat.sender.zone);
+    m_copies.onDemand(sender, message.demand);
+}
+
+void EdgeProgram::announceLoss(std::uint64_t fingerprint, const std::string &replica)
+{
+    m_state.log.line("request_lost_replica")
+            .field("fingerprint", fingerprint)
+            .field("replica", replica);
+    m_link.send(LossNote { fingerprint, replica }, m_state.directory.liveAddresses(steadyNow()));
+}
+
+std::vector<CopyDemand> EdgeProgram::demandNow() const
+{
+    std::vector<CopyDemand> demand;
+    for (const auto &[key, row] : m_state.demand.rows())
+        demand.push_back({ row.service, row.model, row.adapter, row.perSecond });
+    return demand;
+}
+
+void EdgeProgram::sendBeat()
+{
+    const Instant now = steadyNow();
+    m_state.demand.update(now - m_lastDemand);
+    m_lastDemand = now;
+    m_copies.onDemand(m_state.profile.name, demandNow());
+
+    BeatMessage message;
+    message.beat.sender = { m_state.profile.name, m_state.profile.ip, m_state.profile.zone };
+    message.beat.started = m_state.started;
+    message.beat.leaving = m_state.leaving;
+    message.beat.holder = m_state.directory.holder();
+    message.beat.others = m_state.directory.nodesToTell(now);
+    message.demand = demandNow();
+    std::vector<std::string> targets = m_state.directory.beatTargets(now);
+    if (m_state.directory.liveNames(now).size() < 2) {
+        for (const std::string &seed : m_state.profile.seeds) {
+            if (seed != m_state.profile.ip)
+                targets.push_back(seed);
+        }
+        if (now >= m_nextFind && !m_state.leaving) {
+            m_nextFind = now + FindInterval;
+            asio::co_spawn(m_state.io, findNodes(), asio::detached);
+        }
+    }
+    m_link.send(message, targets);
+}
+
+// ---- Time ---------------------------------------------------------------------------------------
+
+void EdgeProgram::tick()
+{
+    const Instant now = steadyNow();
+    if (m_replicaWatch.unreachable())
+        m_state.replicas.holdMissing(now);
+    m_state.replicas.tick(now);
+    m_state.suspects.tick(now);
+    m_state.directory.tick(now);
+    m_state.waiting.tick();
+    m_copies.tick();
+    if (now >= m_nextBeat) {
+        m_nextBeat = now + BeatInterval;
+        sendBeat();
+    }
+    if (m_state.leaving)
+        continueStop();
+    m_state.log.flush();
+    m_tickTimer.expires_after(m_state.scheduler.queued() > 0 ? BusyTick : IdleTick);
+    m_tickTimer.async_wait([this](boost::system::error_code failure) {
+        if (!failure)
+            tick();
+    });
+}
+
+// ---- Stop ---------------------------------------------------------------------------------------
+
+void EdgeProgram::awaitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code failure, int signal) {
+        if (failure)
+            return;
+        if (signal == SIGHUP) {
+            m_state.log.line("reload");
+            m_rereadSettings(m_state.log);
+        } else {
+            beginStop();
+        }
+        awaitSignal();
+    });
+}
+
+void EdgeProgram::beginStop()
+{
+    if (m_state.leaving)
+        return;
+    const Instant now = steadyNow();
+    m_state.leaving = true;
+    const milliseconds grace = m_state.profile.bounds.graceTime;
+    m_refuseAt = now + std::min(KeptAnswers * AnswerLifetime + AnswerWay, grace / 2);
+    m_endBy = now + grace - EndMargin;
+    m_state.log.line("stop")
+            .field("in_progress", m_callers.requestsInProgress())
+            .field("connections", m_callers.connections());
+    m_callers.closeAfterAnswers();
+    m_copies.release();
+    m_nextBeat = now; // the others stop giving out this node's address at once
+}
+
+void EdgeProgram::continueStop()
+{
+    const Instant now = steadyNow();
+    if (now >= m_refuseAt && !m_state.refusing) {
+        m_state.refusing = true;
+        m_callers.stopAccepting();
+        m_state.log.line("stop_refusing").field("in_progress", m_callers.requestsInProgress());
+    }
+    const bool idle = m_state.refusing && m_callers.requestsInProgress() == 0;
+    if ((idle && now >= m_refuseAt + EndMarginIdle) || now >= m_endBy)
+        end();
+}
+
+void EdgeProgram::end()
+{
+    m_state.log.line("end").field("in_progress", m_callers.requestsInProgress());
+    m_state.log.flush();
+    m_state.io.stop();
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/edgeprogram.h
@@ -0,0 +1,121 @@
+// burdock-node: one process on each VM that takes callers, routes, and may hold the placement.
+//
+// Index
+//   CallerHandler, DirectoryHandler, ReadinessHandler, MetricsHandler   what each address answers
+//   EdgeProgram                                                         the whole process
+#pragma once
+
+#include "edge/beatlink.h"
+#include "edge/copyshell.h"
+#include "edge/nodestate.h"
+#include "edge/requestflow.h"
+#include "edge/storewatch.h"
+#include "net/httpserver.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace burdock {
+
+/// Serves callers' requests.
+class CallerHandler : public HttpHandler
+{
+public:
+    CallerHandler(NodeState &state, LossAnnouncer &announcer);
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
+
+private:
+    NodeState &m_state;
+    LossAnnouncer &m_announcer;
+};
+
+/// Tells callers which addresses to use.
+class DirectoryHandler : public HttpHandler
+{
+public:
+    explicit DirectoryHandler(NodeState &state);
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
+
+private:
+    NodeState &m_state;
+};
+
+/// Tells whether this node takes callers.
+class ReadinessHandler : public HttpHandler
+{
+public:
+    explicit ReadinessHandler(NodeState &state);
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
+
+private:
+    NodeState &m_state;
+};
+
+/// Counters and latencies for operators.
+class MetricsHandler : public HttpHandler
+{
+public:
+    explicit MetricsHandler(NodeState &state);
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
+
+private:
+    NodeState &m_state;
+};
+
+class EdgeProgram : private BeatListener, private StoreListener, private LossAnnouncer
+{
+public:
+    /// @param rereadSettings called when the settings may have changed
+    EdgeProgram(boost::asio::io_context &io, NodeProfile profile, PlatformPorts ports,
+                std::function<void(EventLog &)> rereadSettings);
+
+    /// Listens on all addresses and starts the work.
+    Result<Done> start();
+
+private:
+    void onPeerMessage(const PeerMessage &message) override;
+    void onBeat(const BeatMessage &message);
+    void onList(ObjectKind kind, const std::vector<StoredItem> &items) override;
+    void onChanges(ObjectKind kind, const std::vector<StoredItem> &items) override;
+    void announceLoss(std::uint64_t fingerprint, const std::string &replica) override;
+
+    void takeConfig(const StoredItem &item);
+    void takeReplica(const StoredItem &item, Instant now);
+    void dropReplica(const std::string &id, bool disturbed, Instant now);
+    boost::asio::awaitable<void> registerNode();
+    boost::asio::awaitable<void> findNodes();
+
+    void tick();
+    void sendBeat();
+    std::vector<CopyDemand> demandNow() const;
+    void awaitSignal();
+    void beginStop();
+    void continueStop();
+    void end();
+
+    NodeState m_state;
+    std::function<void(EventLog &)> m_rereadSettings;
+    BeatLink m_link;
+    CopyShell m_copies;
+    StoreWatch m_configWatch;
+    StoreWatch m_replicaWatch;
+    CallerHandler m_callerHandler;
+    DirectoryHandler m_directoryHandler;
+    ReadinessHandler m_readinessHandler;
+    MetricsHandler m_metricsHandler;
+    HttpServer m_callers;
+    HttpServer m_directory;
+    HttpServer m_readiness;
+    HttpServer m_metricsServer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tickTimer;
+    Instant m_nextBeat;
+    Instant m_lastDemand;
+    Instant m_nextFind;
+    Instant m_refuseAt; // stopping: callers have moved on by then
+    Instant m_endBy;    // stopping: the process ends at the latest
+};
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/nodestate.cpp
@@ -0,0 +1,127 @@
+#include "edge/nodestate.h"
+
+#include "base/hashing.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace burdock {
+
+namespace {
+
+/// Replicas of one region answer a connection within milliseconds; a lost packet costs a second.
+constexpr std::chrono::milliseconds ReplicaConnectTimeout { 350 };
+/// Replicas that close idle connections sooner say so in whole seconds, if there are any.
+constexpr std::chrono::milliseconds ReplicaIdleLimit { 4'000 };
+/// Sent data or probes without acknowledgement: the connection is dead.
+constexpr std::chrono::milliseconds ReplicaSilence { 3'000 };
+
+/// Share of the fleet's budget that nodes spend; the rest covers nodes that are counted late.
+constexpr double BudgetShare = 0.6;
+constexpr double NodeBudgetLeast = 1.0;
+constexpr double NodeBudgetMost = 6.0;
+
+std::uint64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+ChooserSettings chooserSettings(const NodeProfile &profile)
+{
+    ChooserSettings settings;
+    settings.zone = profile.zone;
+    return settings;
+}
+
+} // namespace
+
+// ---- Demand -------------------------------------------------------------------------------------
+
+void CopyDemandMeter::count(const std::string &service, const std::string &model,
+                        const std::string &adapter, int tokens)
+{
+    const auto add = [&](const std::string &name) {
+        Row &row = m_rows[service + "/" + copyName(model, name)];
+        if (row.model.empty()) {
+            row.service = service;
+            row.model = model;
+            row.adapter = name;
+        }
+        row.counted += tokens;
+    };
+    add("");
+    if (!adapter.empty())
+        add(adapter);
+}
+
+void CopyDemandMeter::update(Duration elapsed)
+{
+    constexpr double TimeConstant = 1.2; // seconds; demand moves to other models within a few
+    constexpr double Negligible = 1.0;   // tokens a second
+    const double seconds = std::max(0.001, double(elapsed.count()) / 1e6);
+    const double weight = 1.0 - std::exp(-seconds / TimeConstant);
+    for (auto each = m_rows.begin(); each != m_rows.end();) {
+        Row &row = each->second;
+        row.perSecond += weight * (row.counted / seconds - row.perSecond);
+        row.counted = 0.0;
+        each = row.perSecond < Negligible ? m_rows.erase(each) : std::next(each);
+    }
+}
+
+// ---- State --------------------------------------------------------------------------------------
+
+NodeState::NodeState(boost::asio::io_context &context, NodeProfile nodeProfile,
+                     PlatformPorts platform)
+    : io(context)
+    , profile(std::move(nodeProfile))
+    , ports(platform)
+    , started(unixMilliseconds())
+    , log(STDOUT_FILENO, profile.name)
+    , replicasHttp(io, { ReplicaConnectTimeout, ReplicaIdleLimit, ReplicaSilence })
+    , config(std::make_shared<ServingConfig>())
+    , routes(std::make_unique<RouteTable>(config))
+    , chooser(replicas, chooserSettings(profile), hashText(profile.name) ^ started)
+    , scheduler(replicas, chooser)
+    , waiting(io, scheduler)
+    , directory({ profile.name, profile.ip, profile.zone }, {}, hashText(profile.name) + started)
+    , random(hashText(profile.ip) ^ started)
+{
+}
+
+RetryBudget &NodeState::budgetOf(const std::string &service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end())
+        return found->second;
+    const double nodes = double(std::max<std::size_t>(directory.known(), 2));
+    RetryBudgetSettings settings;
+    settings.share = BudgetShare * profile.bounds.retryRatio;
+    settings.most = std::clamp(BudgetShare * profile.bounds.retrySlack / nodes, NodeBudgetLeast,
+                               NodeBudgetMost);
+    settings.initial = settings.most / 2.0; // restarts hand out this much anew
+    return m_budgets.emplace(service, RetryBudget(settings)).first->second;
+}
+
+void NodeState::applyConfig(ServingConfig next)
+{
+    if (next.version <= config->version)
+        return;
+    log.line("config_applied")
+            .field("version", next.version)
+            .field("earlier", config->version)
+            .field("routes", std::int64_t(next.routes.size()))
+            .field("services", std::int64_t(next.services.size()));
+    config = std::make_shared<const ServingConfig>(std::move(next));
+    routes = std::make_unique<RouteTable>(config);
+    configAppliedAt = steadyNow();
+    for (const auto &[name, service] : config->services) {
+        if (service.engine)
+            chooser.setKvTokens(name, service.engine->kvTokens);
+    }
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/nodestate.h
@@ -0,0 +1,96 @@
+// What a node knows and does, as plain members that its parts share.
+#pragma once
+
+#include "decide/retrybudget.h"
+#include "edge/eventlog.h"
+#include "edge/nodeprofile.h"
+#include "edge/ports.h"
+#include "edge/waitingrequests.h"
+#include "fleet/nodedirectory.h"
+#include "net/httpclient.h"
+#include "net/metrics.h"
+#include "serving/replicachooser.h"
+#include "serving/scheduler.h"
+#include "serving/servingconfig.h"
+#include "serving/suspects.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace burdock {
+
+/// The platform that the node runs on; its parts outlive the node.
+struct PlatformPorts
+{
+    ObjectStore &store;
+    ObjectDecoder &decoder;
+    RequestDialect &dialect;
+    EngineControl &engines;
+};
+
+/// Tokens that callers asked of each model, for the placement.
+class CopyDemandMeter
+{
+public:
+    void count(const std::string &service, const std::string &model, const std::string &adapter,
+               int tokens);
+
+    /// Smooths what was counted since the last call.
+    /// @param elapsed time since then
+    void update(Duration elapsed);
+
+    /// @return tokens a second by service, model and adapter; those without any are left out
+    struct Row
+    {
+        std::string service;
+        std::string model;
+        std::string adapter;
+        double counted = 0.0;
+        double perSecond = 0.0;
+    };
+    const std::map<std::string, Row> &rows() const { return m_rows; }
+
+private:
+    std::map<std::string, Row> m_rows;
+};
+
+struct NodeState
+{
+    NodeState(boost::asio::io_context &context, NodeProfile nodeProfile, PlatformPorts platform);
+
+    /// @return the budget for sends beyond the first to a service
+    RetryBudget &budgetOf(const std::string &service);
+
+    /// Takes a configuration, unless it is not newer than the one in force.
+    void applyConfig(ServingConfig config);
+
+    boost::asio::io_context &io;
+    NodeProfile profile;
+    PlatformPorts ports;
+    std::uint64_t started; // Unix milliseconds; names this process among those of the node
+    EventLog log;
+    Metrics metrics;
+    HttpClient replicasHttp; // requests to replicas
+    std::shared_ptr<const ServingConfig> config;
+    std::unique_ptr<RouteTable> routes;
+    ReplicaTable replicas;
+    ReplicaChooser chooser;
+    RequestScheduler scheduler;
+    WaitingRequests waiting;
+    SuspectRequests suspects;
+    CopyDemandMeter demand;
+    NodeDirectory directory;
+    Random random;
+    Instant configAppliedAt;
+    bool leaving = false;  // a stop was asked for
+    bool refusing = false; // new requests are refused, since the stop goes on
+    std::uint64_t lastRequestId = 0;
+
+private:
+    std::map<std::string, RetryBudget> m_budgets;
+};
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/requestflow.cpp
@@ -0,0 +1,500 @@
+#include "edge/requestflow.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
+constexpr int StatusOk = 200;
+constexpr int LeastErrorStatus = 500;
+
+/// Until a new process has its configuration, or a stopping one's callers have moved on.
+constexpr milliseconds RetryWhileStarting { 300 };
+constexpr milliseconds RetryElsewhere { 100 };
+/// A request that crashes replicas is not tried again sooner.
+constexpr milliseconds RetrySuspect { 3'000 };
+/// After the deadline: a replica answers by itself when its time is over, and that answer is on its
+/// way.
+constexpr milliseconds AnswerSlack { 100 };
+/// A resumable stream that stands still for this many of its longest allowed pauses is dead.
+constexpr int SilentPauses = 4;
+constexpr milliseconds LeastSilence { 1'200 };
+/// An attempt at an unresponsive replica is ended after this many times the expected time, so that
+/// another one can still be in time or nearly so.
+constexpr double PatienceFactor = 6.0;
+/// Bounds the memory that one whole answer may take.
+constexpr std::size_t MostAnswerBytes = 16 * 1024 * 1024;
+
+/// The most urgent priority gets this urgency, each lower one the next; 9 is the last there is.
+constexpr int FirstUrgency = 3;
+constexpr int LastUrgency = 9;
+
+milliseconds toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<milliseconds>(time);
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(NodeState &state, LossAnnouncer &announcer, const HttpRequest &request,
+                         HttpReply &reply)
+    : m_state(state)
+    , m_announcer(announcer)
+    , m_raw(request)
+    , m_reply(reply)
+    , m_arrived(steadyNow())
+{
+}
+
+// ---- Arrival ------------------------------------------------------------------------------------
+
+asio::awaitable<void> RequestFlow::run()
+{
+    m_state.metrics.count("burdock_requests_total");
+    auto decoded = m_state.ports.dialect.decode(m_raw);
+    if (!isOk(decoded)) {
+        std::string reason = errorOf(decoded).message;
+        co_await answerOwn(StatusBadRequest, {}, "malformed", std::move(reason));
+        co_return;
+    }
+    m_caller = takeValue(std::move(decoded));
+    if (m_state.config->version == 0) {
+        co_await answerOwn(StatusUnavailable, RetryWhileStarting, "refused", "no_configuration");
+        co_return;
+    }
+    if (m_state.refusing) {
+        co_await answerOwn(StatusUnavailable, RetryElsewhere, "refused", "node_stopping");
+        co_return;
+    }
+    if (!findRoute()) {
+        std::string reason = m_raw.host + m_raw.target;
+        co_await answerOwn(StatusNotFound, {}, "no_route", std::move(reason));
+        co_return;
+    }
+    buildRequest();
+    if (m_state.suspects.isRefused(m_fingerprint, m_arrived)) {
+        co_await answerOwn(StatusUnavailable, RetrySuspect, "refused", "crashes_replicas");
+        co_return;
+    }
+    if (!m_request.model.empty())
+        m_state.demand.count(m_request.service, m_request.model, m_request.adapter,
+                             std::max(1, m_request.promptTokens));
+    m_reply.onCallerLeft([this] { onCallerLeft(); });
+    co_await serve();
+    m_reply.onCallerLeft(nullptr);
+}
+
+bool RequestFlow::findRoute()
+{
+    m_config = m_state.config;
+    const std::string path = pathOf(m_raw);
+    m_route = m_state.routes->find(m_raw.host, path);
+    return m_route != nullptr;
+}
+
+void RequestFlow::buildRequest()
+{
+    m_request.id = ++m_state.lastRequestId;
+    m_request.service = chooseService(*m_route, m_state.random.unit());
+    const auto service = m_config->services.find(m_request.service);
+    const bool isModelService =
+            service != m_config->services.end() && service->second.engine.has_value();
+    if (isModelService) {
+        m_request.model = m_caller.model;
+        m_request.adapter = m_caller.adapter;
+        m_request.prompt = m_caller.prompt;
+        m_request.promptTokens = m_caller.promptTokens;
+        m_request.outputTokens = m_caller.outputTokens;
+    }
+    m_request.repeatable = m_route->repeatable;
+    m_request.resumable = m_route->resumable;
+    m_request.streams = m_route->streams;
+    m_request.priority = m_route->priority;
+    m_request.attempts = std::max(1, m_route->attempts);
+    m_request.arrived = m_arrived;
+    m_request.objective = m_arrived + m_route->latencyObjective;
+    const milliseconds left = std::min(m_caller.timeLeft.value_or(m_route->timeout),
+                                       m_route->timeout);
+    m_request.deadline = m_arrived + left;
+    m_lastEvent = m_caller.resumeAfter;
+    m_fingerprint = hashPair(hashText(m_raw.method + " " + m_raw.host + m_raw.target),
+                             m_raw.body + "\n" + m_caller.model);
+}
+
+void RequestFlow::onCallerLeft()
+{
+    m_callerLeft = true;
+    if (m_exchange)
+        m_exchange->cancel();
+    m_state.waiting.cancel(m_request.id);
+}
+
+// ---- Attempts -----------------------------------------------------------------------------------
+
+asio::awaitable<void> RequestFlow::serve()
+{
+    bool attempted = false;
+    while (true) {
+        const auto decision = co_await m_state.waiting.submit(m_request, m_excluded, attempted);
+        if (std::holds_alternative<CallerGone>(decision)) {
+            logDone("caller_left", 0, "while_queued");
+            co_return;
+        }
+        if (const auto *refusal = std::get_if<RefuseRequest>(&decision)) {
+            if (m_progress.runs > 0 || m_progress.eventsPassed) {
+                co_await finish(m_progress.eventsPassed ? NextStep::Cut
+                                        : m_errorAnswer ? NextStep::PassOn
+                                                        : NextStep::Fail,
+                                AttemptResult::Lost);
+                co_return;
+            }
+            co_await answerOwn(StatusUnavailable, refusal->retryAfter, "refused", refusal->reason);
+            co_return;
+        }
+        const auto &start = std::get<StartRequest>(decision);
+        const AttemptResult end = co_await attempt(start);
+        attempted = true;
+        const NextStep step = nextStep(m_request, m_progress, end,
+                                       m_state.budgetOf(m_request.service), steadyNow());
+        if (step != NextStep::Retry) {
+            co_await finish(step, end);
+            co_return;
+        }
+        m_state.log.line("retry")
+                .field("request", m_caller.name)
+                .field("after", attemptResultName(end))
+                .field("replica", start.choice.id)
+                .field("sends", m_progress.sends)
+                .field("budget", m_state.budgetOf(m_request.service).tokens());
+        m_state.metrics.count("burdock_retries_total");
+        m_excluded.push_back(start.choice.id);
+    }
+}
+
+asio::awaitable<AttemptResult> RequestFlow::attempt(const StartRequest &start)
+{
+    const ReplicaRow *row = m_state.replicas.find(start.choice.id);
+    m_state.log.line("send")
+            .field("request", m_caller.name)
+            .field("route", m_route->name)
+            .field("config", m_config->version)
+            .field("copy", copyName(m_request.model, m_request.adapter))
+            .field("replica", start.choice.id)
+            .field("address", start.choice.address)
+            .field("waited_ms", start.waited)
+            .field("expected_ms", start.choice.expectedFirstByte)
+            .field("load", start.choice.load)
+            .field("load_age_ms",
+                   row == nullptr || row->loadReadAt == Instant {} ? Duration(-1'000)
+                                                                   : steadyNow() - row->loadReadAt)
+            .field("fresh_tokens", start.choice.freshTokens)
+            .field("weighed", start.choice.weighed);
+    m_firstByteSeen = false;
+    m_connectionBroke = false;
+    AttemptResult end = co_await exchangeOnce(start);
+    m_exchange.reset();
+    if (m_callerLeft && end != AttemptResult::Delivered)
+        end = AttemptResult::CallerLeft;
+    noteEnd(start, end);
+    co_return end;
+}
+
+bool RequestFlow::mayTryAnother() const
+{
+    return m_request.repeatable && m_progress.runs + 1 < m_request.attempts;
+}
+
+Instant RequestFlow::firstByteDeadline(const StartRequest &start) const
+{
+    const Instant last = m_request.deadline + AnswerSlack;
+    if (!mayTryAnother())
+        return last;
+    const Duration objective = m_request.objective - m_request.arrived;
+    const auto expected = Duration(static_cast<Duration::rep>(
+            double(start.choice.expectedFirstByte.count()) * PatienceFactor));
+    return std::min(last, m_sentAt + std::max(objective, expected));
+}
+
+asio::awaitable<AttemptResult> RequestFlow::exchangeOnce(const StartRequest &start)
+{
+    const auto endpoint = parseEndpoint(start.choice.address);
+    if (!isOk(endpoint))
+        co_return AttemptResult::ConnectFailed;
+    m_sentAt = steadyNow();
+    const Duration left = m_request.deadline - m_sentAt;
+    if (left <= Duration::zero())
+        co_return AttemptResult::TimedOut;
+    ReplicaSend send;
+    send.replica = start.choice.id;
+    send.timeLeft = toMilliseconds(left);
+    send.resumeAfter = m_lastEvent;
+    send.urgency = std::min(FirstUrgency + m_request.priority, LastUrgency);
+
+    m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), false);
+    const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
+    const auto result = co_await m_exchange->start(request, firstByteDeadline(start));
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        m_connectionBroke = !failure->timedOut && !failure->keptConnection;
+        if (failure->bytesSent) {
+            m_progress.sends++;
+            m_progress.runs++;
+        }
+        co_return endOf(*failure);
+    }
+    m_progress.sends++;
+    const auto &head = std::get<HttpResponseHead>(result);
+    const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, start.choice.id);
+    if (answer.load)
+        m_state.replicas.onLoad(start.choice.id, *answer.load, steadyNow());
+    if (answer.notRun) {
+        co_await takeWhole(head); // so that the connection can be used again
+        if (answer.otherReplica)
+            co_return AttemptResult::OtherReplica;
+        co_return answer.copyAbsent ? AttemptResult::CopyAbsent : AttemptResult::NotRun;
+    }
+    m_progress.runs++;
+    if (answer.foreign) {
+        m_exchange->cancel();
+        co_return AttemptResult::Lost;
+    }
+    if (m_request.streams && head.status == StatusOk)
+        co_return co_await takeStream(head, start);
+    noteFirstByte(start);
+    co_return co_await takeWhole(head);
+}
+
+AttemptResult RequestFlow::endOf(const CallFailure &failure) const
+{
+    if (!failure.bytesSent)
+        return AttemptResult::ConnectFailed;
+    if (failure.timedOut && steadyNow() >= m_request.deadline)
+        return AttemptResult::TimedOut;
+    return m_progress.eventsPassed ? AttemptResult::StreamCut : AttemptResult::Lost;
+}
+
+void RequestFlow::noteFirstByte(const StartRequest &start)
+{
+    if (std::exchange(m_firstByteSeen, true))
+        return;
+    const Duration taken = steadyNow() - m_sentAt;
+    const double expected = double(std::max<Duration::rep>(1, start.choice.expectedFirstByte.count()));
+    const ReplicaRow *row = m_state.replicas.find(start.choice.id);
+    const double slowness = row == nullptr ? 1.0 : row->slowness;
+    m_state.replicas.onFirstByte(start.choice.id, start.choice.generation,
+                                 start.choice.freshTokens,
+                                 double(taken.count()) / expected * slowness);
+    m_state.chooser.onFirstByte(m_request.service, !m_request.model.empty(), taken);
+    m_state.metrics.observe("burdock_first_byte_seconds", steadyNow() - m_arrived);
+}
+
+void RequestFlow::noteEnd(const StartRequest &start, AttemptResult end)
+{
+    const Instant now = steadyNow();
+    const std::string &id = start.choice.id;
+    ReplicaOutcome outcome = ReplicaOutcome::Cancelled;
+    switch (end) {
+    case AttemptResult::Delivered:
+        outcome = ReplicaOutcome::Served;
+        m_state.suspects.onServed(m_fingerprint);
+        m_state.budgetOf(m_request.service).onSuccess();
+        break;
+    case AttemptResult::ConnectFailed:
+        m_progress.connectFailures++;
+        m_state.replicas.onConnectFailed(id, now);
+        break;
+    case AttemptResult::NotRun:
+        outcome = ReplicaOutcome::Rejected;
+        break;
+    case AttemptResult::OtherReplica:
+        m_state.replicas.onMissing(id, false, now);
+        break;
+    case AttemptResult::CopyAbsent:
+        m_state.replicas.onCopyDenied(id, copyName(m_request.model, m_request.adapter), now);
+        break;
+    case AttemptResult::ErrorAnswer:
+    case AttemptResult::Lost:
+    case AttemptResult::StreamCut:
+    case AttemptResult::TimedOut:
+        outcome = ReplicaOutcome::Failed;
+        break;
+    case AttemptResult::CallerLeft:
+        break;
+    }
+    const bool lost = end == AttemptResult::Lost || end == AttemptResult::StreamCut;
+    if (lost && m_connectionBroke && m_state.suspects.onLost(m_fingerprint, id, now))
+        m_announcer.announceLoss(m_fingerprint, id);
+    m_state.replicas.onFinished(id, start.choice.generation,
+                                m_firstByteSeen ? 0 : start.choice.freshTokens, outcome, now);
+    m_state.waiting.pump();
+}
+
+// ---- Whole answers ------------------------------------------------------------------------------
+
+asio::awaitable<AttemptResult> RequestFlow::takeWhole(const HttpResponseHead &head)
+{
+    StoredAnswer answer { head, {} };
+    const Instant last = m_request.deadline + AnswerSlack;
+    while (true) {
+        auto part = co_await m_exchange->readPart(last);
+        if (const auto *failure = std::get_if<CallFailure>(&part)) {
+            m_connectionBroke = !failure->timedOut;
+            co_return endOf(*failure);
+        }
+        const auto &text = std::get<std::string>(part);
+        if (text.empty())
+            break;
+        if (answer.body.size() + text.size() > MostAnswerBytes) {
+            m_exchange->cancel();
+            co_return AttemptResult::Lost;
+        }
+        answer.body += text;
+    }
+    if (m_progress.runs == 0)
+        co_return AttemptResult::NotRun; // the caller of this function knows more
+    if (head.status >= LeastErrorStatus) {
+        m_errorAnswer = std::move(answer);
+        co_return AttemptResult::ErrorAnswer;
+    }
+    const int status = head.status;
+    const bool there = co_await m_reply.send(status, std::move(answer.head.headers),
+                                             std::move(answer.body));
+    if (there)
+        logDone("served", status, "");
+    co_return there ? AttemptResult::Delivered : AttemptResult::CallerLeft;
+}
+
+// ---- Streams ------------------------------------------------------------------------------------
+
+asio::awaitable<bool> RequestFlow::beginStream(const HttpResponseHead &head)
+{
+    if (m_reply.begun())
+        co_return true;
+    co_return co_await m_reply.begin(head.status, head.headers);
+}
+
+asio::awaitable<bool> RequestFlow::passEvents(const HttpResponseHead &head,
+                                              std::vector<StreamEvent> events)
+{
+    std::string text;
+    for (StreamEvent &event : events) {
+        const bool seen = event.index && m_lastEvent && *event.index <= *m_lastEvent;
+        if (seen)
+            continue; // the caller has it from an earlier attempt
+        if (event.index)
+            m_lastEvent = event.index;
+        text += event.text;
+    }
+    if (text.empty())
+        co_return true;
+    if (!co_await beginStream(head))
+        co_return false;
+    m_progress.eventsPassed = true;
+    co_return co_await m_reply.write(text);
+}
+
+asio::awaitable<AttemptResult> RequestFlow::takeStream(const HttpResponseHead &head,
+                                                    const StartRequest &start)
+{
+    EventStreamParser parser;
+    const Instant last = m_request.deadline + AnswerSlack;
+    const Duration silence =
+            std::max<Duration>(LeastSilence, SilentPauses * Duration(m_route->gapObjective));
+    while (true) {
+        const Instant before = m_firstByteSeen ? steadyNow() + silence : firstByteDeadline(start);
+        const bool canResume = m_request.resumable && mayTryAnother();
+        auto part = co_await m_exchange->readPart(canResume ? std::min(before, last) : last);
+        if (const auto *failure = std::get_if<CallFailure>(&part)) {
+            m_connectionBroke = !failure->timedOut;
+            if (m_exchange)
+                m_exchange->cancel();
+            co_return endOf(*failure);
+        }
+        const auto &text = std::get<std::string>(part);
+        if (text.empty())
+            break;
+        auto events = parser.add(text);
+        if (events.empty())
+            continue;
+        noteFirstByte(start);
+        if (!co_await passEvents(head, std::move(events)))
+            co_return AttemptResult::CallerLeft;
+    }
+    const std::string rest = parser.takePending();
+    bool there = co_await beginStream(head);
+    if (there && !rest.empty())
+        there = co_await m_reply.write(rest);
+    if (there)
+        there = co_await m_reply.finish();
+    if (there)
+        logDone("served", head.status, "");
+    co_return there ? AttemptResult::Delivered : AttemptResult::CallerLeft;
+}
+
+// ---- Final answers ------------------------------------------------------------------------------
+
+asio::awaitable<void> RequestFlow::finish(NextStep step, AttemptResult end)
+{
+    switch (step) {
+    case NextStep::Retry:
+    case NextStep::Finish:
+        if (end == AttemptResult::CallerLeft)
+            logDone("caller_left", 0, "while_running");
+        break;
+    case NextStep::PassOn: {
+        const int status = m_errorAnswer->head.status;
+        const bool there = co_await m_reply.send(status, std::move(m_errorAnswer->head.headers),
+                                                 std::move(m_errorAnswer->body));
+        logDone(there ? "replica_error" : "caller_left", status, "");
+        break;
+    }
+    case NextStep::Refuse: {
+        const auto left = toMilliseconds(m_request.deadline - steadyNow());
+        co_await answerOwn(StatusUnavailable,
+                           std::clamp(left / 4, milliseconds(0), RetryWhileStarting), "refused",
+                           attemptResultName(end));
+        break;
+    }
+    case NextStep::Fail:
+        co_await answerOwn(end == AttemptResult::TimedOut ? StatusGatewayTimeout : StatusBadGateway,
+                           {}, "failed", attemptResultName(end));
+        break;
+    case NextStep::Cut:
+        logDone("stream_cut", 0, attemptResultName(end)); // without the end mark of a whole answer
+        break;
+    }
+}
+
+asio::awaitable<void> RequestFlow::answerOwn(int status, milliseconds retryAfter,
+                                             const char *outcome, std::string reason)
+{
+    logDone(outcome, status, reason);
+    auto headers = m_state.ports.dialect.ownHeaders(m_caller.name, retryAfter);
+    co_await m_reply.send(status, std::move(headers), std::move(reason));
+}
+
+void RequestFlow::logDone(const char *outcome, int status, const std::string &reason)
+{
+    const Duration taken = steadyNow() - m_arrived;
+    m_state.metrics.count(std::string("burdock_answers_total{outcome=\"") + outcome + "\"}");
+    m_state.metrics.observe("burdock_request_seconds", taken);
+    m_state.log.line("done")
+            .field("request", m_caller.name)
+            .field("outcome", outcome)
+            .field("status", status)
+            .field("reason", reason)
+            .field("sends", m_progress.sends)
+            .field("taken_ms", taken);
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/requestflow.h
@@ -0,0 +1,85 @@
+// Serves one request of a caller, from its arrival to its final answer.
+//
+// Order of things: decode, find the route, let the scheduler choose a replica, make the attempt, let
+// the rules in serving/attemptpolicy.h say what follows. Whole answers are read before the caller gets
+// a byte; streams are passed on event by event, and go on at another replica where the route allows.
+#pragma once
+
+#include "edge/nodestate.h"
+#include "net/eventstream.h"
+#include "net/httpserver.h"
+#include "serving/attemptpolicy.h"
+
+namespace burdock {
+
+/// Tells the other nodes that a replica was lost while it ran a request.
+class LossAnnouncer
+{
+public:
+    virtual ~LossAnnouncer() = default;
+    virtual void announceLoss(std::uint64_t fingerprint, const std::string &replica) = 0;
+};
+
+class RequestFlow
+{
+public:
+    /// @param state, request, reply outlive the flow
+    RequestFlow(NodeState &state, LossAnnouncer &announcer, const HttpRequest &request,
+                HttpReply &reply);
+
+    /// Serves the request.
+    boost::asio::awaitable<void> run();
+
+private:
+    /// An answer of a replica, kept until it is known whether the caller gets it.
+    struct StoredAnswer
+    {
+        HttpResponseHead head;
+        std::string body;
+    };
+
+    bool findRoute();
+    void buildRequest();
+    boost::asio::awaitable<void> serve();
+    boost::asio::awaitable<AttemptResult> attempt(const StartRequest &start);
+    boost::asio::awaitable<AttemptResult> exchangeOnce(const StartRequest &start);
+    boost::asio::awaitable<AttemptResult> takeWhole(const HttpResponseHead &head);
+    boost::asio::awaitable<AttemptResult> takeStream(const HttpResponseHead &head,
+                                                  const StartRequest &start);
+    boost::asio::awaitable<bool> passEvents(const HttpResponseHead &head,
+                                            std::vector<StreamEvent> events);
+    boost::asio::awaitable<bool> beginStream(const HttpResponseHead &head);
+    void noteFirstByte(const StartRequest &start);
+    AttemptResult endOf(const CallFailure &failure) const;
+    void noteEnd(const StartRequest &start, AttemptResult end);
+    Instant firstByteDeadline(const StartRequest &start) const;
+    bool mayTryAnother() const;
+
+    boost::asio::awaitable<void> answerOwn(int status, std::chrono::milliseconds retryAfter,
+                                           const char *outcome, std::string reason);
+    boost::asio::awaitable<void> finish(NextStep step, AttemptResult end);
+    void onCallerLeft();
+    void logDone(const char *outcome, int status, const std::string &reason);
+
+    NodeState &m_state;
+    LossAnnouncer &m_announcer;
+    const HttpRequest &m_raw;
+    HttpReply &m_reply;
+    std::shared_ptr<const ServingConfig> m_config; // keeps the route
+    const ServingRoute *m_route = nullptr;
+    CallerRequest m_caller;
+    ServingRequest m_request;
+    RequestProgress m_progress;
+    std::uint64_t m_fingerprint = 0;
+    std::vector<std::string> m_excluded;
+    std::shared_ptr<HttpExchange> m_exchange;
+    std::optional<StoredAnswer> m_errorAnswer;
+    std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
+    Instant m_arrived;
+    Instant m_sentAt;
+    bool m_firstByteSeen = false; // in the current attempt
+    bool m_callerLeft = false;
+    bool m_connectionBroke = false; // the current attempt ended with its connection
+};
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/storewatch.cpp
@@ -0,0 +1,90 @@
+#include "edge/storewatch.h"
+
+#include "net/coroutines.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace burdock {
+
+namespace asio = boost::asio;
+
+StoreWatch::StoreWatch(asio::io_context &io, ObjectStore &store, EventLog &log,
+                       StoreListener &listener, ObjectKind kind, StoreWatchSettings settings)
+    : m_io(io)
+    , m_store(store)
+    , m_log(log)
+    , m_listener(listener)
+    , m_kind(kind)
+    , m_settings(settings)
+{
+}
+
+void StoreWatch::start()
+{
+    asio::co_spawn(m_io, run(), asio::detached);
+}
+
+asio::awaitable<void> StoreWatch::run()
+{
+    while (true)
+        co_await step();
+}
+
+void StoreWatch::noteSuccess()
+{
+    if (m_failing)
+        m_log.line("store_regained").field("kind", static_cast<int>(m_kind));
+    m_failing = false;
+    m_pause = std::chrono::milliseconds(0);
+}
+
+asio::awaitable<void> StoreWatch::pauseAfterFailure(const std::string &message)
+{
+    if (!m_failing)
+        m_log.line("store_lost").field("kind", static_cast<int>(m_kind)).field("failure", message);
+    m_failing = true;
+    m_failedAt = steadyNow();
+    m_pause = m_pause.count() == 0 ? m_settings.firstPause
+                                   : std::min(2 * m_pause, m_settings.lastPause);
+    co_await sleepFor(m_pause);
+}
+
+asio::awaitable<void> StoreWatch::step()
+{
+    if (m_revision == 0) {
+        ListAnswer answer = co_await m_store.list(m_kind);
+        if (const auto *failure = std::get_if<StoreUnavailable>(&answer)) {
+            co_await pauseAfterFailure(failure->message);
+            co_return;
+        }
+        auto &list = std::get<ItemList>(answer);
+        m_revision = list.revision;
+        m_listener.onList(m_kind, list.items);
+        m_listed = true;
+        noteSuccess();
+        co_return;
+    }
+    WatchAnswer answer = co_await m_store.watch(m_kind, m_revision, m_settings.wait);
+    if (std::holds_alternative<HistoryGone>(answer)) {
+        m_log.line("store_history_gone")
+                .field("kind", static_cast<int>(m_kind))
+                .field("revision", m_revision);
+        m_revision = 0;
+        m_failedAt = steadyNow(); // what was missed meanwhile is not known yet
+        co_return;
+    }
+    if (const auto *failure = std::get_if<StoreUnavailable>(&answer)) {
+        co_await pauseAfterFailure(failure->message);
+        co_return;
+    }
+    auto &changes = std::get<ItemList>(answer);
+    m_revision = changes.revision;
+    noteSuccess();
+    if (changes.items.empty())
+        co_return;
+    m_listener.onChanges(m_kind, changes.items);
+    co_await sleepFor(m_settings.batchPause);
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/edge/storewatch.h
@@ -0,0 +1,74 @@
+// Follows all objects of one kind in the store: lists them once, then watches their changes.
+//
+// A call that fails is repeated from the revision reached, after a pause that grows; only when the
+// store has forgotten that part of its history are the objects listed anew.
+#pragma once
+
+#include "edge/eventlog.h"
+#include "edge/ports.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace burdock {
+
+class StoreListener
+{
+public:
+    virtual ~StoreListener() = default;
+
+    /// Takes the whole list; what is not in it is gone.
+    virtual void onList(ObjectKind kind, const std::vector<StoredItem> &items) = 0;
+
+    /// Takes changes since the list or the last changes.
+    virtual void onChanges(ObjectKind kind, const std::vector<StoredItem> &items) = 0;
+};
+
+struct StoreWatchSettings
+{
+    std::chrono::milliseconds wait { 15'000 };   // a call is held this long; below the history of 20 s
+    std::chrono::milliseconds firstPause { 100 }; // after a failure; doubles
+    std::chrono::milliseconds lastPause { 800 };  // up to this: the store's return is noticed within
+    std::chrono::milliseconds batchPause { 30 };  // after changes: those that follow come together
+    Duration calmAfter = std::chrono::seconds(5); // without failures the store counts as undisturbed
+};
+
+class StoreWatch
+{
+public:
+    /// @param store, log, listener must outlive the watch
+    StoreWatch(boost::asio::io_context &io, ObjectStore &store, EventLog &log,
+               StoreListener &listener, ObjectKind kind, StoreWatchSettings settings = {});
+
+    void start();
+
+    /// @return whether the last call failed
+    bool unreachable() const { return m_failing; }
+
+    /// @return whether a call failed a short time ago
+    bool disturbed(Instant now) const
+    {
+        return m_failing || (m_failedAt != Instant {} && now - m_failedAt < m_settings.calmAfter);
+    }
+
+    bool listed() const { return m_listed; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> step();
+    boost::asio::awaitable<void> pauseAfterFailure(const std::string &message);
+    void noteSuccess();
+
+    boost::asio::io_context &m_io;
+    ObjectStore &m_store;
+    EventLog &m_log;
+    StoreListener &m_listener;
+    ObjectKind m_kind;
+    StoreWatchSettings m_settings;
+    std::uint64_t m_revision = 0; // 0: list first
+    bool m_listed = false;
+    bool m_failing = false;
+    Instant m_failedAt;
+    std::chrono::milliseconds m_pause { 0 };
+};
+
+} // namespace burdock
--- a/src/net/eventstream.cpp
+++ b/src/net/eventstream.cpp
@@ -1,5 +1,6 @@
 #include "net/eventstream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace burdock {
@@ -7,21 +8,32 @@
 namespace {
 
 constexpr std::string_view EventEnd = "\n\n";
-constexpr std::string_view IndexField = "id: ";
+constexpr std::string_view IndexField = "id:";
 constexpr std::string_view EndMark = "data: [DONE]";
-constexpr std::string_view EndMarkLine = "\ndata: [DONE]";
+
+void readLine(std::string_view line, StreamEvent &event)
+{
+    if (line == EndMark)
+        event.isEnd = true;
+    if (!line.starts_with(IndexField))
+        return;
+    line.remove_prefix(IndexField.size());
+    while (line.starts_with(' '))
+        line.remove_prefix(1);
+    std::uint64_t index = 0;
+    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), index);
+    if (parsed.ec == std::errc())
+        event.index = index;
+}
 
 StreamEvent readEvent(std::string_view text)
 {
     StreamEvent event;
     event.text = text;
-    event.isEnd = text.starts_with(EndMark) || text.find(EndMarkLine) != std::string_view::npos;
-    if (text.starts_with(IndexField)) {
-        std::uint64_t index = 0;
-        const char *first = text.data() + IndexField.size();
-        const auto parsed = std::from_chars(first, text.data() + text.size(), index);
-        if (parsed.ec == std::errc())
-            event.index = index;
+    while (!text.empty()) {
+        const auto end = std::min(text.find('\n'), text.size());
+        readLine(text.substr(0, end), event);
+        text.remove_prefix(std::min(end + 1, text.size()));
     }
     return event;
 }
--- a/src/net/eventstream.h
+++ b/src/net/eventstream.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace burdock {
@@ -26,6 +27,9 @@
     /// @return bytes of an event that is not complete yet
     std::size_t pendingBytes() const { return m_pending.size(); }
 
+    /// @return the bytes of an event that is not complete yet, which are then forgotten
+    std::string takePending() { return std::exchange(m_pending, {}); }
+
 private:
     std::string m_pending;
 };
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -6,7 +6,11 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <vector>
@@ -33,8 +37,46 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    std::optional<http::request<http::string_body>> message; // being written
+    Instant usableUntil {}; // when kept for reuse: the server closes it at about this time
 };
 
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/// A margin below the server's own idle timeout, so that a request does not cross its close.
+constexpr std::chrono::milliseconds IdleMargin { 500 };
+
+/// @return the idle timeout in a Keep-Alive header such as "timeout=5, max=100", or nothing
+std::optional<std::chrono::seconds> keepAliveTimeout(std::string_view value)
+{
+    constexpr std::string_view Name = "timeout=";
+    const auto at = value.find(Name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    long seconds = 0;
+    const char *first = value.data() + at + Name.size();
+    if (std::from_chars(first, value.data() + value.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(std::max(0L, seconds));
+}
+
+void limitSilence(Tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    if (timeout.count() <= 0)
+        return;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using ProbeIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using ProbeInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using ProbeCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    const int seconds = std::max<int>(1, static_cast<int>(timeout.count() / 2'000));
+    boost::system::error_code ignored; // an option that is not there leaves the deadlines in place
+    socket.set_option(UserTimeout(static_cast<int>(timeout.count())), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(ProbeIdle(seconds), ignored);
+    socket.set_option(ProbeInterval(seconds), ignored);
+    socket.set_option(ProbeCount(2), ignored);
+}
+
 bool isHopByHop(http::field field)
 {
     return field == http::field::content_length || field == http::field::connection
@@ -47,24 +89,30 @@
 
 struct HttpClient::State
 {
-    explicit State(asio::io_context &context)
+    State(asio::io_context &context, HttpClientSettings limits)
         : io(context)
+        , settings(limits)
     {
     }
 
-    std::unique_ptr<Connection> takeIdle(const Endpoint &endpoint);
-    void keepIdle(const Endpoint &endpoint, std::unique_ptr<Connection> connection);
+    ConnectionPtr takeIdle(const Endpoint &endpoint);
+    void keepIdle(const Endpoint &endpoint, ConnectionPtr connection);
 
     asio::io_context &io;
-    std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle;
+    HttpClientSettings settings;
+    std::uint64_t opened = 0;
+    std::map<Endpoint, std::vector<ConnectionPtr>> idle;
 };
 
-std::unique_ptr<Connection> HttpClient::State::takeIdle(const Endpoint &endpoint)
+ConnectionPtr HttpClient::State::takeIdle(const Endpoint &endpoint)
 {
     auto &connections = idle[endpoint];
+    const Instant now = steadyNow();
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
+        if (now >= connection->usableUntil)
+            continue;
         // A byte or an end of stream waiting on an idle connection means it is no longer usable.
         std::array<char, 1> byte {};
         boost::system::error_code failure;
@@ -76,9 +124,12 @@
     return nullptr;
 }
 
-void HttpClient::State::keepIdle(const Endpoint &endpoint, std::unique_ptr<Connection> connection)
+void HttpClient::State::keepIdle(const Endpoint &endpoint, ConnectionPtr connection)
 {
     auto &connections = idle[endpoint];
+    const Instant now = steadyNow();
+    std::erase_if(connections,
+                  [&](const ConnectionPtr &kept) { return now >= kept->usableUntil; });
     if (connections.size() < MaxIdlePerEndpoint)
         connections.push_back(std::move(connection));
 }
@@ -112,6 +163,7 @@
     asio::awaitable<std::optional<CallFailure>> connect(Instant deadline);
     HttpResponseHead takeHead();
     CallFailure failed(boost::system::error_code failure);
+    void sendRequest(const HttpRequest &request);
     void finish();
 
     std::shared_ptr<HttpClient::State> m_client;
@@ -120,16 +172,21 @@
     bool m_bytesSent = false;
     bool m_cancelled = false;
     bool m_closed = false;
-    std::unique_ptr<Connection> m_connection;
+    bool m_kept = false; // the connection had served a request before
+    bool m_headRead = false;
+    Instant m_idleUntil {};
+    ConnectionPtr m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, PartBytes> m_part {};
 };
 
 CallFailure BeastExchange::failed(boost::system::error_code failure)
 {
+    if (m_connection)
+        m_connection->stream.close(); // a write may still be under way
     m_connection.reset();
     m_closed = m_use == ConnectionUse::Own;
-    return { m_bytesSent, failure == beast::error::timeout,
+    return { m_bytesSent, failure == beast::error::timeout, m_kept && !m_headRead,
              toText(m_endpoint) + ": " + failure.message() };
 }
 
@@ -137,17 +194,20 @@
 {
     if (m_use == ConnectionUse::Kept)
         m_connection = m_client->takeIdle(m_endpoint);
+    m_kept = m_connection != nullptr;
     if (m_connection)
         co_return std::nullopt;
     if (m_closed)
-        co_return CallFailure { false, false, toText(m_endpoint) + ": the session has ended" };
+        co_return CallFailure { false, false, false, toText(m_endpoint) + ": the session has ended" };
 
     boost::system::error_code failure;
     const auto address = asio::ip::make_address(m_endpoint.address, failure);
     if (failure)
         co_return failed(failure);
-    m_connection = std::make_unique<Connection>(m_client->io);
-    m_connection->stream.expires_at(toSteady(deadline));
+    m_connection = std::make_shared<Connection>(m_client->io);
+    ++m_client->opened;
+    const Instant connectBy = steadyNow() + m_client->settings.connectTimeout;
+    m_connection->stream.expires_at(toSteady(std::min(deadline, connectBy)));
     co_await m_connection->stream.async_connect(Tcp::endpoint(address, m_endpoint.port),
                                                 withError(failure));
     if (m_cancelled)
@@ -155,6 +215,7 @@
     if (failure)
         co_return failed(failure);
     m_connection->stream.socket().set_option(Tcp::no_delay(true), failure);
+    limitSilence(m_connection->stream.socket(), m_client->settings.silenceTimeout);
     co_return std::nullopt;
 }
 
@@ -164,37 +225,55 @@
     if (auto failure = co_await connect(deadline))
         co_return std::move(*failure);
 
-    http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
-                                             11);
-    message.method_string(request.method);
-    message.set(http::field::host, toText(m_endpoint));
-    for (const HttpHeader &header : request.headers)
-        message.insert(header.name, header.value);
-    message.body() = request.body;
-    message.prepare_payload();
-
-    boost::system::error_code failure;
     m_connection->stream.expires_at(toSteady(deadline));
     m_parser.reset();
-    m_bytesSent = true;
-    co_await http::async_write(m_connection->stream, message, withError(failure));
-    if (failure)
-        co_return failed(failure);
+    m_headRead = false;
+    sendRequest(request);
 
     m_parser.emplace();
     m_parser->header_limit(MaxAnswerHeaderBytes);
     m_parser->body_limit(boost::none);
+    m_parser->skip(request.method == "HEAD");
+    boost::system::error_code failure;
     co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
                                      withError(failure));
+    if (m_cancelled && !failure)
+        failure = asio::error::operation_aborted;
     if (failure)
         co_return failed(failure);
+    m_headRead = true;
     co_return takeHead();
 }
 
+/// Writes while the answer is read: a server may answer before it has read a long body, and would
+/// otherwise leave both sides waiting for each other.
+void BeastExchange::sendRequest(const HttpRequest &request)
+{
+    auto &message = m_connection->message.emplace(http::string_to_verb(request.method),
+                                                  request.target, 11);
+    message.method_string(request.method);
+    message.set(http::field::host, request.host.empty() ? toText(m_endpoint) : request.host);
+    for (const HttpHeader &header : request.headers)
+        message.insert(header.name, header.value);
+    message.body() = request.body;
+    message.prepare_payload();
+    m_bytesSent = true;
+    // A failed write is seen by the read: the server may have answered before it closed.
+    http::async_write(m_connection->stream, message,
+                      [connection = m_connection](boost::system::error_code failure, std::size_t) {
+                          if (!failure)
+                              connection->message.reset();
+                      });
+}
+
 HttpResponseHead BeastExchange::takeHead()
 {
     HttpResponseHead head;
     head.status = static_cast<int>(m_parser->get().result_int());
+    std::chrono::milliseconds idleLimit = m_client->settings.idleLimit;
+    if (const auto timeout = keepAliveTimeout(m_parser->get()[http::field::keep_alive]))
+        idleLimit = std::min<std::chrono::milliseconds>(idleLimit, *timeout - IdleMargin);
+    m_idleUntil = steadyNow() + idleLimit;
     for (const auto &field : m_parser->get()) {
         if (!isHopByHop(field.name()))
             head.headers.push_back(
@@ -222,7 +301,7 @@
         part.assign(m_part.data(), m_part.size() - m_parser->get().body().size);
     }
     if (!m_parser || (!m_connection && !m_parser->is_done()))
-        co_return CallFailure { m_bytesSent, false, toText(m_endpoint) + ": cancelled" };
+        co_return CallFailure { m_bytesSent, false, false, toText(m_endpoint) + ": cancelled" };
     if (m_parser->is_done())
         finish();
     co_return part;
@@ -233,10 +312,16 @@
     if (!m_connection)
         return;
     m_connection->stream.expires_never();
-    const bool keep = m_parser->keep_alive();
+    // Bytes beyond the answer belong to no request, and a request that is still being written would
+    // share the connection with the next.
+    const bool clean = m_connection->buffer.size() == 0 && !m_connection->message.has_value();
+    const bool keep = clean && m_parser->keep_alive();
+    m_connection->usableUntil = m_idleUntil;
     if (keep && m_use == ConnectionUse::Own)
         return;
     m_closed = m_use == ConnectionUse::Own;
+    if (!keep)
+        m_connection->stream.close();
     if (keep)
         m_client->keepIdle(m_endpoint, std::move(m_connection));
     m_connection.reset();
@@ -298,9 +383,14 @@
 
 // ---- Client -------------------------------------------------------------------------------------
 
-HttpClient::HttpClient(asio::io_context &io)
-    : m_state(std::make_shared<State>(io))
+HttpClient::HttpClient(asio::io_context &io, HttpClientSettings settings)
+    : m_state(std::make_shared<State>(io, settings))
+{
+}
+
+std::uint64_t HttpClient::connectionsOpened() const
 {
+    return m_state->opened;
 }
 
 HttpClient::~HttpClient() = default;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -4,6 +4,7 @@
 //   CallFailure     why a call failed, and whether any byte of it was sent
 //   HttpExchange    one request over one connection, its answer read part by part
 //   HttpSession     several calls over one and the same connection
+//   HttpClientSettings
 //   HttpClient      keeps idle connections and makes exchanges and whole calls
 //
 // What failed matters: a request whose first byte was never written has certainly not run; once a
@@ -29,6 +30,7 @@
 {
     bool bytesSent = false; // whether a byte of the request may have left this process
     bool timedOut = false;  // the deadline passed
+    bool keptConnection = false; // on a kept connection, before any byte of the answer
     std::string message;    // what the operating system or the parser said
 };
 
@@ -80,11 +82,18 @@
 
 // ---- Client -------------------------------------------------------------------------------------
 
+struct HttpClientSettings
+{
+    std::chrono::milliseconds connectTimeout { 60'000 }; // to open a connection
+    std::chrono::milliseconds idleLimit { 60'000 };      // kept for reuse; less if the server says so
+    std::chrono::milliseconds silenceTimeout { 0 };      // unacknowledged data or probes; 0: off
+};
+
 class HttpClient
 {
 public:
     /// @param io runs the client; must outlive it
-    explicit HttpClient(boost::asio::io_context &io);
+    explicit HttpClient(boost::asio::io_context &io, HttpClientSettings settings = {});
     ~HttpClient();
 
     /// Makes an exchange with an upstream.
@@ -103,6 +112,9 @@
     boost::asio::awaitable<CallResult<HttpResponse>> call(Endpoint endpoint, HttpRequest request,
                                                           Instant deadline);
 
+    /// @return connections opened so far
+    std::uint64_t connectionsOpened() const;
+
     struct State; // shared with the exchanges; defined in httpclient.cpp
 
 private:
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -171,6 +171,7 @@
     m_request = {};
     m_request.method = std::string(message.method_string());
     m_request.target = std::string(message.target());
+    m_request.host = std::string(message[http::field::host]);
     for (const auto &field : message) {
         if (!isOwnHeader(field.name()))
             m_request.headers.push_back(
@@ -362,6 +363,11 @@
     return Done {};
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_state->limits = limits;
+}
+
 void HttpServer::closeAfterAnswers()
 {
     m_state->keepAlive = false;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -102,6 +102,9 @@
     /// @return SettingsClash when the address cannot be bound
     Result<Done> listen(const Endpoint &endpoint);
 
+    /// Replaces the limits; requests that are being read keep the earlier ones.
+    void setLimits(const HttpLimits &limits);
+
     /// From now on each connection is closed after its next answer.
     void closeAfterAnswers();
 
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -23,6 +23,7 @@
 {
     std::string method = "GET";      // in capitals
     std::string target = "/";        // path and query
+    std::string host;                // Host header; empty: the address of the connection
     std::vector<HttpHeader> headers; // without Host, Content-Length and Connection
     std::string body;                // whole body
 };
--- /dev/null
+++ b/src/placing/copyplacement.h
@@ -0,0 +1,193 @@
+// Decides which models and adapters are loaded on which replicas, and orders it.
+//
+// Index
+//   CopyDemand                     what callers ask for, as nodes report it
+//   CopyPlacementSettings
+//   SendCommand, AskReport, CopyChanged, PlacingAction
+//   EngineRecord                    what is known of one replica
+//   CopyPlacement                  the system
+//
+// One node acts, the holder of a lease; its shell calls tick() several times a second. Every model
+// gets one copy at least; models get more copies as the demand for them grows, of the memory that is
+// free, then of copies that the demand needs least. Adapters are loaded ahead of demand as far as
+// there are places.
+//
+// Orders and doubt. Each order carries the number of orders that the replica had accepted when the
+// holder knew what it holds. The replica carries it out only while that number stands. So an order
+// whose answer was lost can take effect late, but only upon the state it was decided for, and at most
+// one order takes effect upon each state. No order is sent to a replica whose number is in doubt: its
+// report is asked for first.
+//
+// The loads it answers: demand that moves to other models within seconds, rare models asked for at
+// once, replicas that leave or crash with the only copy of a model.
+#pragma once
+
+#include "placing/enginetypes.h"
+#include "placing/loadceiling.h"
+#include "serving/servingconfig.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace burdock {
+
+// ---- Input --------------------------------------------------------------------------------------
+
+struct CopyDemand
+{
+    std::string service;
+    std::string model;
+    std::string adapter;         // empty: all requests of the model
+    double tokensPerSecond = 0.0; // prompt tokens asked for, smoothed
+};
+
+struct CopyPlacementSettings
+{
+    std::string node;                      // holder's name in orders
+    double tokensPerCopy = 5'500.0;        // prompt tokens a second that one copy is to serve:
+                                           // about 0.3 of a replica, which has other copies too
+    Duration demandFresh = std::chrono::seconds(3);  // older reports of a node are dropped
+    Duration orderTimeout = std::chrono::milliseconds(600); // then an order counts as unanswered
+    Duration reportTimeout = std::chrono::milliseconds(600); // then a report is asked for again
+    Duration reportPause = std::chrono::milliseconds(150);   // after a conflict: the order under way
+                                                             // at the replica ends
+    Duration keepFor = std::chrono::seconds(6); // a new copy is not taken out for another's demand
+    Duration adapterReady = std::chrono::milliseconds(40); // from an order until it serves
+    Duration adapterPending = std::chrono::seconds(3);     // until a listing shows it
+    Duration listingLag = std::chrono::milliseconds(2'500); // a listing shows what a report showed
+    Duration wantFresh = std::chrono::milliseconds(1'500); // a request waits for the copy this long
+    double memoryMargin = 0.995; // of a replica's memory that is used
+    int adapterOrdersAtOnce = 6; // under way over all replicas; few enough to keep each fast
+    double surplusRatio = 1.5;   // a copy moves only to demand this many times its own
+};
+
+// ---- Actions ------------------------------------------------------------------------------------
+
+struct SendCommand
+{
+    EngineCommand command;
+    std::string address;     // of the replica
+    const char *reason = ""; // for the log
+    double demand = 0.0;     // tokens a second of the model
+    int copies = 0;          // of the model, before
+};
+
+struct AskReport
+{
+    std::string replica;
+    std::string address;
+};
+
+/// Tell the other nodes that a copy is there, or is about to go.
+struct CopyChanged
+{
+    std::string replica;
+    std::string copy; // "model" or "model/adapter"
+    bool added = true;
+    Duration usableIn {}; // added: not before
+};
+
+using PlacingAction = std::variant<SendCommand, AskReport, CopyChanged>;
+
+// ---- State --------------------------------------------------------------------------------------
+
+struct EngineRecord
+{
+    ReplicaInfo info;                     // as listed
+    std::uint64_t ordersAccepted = 0;     // by this process of the replica
+    bool trusted = false;                 // the number of orders is known, not in doubt
+    std::vector<ModelCopy> reported;      // held by the last report; the listing may lag behind it
+    Instant reportedUntil;                // then the listing shows it
+    std::optional<EngineCommand> open;    // sent, no answer yet
+    Instant openUntil;                    // then it counts as unanswered
+    bool openTakesStoreLoad = false;      // it took a token of the ceiling
+    std::map<std::string, Instant> loading; // models ordered, not listed yet: given up then
+    std::set<std::string> unloading;      // models ordered out, still listed
+    std::map<std::string, Instant> pendingAdapters; // "model/adapter" ordered, maybe not listed yet
+    std::map<std::string, Instant> keepUntil; // models loaded a short time ago
+    Instant reportAt;                     // next report may be asked for then
+    Instant restUntil;                    // no order before
+};
+
+class CopyPlacement
+{
+public:
+    explicit CopyPlacement(CopyPlacementSettings settings);
+
+    // ---- Events ----
+    void onConfig(const ServingConfig &config);
+    void onReplica(const ReplicaInfo &info, Instant now);
+    void onReplicaGone(const std::string &id);
+    void onDemand(const std::string &node, std::vector<CopyDemand> demand, Instant now);
+    void onWant(const std::string &service, const std::string &model, const std::string &adapter,
+                Instant now);
+    void onOrderAnswer(const EngineCommand &command, OrderAnswer answer, Instant now);
+    /// @param report nothing when the replica did not answer
+    void onReport(const std::string &replica, const std::optional<EngineReport> &report,
+                  Instant now);
+
+    /// This node became the holder, or stopped being it.
+    /// @param term of the lease
+    void setHolder(bool holder, std::uint64_t term, Instant now);
+
+    void tick(Instant now);
+
+    std::vector<PlacingAction> takeActions();
+
+    const std::map<std::string, EngineRecord> &engines() const { return m_engines; }
+
+private:
+    struct ModelView; // one model over all replicas of its service, for one plan
+    struct Plan;
+
+    struct NodeDemand
+    {
+        std::vector<CopyDemand> demand;
+        Instant until;
+    };
+    struct Want
+    {
+        std::string service;
+        std::string model;
+        std::string adapter;
+        Instant until;
+    };
+
+    void expire(Instant now);
+    Plan makePlan(const ServingService &service, Instant now) const;
+    void planService(const ServingService &service, Instant now);
+    void placeModels(Plan &plan, Instant now);
+    bool placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
+    bool makeRoom(Plan &plan, const ModelView &view, Instant now);
+    void placeAdapters(Plan &plan, Instant now);
+    bool placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter, bool wanted,
+                      Instant now);
+    void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
+              int copies, Instant now);
+    bool mayOrder(const EngineRecord &engine, Instant now) const;
+    int adapterOrdersOpen() const;
+    int storeLoadsUnderWay(const std::string &service) const;
+    double freeMemory(const EngineRecord &engine, const EngineLimits &limits) const;
+    static int adaptersOn(const EngineRecord &engine);
+    void forget(EngineRecord &engine, const ReplicaInfo &info);
+    static const ModelCopy *copyOn(const EngineRecord &engine, const std::string &model);
+    static bool hasAdapter(const EngineRecord &engine, const std::string &model,
+                           const std::string &adapter);
+    static bool loadsFromStore(const EngineRecord &engine, const std::string &model);
+
+    CopyPlacementSettings m_settings;
+    bool m_holder = false;
+    std::uint64_t m_term = 0;
+    std::map<std::string, ServingService> m_services;   // those with models
+    std::map<std::string, LoadCeiling> m_ceilings;      // by service
+    std::map<std::string, EngineRecord> m_engines;       // by replica
+    std::map<std::string, NodeDemand> m_demand;         // by node
+    std::map<std::string, Want> m_wants;                // by service and copy
+    std::vector<PlacingAction> m_actions;
+};
+
+} // namespace burdock
--- /dev/null
+++ b/src/serving/replicachooser.cpp
@@ -0,0 +1,156 @@
+#include "serving/replicachooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burdock {
+
+namespace {
+
+constexpr double ProfileSmoothing = 0.05; // weight of the newest request in a service's profile
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+ReplicaChooser::ReplicaChooser(const ReplicaTable &table, ChooserSettings settings,
+                               std::uint64_t seed)
+    : m_table(table)
+    , m_settings(std::move(settings))
+    , m_random(seed)
+{
+}
+
+int ReplicaChooser::slots(const ReplicaRow &row) const
+{
+    if (row.load.slots > 0)
+        return row.load.slots;
+    return row.info.slots > 0 ? row.info.slots : m_settings.defaultSlots;
+}
+
+ReplicaChooser::Candidate ReplicaChooser::weigh(const ReplicaRow &row,
+                                                const ServingRequest &request,
+                                                const PromptChain &chain, bool home, Instant now)
+{
+    Candidate candidate;
+    candidate.row = &row;
+    const ServiceProfile &profile = m_profiles[request.service];
+    const double load = m_table.estimatedLoad(row, now);
+    if (request.model.empty()) {
+        const double over = std::max(0.0, load + 1.0 - slots(row)) / slots(row);
+        const double crowding = load / slots(row); // spreads requests also below the slots
+        candidate.firstByteUs = profile.serviceTimeUs * (1.0 + over + 0.25 * crowding);
+    } else {
+        int kept = m_prompts.keptTokens(row.generation, chain);
+        if (home)
+            kept = std::max(kept, chain.sharedTokens);
+        candidate.freshTokens = std::max(0, request.promptTokens - kept);
+        const double ahead = std::max<double>(row.prefillTokens,
+                                              m_table.estimatedWaiting(row, now)
+                                                      * profile.meanPrompt);
+        const double prefillMs = (ahead + candidate.freshTokens) / m_settings.prefillTokensPerMs;
+        candidate.firstByteUs = prefillMs * 1'000.0 + double(m_settings.stepTime.count())
+                + load * double(m_settings.stepPerRequest.count());
+    }
+    candidate.firstByteUs *= row.slowness;
+    if (now < row.coldUntil)
+        candidate.firstByteUs *= 1.5; // a cold replica works at about two thirds of its speed
+    const double distance =
+            row.info.zone == m_settings.zone ? 0.0 : double(m_settings.zoneDistance.count());
+    const double failures = 1.0 + m_settings.failureWeight * row.failureShare;
+    candidate.cost = (candidate.firstByteUs * failures + distance)
+            * (1.0 + m_settings.spread * m_random.unit());
+    return candidate;
+}
+
+bool ReplicaChooser::hasRoom(const Candidate &candidate, const ServingRequest &request, Instant now)
+{
+    const ReplicaRow &row = *candidate.row;
+    const double load = m_table.estimatedLoad(row, now);
+    if (request.model.empty())
+        return load < slots(row) * m_settings.plainOverSlots;
+    double most = slots(row);
+    if (const auto kv = m_kvTokens.find(request.service); kv != m_kvTokens.end() && kv->second > 0)
+        most = std::min(most, m_settings.kvShare * kv->second
+                                / std::max(1.0, m_profiles[request.service].meanTokens));
+    if (load >= std::max(1.0, most))
+        return false;
+    const double queueUs = candidate.firstByteUs
+            - candidate.freshTokens / m_settings.prefillTokensPerMs * 1'000.0 * row.slowness;
+    return queueUs <= double(m_settings.mostPrefillAhead.count());
+}
+
+ChooserAnswer ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
+                                     const std::vector<std::string> &excluded, Instant now)
+{
+    std::vector<const ReplicaRow *> holders;
+    bool held = false;
+    for (const std::string &id : m_table.ofService(request.service)) {
+        const ReplicaRow *row = m_table.find(id);
+        if (row == nullptr)
+            continue;
+        if (!request.model.empty() && !m_table.holds(*row, request.model, request.adapter, now))
+            continue;
+        held = held || !row->info.draining;
+        if (m_table.usable(*row, now) && !contains(excluded, id))
+            holders.push_back(row);
+    }
+    if (holders.empty())
+        return held ? NoReplica::Unusable : NoReplica::NotHeld;
+
+    const ReplicaRow *home = nullptr;
+    std::uint64_t highest = 0;
+    if (chain.sharedHash != 0) {
+        for (const ReplicaRow *row : holders) {
+            const std::uint64_t rank = homeRank(chain.sharedHash, row->info.id);
+            if (home == nullptr || rank > highest) {
+                home = row;
+                highest = rank;
+            }
+        }
+    }
+    Candidate best;
+    for (const ReplicaRow *row : holders) {
+        const Candidate candidate = weigh(*row, request, chain, row == home, now);
+        if (!hasRoom(candidate, request, now))
+            continue;
+        if (best.row == nullptr || candidate.cost < best.cost)
+            best = candidate;
+    }
+    if (best.row == nullptr)
+        return NoReplica::Full;
+
+    ReplicaChoice choice;
+    choice.id = best.row->info.id;
+    choice.address = best.row->info.address;
+    choice.generation = best.row->generation;
+    choice.freshTokens = best.freshTokens;
+    choice.load = m_table.estimatedLoad(*best.row, now);
+    choice.weighed = static_cast<int>(holders.size());
+    choice.expectedFirstByte = Duration(static_cast<Duration::rep>(best.firstByteUs));
+    return choice;
+}
+
+void ReplicaChooser::onSent(const ServingRequest &request, const PromptChain &chain,
+                            const ReplicaChoice &choice)
+{
+    ServiceProfile &profile = m_profiles[request.service];
+    const double tokens = request.promptTokens + request.outputTokens;
+    profile.meanTokens += ProfileSmoothing * (tokens - profile.meanTokens);
+    profile.meanPrompt += ProfileSmoothing * (choice.freshTokens - profile.meanPrompt);
+    if (!chain.hashes.empty())
+        m_prompts.onSent(choice.generation, chain);
+}
+
+void ReplicaChooser::onFirstByte(const std::string &service, bool model, Duration time)
+{
+    if (model)
+        return;
+    ServiceProfile &profile = m_profiles[service];
+    profile.serviceTimeUs += ProfileSmoothing * (double(time.count()) - profile.serviceTimeUs);
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/serving/replicachooser.h
@@ -0,0 +1,120 @@
+// Chooses the replica of a request: the one with the least expected time to the first byte.
+//
+// Index
+//   ReplicaChoice, NoReplica   the answer
+//   ChooserSettings
+//   ServiceProfile             what was learned about a service's requests
+//   ReplicaChooser             the policy
+//
+// For model replicas the time is made of prompt tokens ahead of the request, its own tokens that the
+// replica does not keep, and the batch; for plain ones of the requests beyond the replica's slots.
+// It answers two loads: uneven ones, where many nodes see the same stale readings (a random factor
+// keeps them apart), and replicas that are slow or fail while they call themselves healthy (observed
+// slowness and failures multiply the cost).
+#pragma once
+
+#include "base/random.h"
+#include "serving/promptmemory.h"
+#include "serving/replicatable.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace burdock {
+
+struct ReplicaChoice
+{
+    std::string id;                // the replica
+    std::string address;           // where it listens
+    std::uint64_t generation = 0;  // of its row
+    int freshTokens = 0;           // prompt tokens that it has to read
+    double load = 0.0;             // requests believed to be there
+    int weighed = 0;               // replicas compared
+    Duration expectedFirstByte {}; // expected time to the first byte
+};
+
+enum class NoReplica {
+    NotHeld,  // no replica of the service holds the model or adapter
+    Unusable, // those that hold it leave, failed or were tried already
+    Full,     // those that hold it have no room
+};
+
+using ChooserAnswer = std::variant<ReplicaChoice, NoReplica>;
+
+struct ChooserSettings
+{
+    std::string zone;                                         // availability zone of this node
+    Duration zoneDistance = std::chrono::milliseconds(4);     // cost of leaving it: way and traffic
+    double prefillTokensPerMs = 18.0;                         // start value; slowness corrects it
+    Duration stepTime = std::chrono::milliseconds(10);        // one step of a batch
+    Duration stepPerRequest = std::chrono::microseconds(300); // each request slows the others
+    Duration plainServiceTime = std::chrono::milliseconds(40); // start value; learned
+    double failureWeight = 5.0;    // a replica that fails all costs this much more
+    double spread = 0.15;          // random share added to costs
+    double kvShare = 0.85;         // of a replica's KV cache that requests may fill
+    double plainOverSlots = 1.25;  // requests at a plain replica, against its slots
+    int defaultSlots = 16;         // for replicas that do not say
+    Duration mostPrefillAhead = std::chrono::milliseconds(800); // prompts queued before a replica
+};
+
+struct ServiceProfile
+{
+    double meanTokens = 2'000.0;     // prompt and output of a request, smoothed
+    double meanPrompt = 1'500.0;     // prompt tokens that have to be read
+    double serviceTimeUs = 40'000.0; // plain: time to the first byte, smoothed
+};
+
+class ReplicaChooser
+{
+public:
+    /// @param table must outlive the chooser
+    /// @param seed of the random spread
+    ReplicaChooser(const ReplicaTable &table, ChooserSettings settings, std::uint64_t seed);
+
+    /// Takes the limits of a service's replicas, as configured.
+    void setKvTokens(const std::string &service, int kvTokens) { m_kvTokens[service] = kvTokens; }
+
+    /// @param request the request
+    /// @param chain of its prompt
+    /// @param excluded replicas it must not go to
+    ChooserAnswer choose(const ServingRequest &request, const PromptChain &chain,
+                         const std::vector<std::string> &excluded, Instant now);
+
+    /// Notes a send, so that later prompts with the same beginning find the replica.
+    void onSent(const ServingRequest &request, const PromptChain &chain,
+                const ReplicaChoice &choice);
+
+    /// Notes the observed time to the first byte of an answer.
+    void onFirstByte(const std::string &service, bool model, Duration time);
+
+    /// Forgets a replica's process.
+    void onGone(std::uint64_t generation) { m_prompts.onGone(generation); }
+
+    const ServiceProfile &profile(const std::string &service) { return m_profiles[service]; }
+
+private:
+    struct Candidate
+    {
+        const ReplicaRow *row = nullptr;
+        double cost = 0.0;
+        double firstByteUs = 0.0;
+        int freshTokens = 0;
+    };
+
+    Candidate weigh(const ReplicaRow &row, const ServingRequest &request, const PromptChain &chain,
+                    bool home, Instant now);
+    bool hasRoom(const Candidate &candidate, const ServingRequest &request, Instant now);
+    int slots(const ReplicaRow &row) const;
+
+    const ReplicaTable &m_table;
+    ChooserSettings m_settings;
+    Random m_random;
+    PromptMemory m_prompts;
+    std::map<std::string, ServiceProfile> m_profiles;
+    std::map<std::string, int> m_kvTokens;
+};
+
+} // namespace burdock
--- /dev/null
+++ b/src/serving/scheduler.cpp
@@ -0,0 +1,228 @@
+#include "serving/scheduler.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace burdock {
+
+namespace {
+
+std::string rateKey(const ServingRequest &request)
+{
+    return request.service + "/" + copyName(request.model, request.adapter);
+}
+
+/// Whether `left` is started before `right`.
+bool goesBefore(const ServingRequest &left, const ServingRequest &right)
+{
+    if (left.priority != right.priority)
+        return left.priority < right.priority;
+    return left.objective < right.objective;
+}
+
+} // namespace
+
+RequestScheduler::RequestScheduler(ReplicaTable &table, ReplicaChooser &chooser,
+                                   SchedulerSettings settings)
+    : m_table(table)
+    , m_chooser(chooser)
+    , m_settings(settings)
+{
+}
+
+std::vector<SchedulerAction> RequestScheduler::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::size_t RequestScheduler::queuedFor(const std::string &service) const
+{
+    const auto queue = m_queues.find(service);
+    return queue == m_queues.end() ? 0 : queue->second.size();
+}
+
+// ---- Arrival ------------------------------------------------------------------------------------
+
+void RequestScheduler::submit(const ServingRequest &request, std::vector<std::string> excluded,
+                              bool attempted, Instant now)
+{
+    Waiting waiting { request, promptChain(request), std::move(excluded), attempted, now, {} };
+    if (tryStart(waiting, now))
+        return;
+    enqueue(std::move(waiting), now);
+}
+
+bool RequestScheduler::tryStart(Waiting &waiting, Instant now)
+{
+    ChooserAnswer answer = m_chooser.choose(waiting.request, waiting.chain, waiting.excluded, now);
+    if (const auto *none = std::get_if<NoReplica>(&answer)) {
+        waiting.cause = *none;
+        if (*none == NoReplica::NotHeld && !waiting.request.model.empty())
+            want(waiting.request, now);
+        return false;
+    }
+    auto &choice = std::get<ReplicaChoice>(answer);
+    m_table.onSent(choice.id, choice.freshTokens, now);
+    m_chooser.onSent(waiting.request, waiting.chain, choice);
+    m_rates[rateKey(waiting.request)].starts++;
+    m_actions.emplace_back(
+            StartRequest { waiting.request.id, std::move(choice), now - waiting.since });
+    return true;
+}
+
+Instant RequestScheduler::patience(const Waiting &waiting, Instant now) const
+{
+    const ServingRequest &request = waiting.request;
+    const Duration left = request.deadline - now;
+    const auto share = [&](double part) {
+        return now + Duration(static_cast<Duration::rep>(double(left.count()) * part));
+    };
+    switch (waiting.cause) {
+    case NoReplica::NotHeld:
+        return request.model.empty() ? std::min(now + m_settings.unusableWait, request.deadline)
+                                     : share(m_settings.placingShare);
+    case NoReplica::Unusable:
+        return std::min(now + m_settings.unusableWait, share(m_settings.placingShare));
+    case NoReplica::Full:
+        break;
+    }
+    return std::max(std::min(request.objective, request.deadline), share(m_settings.lateShare));
+}
+
+std::size_t RequestScheduler::aheadOf(const Waiting &waiting) const
+{
+    const auto queue = m_queues.find(waiting.request.service);
+    if (queue == m_queues.end())
+        return 0;
+    const std::string key = rateKey(waiting.request);
+    std::size_t ahead = 0;
+    for (const Waiting &other : queue->second) {
+        if (rateKey(other.request) == key && !goesBefore(waiting.request, other.request))
+            ++ahead;
+    }
+    return ahead;
+}
+
+double RequestScheduler::startsPerSecond(const ServingRequest &request) const
+{
+    const auto rate = m_rates.find(rateKey(request));
+    return rate == m_rates.end() ? 0.0 : rate->second.perSecond;
+}
+
+void RequestScheduler::enqueue(Waiting waiting, Instant now)
+{
+    waiting.giveUpAt = patience(waiting, now);
+    if (m_where.size() >= m_settings.mostQueued) {
+        refuse(waiting, "queue_full", now);
+        return;
+    }
+    const double rate = startsPerSecond(waiting.request);
+    if (waiting.cause == NoReplica::Full && rate > 0.0 && !waiting.attempted) {
+        const double waitUs = 1e6 * double(aheadOf(waiting) + 1) / rate;
+        if (now + Duration(static_cast<Duration::rep>(waitUs)) > waiting.giveUpAt) {
+            refuse(waiting, "overload", now);
+            return;
+        }
+    }
+    Queue &queue = m_queues[waiting.request.service];
+    const auto place = std::find_if(queue.begin(), queue.end(), [&](const Waiting &other) {
+        return goesBefore(waiting.request, other.request);
+    });
+    m_where[waiting.request.id] = waiting.request.service;
+    queue.insert(place, std::move(waiting));
+}
+
+void RequestScheduler::cancel(std::uint64_t id)
+{
+    const auto where = m_where.find(id);
+    if (where == m_where.end())
+        return;
+    m_queues[where->second].remove_if(
+            [&](const Waiting &waiting) { return waiting.request.id == id; });
+    m_where.erase(where);
+}
+
+// ---- Time ---------------------------------------------------------------------------------------
+
+void RequestScheduler::pump(Instant now)
+{
+    if (m_where.empty())
+        return;
+    for (auto &[service, queue] : m_queues) {
+        std::unordered_set<std::string> stuck; // copies without room: no need to ask again
+        for (auto each = queue.begin(); each != queue.end();) {
+            const std::string key = rateKey(each->request);
+            if (each->excluded.empty() && stuck.contains(key)) {
+                ++each;
+                continue;
+            }
+            if (!tryStart(*each, now)) {
+                if (each->excluded.empty())
+                    stuck.insert(key);
+                ++each;
+                continue;
+            }
+            m_where.erase(each->request.id);
+            each = queue.erase(each);
+        }
+    }
+}
+
+void RequestScheduler::tick(Instant now)
+{
+    if (now >= m_windowEnd) {
+        const double seconds = double(m_settings.rateWindow.count()) / 1e6;
+        for (auto each = m_rates.begin(); each != m_rates.end();) {
+            Rate &rate = each->second;
+            rate.perSecond = 0.5 * rate.perSecond + 0.5 * rate.starts / seconds;
+            const bool idle = rate.starts == 0 && rate.perSecond < 0.05;
+            rate.starts = 0;
+            each = idle ? m_rates.erase(each) : std::next(each);
+        }
+        std::erase_if(m_wants, [&](const auto &entry) { return now >= entry.second; });
+        m_windowEnd = now + m_settings.rateWindow;
+    }
+    pump(now);
+    for (auto &[service, queue] : m_queues) {
+        for (auto each = queue.begin(); each != queue.end();) {
+            if (now < each->giveUpAt) {
+                ++each;
+                continue;
+            }
+            static constexpr const char *Reasons[] = { "not_resident", "no_replica", "overload" };
+            refuse(*each, Reasons[static_cast<std::size_t>(each->cause)], now);
+            m_where.erase(each->request.id);
+            each = queue.erase(each);
+        }
+    }
+}
+
+// ---- Actions ------------------------------------------------------------------------------------
+
+void RequestScheduler::refuse(const Waiting &waiting, const char *reason, Instant now)
+{
+    const double rate = startsPerSecond(waiting.request);
+    std::chrono::milliseconds after = m_settings.retryAfterMin;
+    if (rate > 0.0) {
+        const double ms = 1e3 * double(aheadOf(waiting)) / rate;
+        after += std::chrono::milliseconds(static_cast<std::int64_t>(ms));
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            waiting.request.deadline - now);
+    constexpr int Thirds = 3; // callers come back within a third of the time they have left
+    after = std::min({ after, m_settings.retryAfterMax, left / Thirds });
+    after = std::max(after, std::chrono::milliseconds(0));
+    m_actions.emplace_back(RefuseRequest { waiting.request.id, reason, after });
+}
+
+void RequestScheduler::want(const ServingRequest &request, Instant now)
+{
+    Instant &next = m_wants[rateKey(request)];
+    if (now < next)
+        return;
+    next = now + m_settings.wantRepeat;
+    m_actions.emplace_back(WantCopy { request.service, request.model, request.adapter });
+}
+
+} // namespace burdock
--- /dev/null
+++ b/src/serving/servingconfig.cpp
@@ -0,0 +1,59 @@
+#include "serving/servingconfig.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace burdock {
+
+const EngineModel *findModel(const EngineLimits &engine, std::string_view model)
+{
+    const auto found = std::find_if(engine.models.begin(), engine.models.end(),
+                                    [&](const EngineModel &each) { return each.name == model; });
+    return found == engine.models.end() ? nullptr : &*found;
+}
+
+RouteTable::RouteTable(std::shared_ptr<const ServingConfig> config)
+    : m_config(std::move(config))
+{
+    assert(m_config && "give the table a configuration; an empty one if there is none yet");
+    for (const ServingRoute &route : m_config->routes) {
+        if (!route.targets.empty())
+            m_byHost[route.host].push_back(&route);
+    }
+    for (auto &[host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const ServingRoute *left, const ServingRoute *right) {
+                             return left->pathPrefix.size() > right->pathPrefix.size();
+                         });
+    }
+}
+
+const ServingRoute *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const std::string name(host.substr(0, host.find(':')));
+    const auto routes = m_byHost.find(name);
+    if (routes == m_byHost.end())
+        return nullptr;
+    for (const ServingRoute *route : routes->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const std::string &chooseService(const ServingRoute &route, double point)
+{
+    assert(!route.targets.empty() && "RouteTable leaves out routes without a target");
+    double total = 0.0;
+    for (const ServiceShare &target : route.targets)
+        total += target.weight;
+    double left = point * total;
+    for (const ServiceShare &target : route.targets) {
+        left -= target.weight;
+        if (left < 0.0)
+            return target.service;
+    }
+    return route.targets.back().service;
+}
+
+} // namespace burdock
