--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -21,6 +21,9 @@
 /// A node's processes take over from each other: orders of one node are those of one holder.
 constexpr std::uint64_t NodeIncarnation = 1;
 
+/// Beyond the lease time between the orders of two holders: an order's way.
+constexpr std::chrono::milliseconds TurnMargin { 400 };
+
 constexpr std::chrono::milliseconds OrderDeadline { 600 }; // as CopyPlacementSettings::orderTimeout
 
 LeaseSettings leaseSettings(const ServingBounds &bounds)
@@ -110,7 +113,8 @@
 
 bool CopyShell::holds() const
 {
-    return m_lease.holds(leaseNow());
+    const Instant now = leaseNow();
+    return m_lease.holds(now) && now >= m_ordersFrom && !m_state.leaving;
 }
 
 void CopyShell::release()
@@ -151,14 +155,19 @@
     m_lease.tick(now);
     for (const LeaseAction &action : m_lease.takeActions())
         carryOut(action);
+    const std::string &named = m_lease.lastSeen().holder;
+    if (!named.empty() && named != m_state.profile.name)
+        m_otherHolder = named;
     for (const LeaseEvent event : m_lease.takeEvents()) {
+        if (event == LeaseEvent::Taken && !m_otherHolder.empty())
+            m_ordersFrom = now + m_state.profile.bounds.leaseTime + TurnMargin;
         m_state.log.line("lease")
                 .field("change", event == LeaseEvent::Taken ? "taken" : "lost")
                 .field("term", m_lease.term())
                 .field("holder", m_lease.lastSeen().holder);
     }
-    const bool holder = m_lease.holds(now);
-    if (holder)
+    const bool holder = holds();
+    if (m_lease.holds(now))
         m_state.directory.setHolder(
                 { m_state.profile.name, m_state.profile.ip, m_lease.term() });
     if (holder != m_wasHolder) {
@@ -225,7 +234,7 @@
             if (change.added)
                 m_state.replicas.onCopyAdded(change.replica, change.copy, now + change.usableIn);
             else
-                m_state.replicas.onCopyDenied(change.replica, change.copy, now);
+                m_state.replicas.onCopyLeaving(change.replica, change.copy, now);
         }
     }
 }
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -47,6 +47,8 @@
     Lease m_lease;
     CopyPlacement m_placement;
     bool m_wasHolder = false;
+    std::string m_otherHolder; // last holder seen that is not this node; empty: none
+    Instant m_ordersFrom;      // on the lease's clock: the holder before has been silent long enough
 };
 
 /// The clock of leases: it also counts the time for which the machine was suspended.
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds EndMargin { 500 };
 constexpr milliseconds EndMarginIdle { 50 }; // for last bytes to leave
 
+/// Before the end: final answers have this long to leave.
+constexpr milliseconds GiveUpMargin { 300 };
+constexpr milliseconds RetryAtOnce { 50 };
+
 constexpr milliseconds BeatInterval { 500 };
 constexpr milliseconds IdleTick { 100 };
 constexpr milliseconds BusyTick { 25 }; // while requests wait
@@ -325,7 +329,7 @@
         if (copy->added)
             m_state.replicas.onCopyAdded(copy->replica, copy->copy, now + copy->usableIn);
         else
-            m_state.replicas.onCopyDenied(copy->replica, copy->copy, now);
+            m_state.replicas.onCopyLeaving(copy->replica, copy->copy, now);
     } else {
         const auto &loss = std::get<LossNote>(message);
         m_state.suspects.onLost(loss.fingerprint, loss.replica, now);
@@ -443,6 +447,7 @@
     const milliseconds grace = m_state.profile.bounds.graceTime;
     m_refuseAt = now + std::min(KeptAnswers * AnswerLifetime + AnswerWay, grace / 2);
     m_endBy = now + grace - EndMargin;
+    m_giveUpAt = m_endBy - GiveUpMargin;
     m_state.log.line("stop")
             .field("in_progress", m_callers.requestsInProgress())
             .field("connections", m_callers.connections());
@@ -459,6 +464,14 @@
         m_callers.stopAccepting();
         m_state.log.line("stop_refusing").field("in_progress", m_callers.requestsInProgress());
     }
+    if (now >= m_giveUpAt && m_giveUpAt != Instant {}) {
+        m_giveUpAt = {};
+        m_state.log.line("stop_giving_up").field("in_progress", m_callers.requestsInProgress());
+        m_state.waiting.refuseAll("node_stopping", RetryAtOnce);
+        const std::set<RequestFlow *> flows = m_state.flows;
+        for (RequestFlow *flow : flows)
+            flow->giveUp();
+    }
     const bool idle = m_state.refusing && m_callers.requestsInProgress() == 0;
     if ((idle && now >= m_refuseAt + EndMarginIdle) || now >= m_endBy)
         end();
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -115,6 +115,7 @@
     Instant m_lastDemand;
     Instant m_nextFind;
     Instant m_refuseAt; // stopping: callers have moved on by then
+    Instant m_giveUpAt; // stopping: what has not begun to be answered gets its final answer
     Instant m_endBy;    // stopping: the process ends at the latest
 };
 
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace burdock {
@@ -57,6 +58,8 @@
     std::map<std::string, Row> m_rows;
 };
 
+class RequestFlow;
+
 struct NodeState
 {
     NodeState(boost::asio::io_context &context, NodeProfile nodeProfile, PlatformPorts platform);
@@ -84,6 +87,7 @@
     CopyDemandMeter demand;
     NodeDirectory directory;
     Random random;
+    std::set<RequestFlow *> flows; // requests under way
     Instant configAppliedAt;
     bool leaving = false;  // a stop was asked for
     bool refusing = false; // new requests are refused, since the stop goes on
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -55,6 +55,19 @@
     , m_reply(reply)
     , m_arrived(steadyNow())
 {
+    m_state.flows.insert(this);
+}
+
+RequestFlow::~RequestFlow()
+{
+    m_state.flows.erase(this);
+}
+
+void RequestFlow::giveUp()
+{
+    m_givenUp = true;
+    if (m_exchange && !m_reply.begun())
+        m_exchange->cancel();
 }
 
 // ---- Arrival ------------------------------------------------------------------------------------
@@ -165,8 +178,9 @@
         const auto &start = std::get<StartRequest>(decision);
         const AttemptResult end = co_await attempt(start);
         attempted = true;
+        const Instant now = m_givenUp ? m_request.deadline : steadyNow();
         const NextStep step = nextStep(m_request, m_progress, end,
-                                       m_state.budgetOf(m_request.service), steadyNow());
+                                       m_state.budgetOf(m_request.service), now);
         if (step != NextStep::Retry) {
             co_await finish(step, end);
             co_return;
@@ -295,7 +309,8 @@
                                  start.choice.freshTokens,
                                  double(taken.count()) / expected * slowness);
     m_state.chooser.onFirstByte(m_request.service, !m_request.model.empty(), taken);
-    m_state.metrics.observe("burdock_first_byte_seconds", steadyNow() - m_arrived);
+    m_firstByteAfter = steadyNow() - m_arrived;
+    m_state.metrics.observe("burdock_first_byte_seconds", m_firstByteAfter);
 }
 
 void RequestFlow::noteEnd(const StartRequest &start, AttemptResult end)
@@ -427,6 +442,10 @@
         if (events.empty())
             continue;
         noteFirstByte(start);
+        const Instant now = steadyNow();
+        if (m_progress.eventsPassed)
+            m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+        m_lastEventAt = now;
         if (!co_await passEvents(head, std::move(events)))
             co_return AttemptResult::CallerLeft;
     }
@@ -494,6 +513,9 @@
             .field("status", status)
             .field("reason", reason)
             .field("sends", m_progress.sends)
+            .field("route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name))
+            .field("first_byte_ms", m_firstByteAfter)
+            .field("longest_gap_ms", m_longestGap)
             .field("taken_ms", taken);
 }
 
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -27,9 +27,16 @@
     RequestFlow(NodeState &state, LossAnnouncer &announcer, const HttpRequest &request,
                 HttpReply &reply);
 
+    ~RequestFlow();
+    RequestFlow(const RequestFlow &) = delete;
+    RequestFlow &operator=(const RequestFlow &) = delete;
+
     /// Serves the request.
     boost::asio::awaitable<void> run();
 
+    /// The process ends: gives up what has not begun to be answered, with its final answer.
+    void giveUp();
+
 private:
     /// An answer of a replica, kept until it is known whether the caller gets it.
     struct StoredAnswer
@@ -79,6 +86,10 @@
     Instant m_sentAt;
     bool m_firstByteSeen = false; // in the current attempt
     bool m_callerLeft = false;
+    bool m_givenUp = false;
+    Duration m_firstByteAfter {}; // of the whole request; for the log
+    Duration m_longestGap {};     // between events; for the log
+    Instant m_lastEventAt;
     bool m_connectionBroke = false; // the current attempt ended with its connection
 };
 
--- a/src/edge/waitingrequests.cpp
+++ b/src/edge/waitingrequests.cpp
@@ -45,6 +45,19 @@
     decide(id, CallerGone {});
 }
 
+void WaitingRequests::refuseAll(const char *reason, std::chrono::milliseconds retryAfter)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &[id, waiter] : m_waiters) {
+        if (!waiter->decision)
+            ids.push_back(id);
+    }
+    for (const std::uint64_t id : ids) {
+        m_scheduler.cancel(id);
+        decide(id, RefuseRequest { id, reason, retryAfter });
+    }
+}
+
 void WaitingRequests::pump()
 {
     m_scheduler.pump(steadyNow());
--- a/src/edge/waitingrequests.h
+++ b/src/edge/waitingrequests.h
@@ -36,6 +36,9 @@
                                                       std::vector<std::string> excluded,
                                                       bool attempted);
 
+    /// Refuses every request that waits.
+    void refuseAll(const char *reason, std::chrono::milliseconds retryAfter);
+
     /// The caller left while its request waited.
     void cancel(std::uint64_t id);
 
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -34,6 +34,15 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+bool isListed(const std::vector<ModelCopy> &copies, const std::string &name)
+{
+    return std::any_of(copies.begin(), copies.end(), [&](const ModelCopy &copy) {
+        return std::any_of(copy.adapters.begin(), copy.adapters.end(), [&](const auto &adapter) {
+            return copyName(copy.model, adapter) == name;
+        });
+    });
+}
+
 std::string adapterName(int number)
 {
     return "a" + std::to_string(number);
@@ -122,7 +131,10 @@
         engine.loading.erase(copy.model);
     std::erase_if(engine.unloading,
                   [&](const std::string &model) { return copyOn(engine, model) == nullptr; });
-    std::erase_if(engine.pendingAdapters, [&](const auto &entry) { return now >= entry.second; });
+    std::erase_if(engine.pendingAdapters, [&](const auto &entry) {
+        return now - entry.second >= m_settings.adapterPending
+                || isListed(info.models, entry.first);
+    });
 }
 
 void CopyPlacement::onReplicaGone(const std::string &id)
@@ -168,6 +180,7 @@
         return;
     }
     engine.ordersAccepted = command.ordersAccepted + 1;
+    engine.lastOrderAt = now;
     if (command.adapter.empty() && command.load) {
         const auto service = m_services.find(engine.info.service);
         const EngineModel *model = service == m_services.end()
@@ -180,7 +193,7 @@
         engine.unloading.insert(command.model);
     } else if (command.load) {
         const std::string copy = copyName(command.model, command.adapter);
-        engine.pendingAdapters[copy] = now + m_settings.adapterPending;
+        engine.pendingAdapters[copy] = now;
         m_actions.emplace_back(
                 CopyChanged { engine.info.id, copy, true, m_settings.adapterReady });
     } else {
@@ -200,7 +213,14 @@
         return;
     EngineRecord &engine = found->second;
     engine.reportAt = now + m_settings.reportTimeout;
-    if (!report || engine.open)
+    if (!report) {
+        const int doublings = std::min(engine.reportsUnanswered++, 3);
+        engine.reportAt = now
+                + std::min(m_settings.reportTimeout * (1 << doublings), m_settings.reportPauseMost);
+        return;
+    }
+    engine.reportsUnanswered = 0;
+    if (engine.open)
         return;
     if (report->startedMs != engine.info.startedMs) {
         ReplicaInfo info = engine.info; // it restarted, empty; the listing has yet to say so
@@ -208,14 +228,14 @@
         info.models.clear();
         forget(engine, info);
     }
-    if (report->ordersAccepted < engine.ordersAccepted)
+    const bool mayLag = now - engine.lastOrderAt < m_settings.lowerAccepted;
+    if (report->ordersAccepted < engine.ordersAccepted && mayLag)
         return; // reports lag behind; a later one will show the orders
     engine.ordersAccepted = report->ordersAccepted;
-    engine.trusted = true;
     engine.reported = report->models;
     engine.reportedUntil = now + m_settings.listingLag;
-    if (report->busy)
-        engine.restUntil = now + m_settings.reportPause;
+    // While an order is carried out, the report does not say what will be held after it.
+    engine.trusted = !report->busy;
 }
 
 void CopyPlacement::setHolder(bool holder, std::uint64_t term, Instant now)
@@ -299,10 +319,21 @@
     return limits.weightsMb * m_settings.memoryMargin - used;
 }
 
-bool CopyPlacement::mayOrder(const EngineRecord &engine, Instant now) const
+bool CopyPlacement::mayOrder(const EngineRecord &engine) const
+{
+    // A replica carries out one load or unload of a model at a time.
+    return !engine.info.draining && engine.trusted && !engine.open && engine.unloading.empty()
+            && engine.loading.empty();
+}
+
+bool CopyPlacement::takesAdapters(const EngineRecord &engine, Instant now) const
 {
-    return !engine.info.draining && engine.trusted && !engine.open && now >= engine.restUntil
-            && engine.unloading.empty();
+    const auto inTransit =
+            std::count_if(engine.pendingAdapters.begin(), engine.pendingAdapters.end(),
+                          [&](const auto &entry) {
+                              return now - entry.second < 2 * m_settings.adapterReady;
+                          });
+    return mayOrder(engine) && inTransit < m_settings.adaptersInTransit;
 }
 
 int CopyPlacement::adapterOrdersOpen() const
@@ -340,8 +371,6 @@
         if (now >= engine.reportedUntil)
             engine.reported.clear();
         std::erase_if(engine.loading, [&](const auto &entry) { return now >= entry.second; });
-        std::erase_if(engine.pendingAdapters,
-                      [&](const auto &entry) { return now >= entry.second; });
         if (!engine.trusted && !engine.info.draining && now >= engine.reportAt) {
             engine.reportAt = now + m_settings.reportTimeout;
             m_actions.emplace_back(AskReport { id, engine.info.address });
@@ -404,9 +433,7 @@
         return;
     for (ModelView &view : plan.models) {
         const double byDemand = std::ceil(view.demand / m_settings.tokensPerCopy);
-        const int slots = std::max(1, plan.limits->adapterSlots);
-        const int byAdapters = (view.model->adapters + slots - 1) / slots;
-        view.desired = std::max({ 1, byAdapters, static_cast<int>(byDemand) });
+        view.desired = std::max(1, static_cast<int>(byDemand));
         view.desired = std::min(view.desired, static_cast<int>(plan.engines.size()));
         for (const std::string &holder : view.holders)
             plan.engineLoad[holder] += view.demand / view.copies;
@@ -455,7 +482,7 @@
     bool bestFromStore = true;
     for (EngineRecord *engine : plan.engines) {
         const std::string &id = engine->info.id;
-        if (!mayOrder(*engine, now) || !engine->loading.empty() || view.holders.contains(id)
+        if (!mayOrder(*engine) || view.holders.contains(id)
             || freeMemory(*engine, *plan.limits) < view.model->memoryMb)
             continue;
         const bool fromStore = loadsFromStore(*engine, view.model->name);
@@ -466,10 +493,10 @@
             if (other->info.zone == engine->info.zone && view.holders.contains(other->info.id))
                 ++sameZone;
         }
-        // A copy in the zone already counts like a quarter of a copy's load; a load from the weight
-        // store like half of one.
+        // A copy in the zone already counts like a quarter of a copy's load.
         const double cost = plan.engineLoad[id]
-                + m_settings.tokensPerCopy * (0.25 * sameZone + (fromStore ? 0.5 : 0.0));
+                + m_settings.tokensPerCopy
+                        * (0.25 * sameZone + (fromStore ? m_settings.storeLoadCost : 0.0));
         if (best == nullptr || cost < bestCost) {
             best = engine;
             bestCost = cost;
@@ -502,7 +529,7 @@
             return false; // room is being made already
     }
     for (EngineRecord *engine : plan.engines) {
-        if (!mayOrder(*engine, now) || !engine->loading.empty()
+        if (!mayOrder(*engine)
             || view.holders.contains(engine->info.id))
             continue;
         const double missing = view.model->memoryMb - freeMemory(*engine, *plan.limits);
@@ -519,8 +546,10 @@
             const bool worthIt = view.copies == 0 || surplus || need > m_settings.surplusRatio * loss;
             if (!worthIt)
                 continue;
+            const bool fromStore = loadsFromStore(*engine, view.model->name);
             const double cost = loss + (surplus ? 0.0 : m_settings.tokensPerCopy)
-                    + double(copy.adapters.size());
+                    + (fromStore ? m_settings.storeLoadCost * m_settings.tokensPerCopy : 0.0)
+                    + double(copy.adapters.size()) - double(victim->copies);
             if (best == nullptr || cost < bestCost) {
                 best = engine;
                 bestVictim = copy.model;
@@ -572,7 +601,7 @@
             return true;
         if (engine->open && engine->open->model == model.name && engine->open->adapter == adapter)
             return true;
-        if (copyOn(*engine, model.name) == nullptr || !mayOrder(*engine, now))
+        if (copyOn(*engine, model.name) == nullptr || !takesAdapters(*engine, now))
             continue;
         const int count = adaptersOn(*engine);
         if (count >= plan.limits->adapterSlots) {
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -57,12 +57,18 @@
                                                              // at the replica ends
     Duration keepFor = std::chrono::seconds(6); // a new copy is not taken out for another's demand
     Duration adapterReady = std::chrono::milliseconds(40); // from an order until it serves
-    Duration adapterPending = std::chrono::seconds(3);     // until a listing shows it
+    Duration adapterPending = std::chrono::seconds(3);     // listings after it show the adapter
+    int adaptersInTransit = 4;    // that a replica takes at once
+    Duration lowerAccepted = std::chrono::milliseconds(1'500); // a report with a lower number of
+                                                               // orders is right after this time
+    Duration reportPauseMost = std::chrono::seconds(4);        // between reports of a silent replica
     Duration listingLag = std::chrono::milliseconds(2'500); // a listing shows what a report showed
     Duration wantFresh = std::chrono::milliseconds(1'500); // a request waits for the copy this long
     double memoryMargin = 0.995; // of a replica's memory that is used
     int adapterOrdersAtOnce = 6; // under way over all replicas; few enough to keep each fast
     double surplusRatio = 1.5;   // a copy moves only to demand this many times its own
+    double storeLoadCost = 2.0;  // a load from the weight store against one from the replica's own
+                                 // copies, in copies' loads: it takes several times as long
 };
 
 // ---- Actions ------------------------------------------------------------------------------------
@@ -107,10 +113,11 @@
     bool openTakesStoreLoad = false;      // it took a token of the ceiling
     std::map<std::string, Instant> loading; // models ordered, not listed yet: given up then
     std::set<std::string> unloading;      // models ordered out, still listed
-    std::map<std::string, Instant> pendingAdapters; // "model/adapter" ordered, maybe not listed yet
+    std::map<std::string, Instant> pendingAdapters; // "model/adapter" not listed yet: ordered at
     std::map<std::string, Instant> keepUntil; // models loaded a short time ago
     Instant reportAt;                     // next report may be asked for then
-    Instant restUntil;                    // no order before
+    int reportsUnanswered = 0;            // in a row
+    Instant lastOrderAt;                  // an order was accepted
 };
 
 class CopyPlacement
@@ -168,10 +175,11 @@
                       Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
-    bool mayOrder(const EngineRecord &engine, Instant now) const;
+    bool mayOrder(const EngineRecord &engine) const;
     int adapterOrdersOpen() const;
     int storeLoadsUnderWay(const std::string &service) const;
     double freeMemory(const EngineRecord &engine, const EngineLimits &limits) const;
+    bool takesAdapters(const EngineRecord &engine, Instant now) const;
     static int adaptersOn(const EngineRecord &engine);
     void forget(EngineRecord &engine, const ReplicaInfo &info);
     static const ModelCopy *copyOn(const EngineRecord &engine, const std::string &model);
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -15,6 +15,17 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+/// @param copy "model" or "model/adapter"
+bool isListed(const ReplicaInfo &info, const std::string &copy)
+{
+    return std::any_of(info.models.begin(), info.models.end(), [&](const ModelCopy &each) {
+        return each.model == copy
+                || std::any_of(each.adapters.begin(), each.adapters.end(), [&](const auto &adapter) {
+                       return copyName(each.model, adapter) == copy;
+                   });
+    });
+}
+
 } // namespace
 
 std::string copyName(const std::string &model, const std::string &adapter)
@@ -61,6 +72,8 @@
     row->info.draining = info.draining || wasDraining; // a drain is never taken back
     row->goneAt = {};
     row->coldUntil = now + info.coldLeft;
+    // Once it is not listed any more, a copy that is listed later is a new one.
+    std::erase_if(row->absent, [&](const auto &entry) { return !isListed(info, entry.first); });
     std::erase_if(row->added, [&](const auto &entry) {
         return now >= entry.second + m_settings.addedFor;
     });
@@ -106,6 +119,15 @@
     row->added.erase(copy);
 }
 
+void ReplicaTable::onCopyLeaving(const std::string &id, const std::string &copy, Instant now)
+{
+    ReplicaRow *row = findRow(id);
+    if (row == nullptr)
+        return;
+    row->absent[copy] = now + m_settings.leavingFor;
+    row->added.erase(copy);
+}
+
 void ReplicaTable::tick(Instant now)
 {
     for (auto each = m_rows.begin(); each != m_rows.end();) {
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -96,6 +96,7 @@
     Duration connectAvoidMax = std::chrono::milliseconds(2'400); // so a recovered replica is found
     Duration loadUsable = std::chrono::milliseconds(1'000); // older readings decay to own counts
     Duration deniedFor = std::chrono::milliseconds(700);   // a copy denied by its replica
+    Duration leavingFor = std::chrono::seconds(15); // a copy ordered out; its last runs take their time
     Duration addedFor = std::chrono::milliseconds(3'000); // two heartbeats: the list shows it then
     double smoothing = 0.15; // weight of the newest outcome in shares
 };
@@ -121,6 +122,9 @@
     /// A copy was loaded that the next announcement will show.
     void onCopyAdded(const std::string &id, const std::string &copy, Instant usableAt);
 
+    /// A copy was ordered out; it gets nothing new, though it is listed until its last run ends.
+    void onCopyLeaving(const std::string &id, const std::string &copy, Instant now);
+
     /// A replica denied that it holds a copy.
     void onCopyDenied(const std::string &id, const std::string &copy, Instant now);
 
