--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -17,8 +17,10 @@
 
 void Lease::setCandidate(bool candidate, Instant now)
 {
-    if (candidate && !m_candidate)
+    if (candidate && !m_candidate) {
+        m_known = false; // the last reading is too old to conclude that nobody renews
         m_nextCallAt = std::min(m_nextCallAt, now);
+    }
     m_candidate = candidate;
 }
 
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -16,26 +16,26 @@
 constexpr const char *LeaseName = "placement";
 
 /// Nodes that watch the lease closely, to take it over; all others hear of the holder.
-constexpr std::size_t Candidates = 3;
+constexpr std::size_t Candidates = 2;
 
 /// A node's processes take over from each other: orders of one node are those of one holder.
 constexpr std::uint64_t NodeIncarnation = 1;
 
-/// Beyond the lease time between the orders of two holders: an order's way.
-constexpr std::chrono::milliseconds TurnMargin { 400 };
-
 constexpr std::chrono::milliseconds OrderDeadline { 600 }; // as CopyPlacementSettings::orderTimeout
 
+/// Beyond the lease time between the orders of two holders: an order's way.
+constexpr std::chrono::milliseconds TurnMargin { 500 };
+
 LeaseSettings leaseSettings(const ServingBounds &bounds)
 {
     LeaseSettings settings;
-    settings.holdTime = std::chrono::milliseconds(2'600);
+    settings.holdTime = std::chrono::milliseconds(1'800); // two renewals and a lost answer
     // The next holder's first order comes this much after the last one of the holder before it: the
     // bound, and the time that an order may take on its way.
-    settings.leaseTime = settings.holdTime + bounds.leaseTime + std::chrono::milliseconds(700);
-    settings.renewInterval = std::chrono::milliseconds(1'000);
-    settings.pollInterval = std::chrono::milliseconds(1'500);
-    settings.answerTimeout = std::chrono::milliseconds(1'600); // the store client's is 1.5 s
+    settings.leaseTime = settings.holdTime + bounds.leaseTime + TurnMargin;
+    settings.renewInterval = std::chrono::milliseconds(700);
+    settings.pollInterval = std::chrono::milliseconds(900);
+    settings.answerTimeout = std::chrono::milliseconds(600); // a slow store takes some hundred
     settings.retryInterval = std::chrono::milliseconds(300);
     return settings;
 }
@@ -155,11 +155,8 @@
     m_lease.tick(now);
     for (const LeaseAction &action : m_lease.takeActions())
         carryOut(action);
-    const std::string &named = m_lease.lastSeen().holder;
-    if (!named.empty() && named != m_state.profile.name)
-        m_otherHolder = named;
     for (const LeaseEvent event : m_lease.takeEvents()) {
-        if (event == LeaseEvent::Taken && !m_otherHolder.empty())
+        if (event == LeaseEvent::Taken && m_wasGivenBack)
             m_ordersFrom = now + m_state.profile.bounds.leaseTime + TurnMargin;
         m_state.log.line("lease")
                 .field("change", event == LeaseEvent::Taken ? "taken" : "lost")
@@ -197,6 +194,7 @@
         read.version = item->revision;
         read.value = leaseFromJson(item->content);
     }
+    noteGivenBack(read);
     m_lease.onRead(read, leaseNow());
     tickLease();
 }
@@ -214,6 +212,15 @@
     tickLease();
 }
 
+/// A lease that lapsed was unchanged for longer than its holder may act; one that was given back may
+/// have been used a moment ago.
+void CopyShell::noteGivenBack(const LeaseReadAnswer &read)
+{
+    const bool byOther = read.value.holder != m_state.profile.name;
+    if (read.available && byOther)
+        m_wasGivenBack = read.version != 0 && read.value.holder.empty();
+}
+
 // ---- Orders -------------------------------------------------------------------------------------
 
 void CopyShell::tickPlacement()
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -39,6 +39,7 @@
     boost::asio::awaitable<void> writeLease(LeaseWrite action);
     boost::asio::awaitable<void> sendOrder(SendCommand action);
     boost::asio::awaitable<void> askReport(AskReport action);
+    void noteGivenBack(const LeaseReadAnswer &read);
     void tickLease();
     void tickPlacement();
 
@@ -47,7 +48,7 @@
     Lease m_lease;
     CopyPlacement m_placement;
     bool m_wasHolder = false;
-    std::string m_otherHolder; // last holder seen that is not this node; empty: none
+    bool m_wasGivenBack = false; // by another node, when this one read it last
     Instant m_ordersFrom;      // on the lease's clock: the holder before has been silent long enough
 };
 
