Bound the prompts that a replica reads at a time; nodes tell each other of prompts they send

A step reads up to 4096 prompt tokens between two tokens of each running stream, and an event holds two tokens. A replica gets at most 165 ms of prompts at a time now; since several nodes send, each tells the others of its prompts by datagram. Ruled out: decode speed (a step takes 9 to 13 ms without prompts).

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t MostDemandRows = 40; // the largest; more do not fit a packet
 constexpr std::size_t MostDatagram = 8 * 1024;
 
-enum class MessageType : std::int64_t { Beat = 1, Want = 2, Copy = 3, Loss = 4 };
+enum class MessageType : std::int64_t { Beat = 1, Want = 2, Copy = 3, Loss = 4, Prompt = 5 };
 
 json::array nodeToJson(const NodeInfo &node)
 {
@@ -80,6 +80,11 @@
     return { static_cast<std::int64_t>(MessageType::Loss), note.fingerprint, note.replica };
 }
 
+json::array toJson(const PromptNote &note)
+{
+    return { static_cast<std::int64_t>(MessageType::Prompt), note.replica, note.freshTokens };
+}
+
 BeatMessage beatFromJson(const json::array &list)
 {
     BeatMessage message;
@@ -111,6 +116,8 @@
                           std::chrono::milliseconds(list.at(4).to_number<std::int64_t>()) };
     case MessageType::Loss:
         return LossNote { list.at(1).to_number<std::uint64_t>(), textAt(list, 2) };
+    case MessageType::Prompt:
+        return PromptNote { textAt(list, 1), list.at(2).to_number<int>() };
     }
     throw std::invalid_argument("unknown type of message");
 }
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -48,7 +48,14 @@
     std::string replica;
 };
 
-using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, LossNote>;
+/// The sender gave a replica a prompt to read.
+struct PromptNote
+{
+    std::string replica;
+    int freshTokens = 0;
+};
+
+using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, LossNote, PromptNote>;
 
 class BeatListener
 {
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -31,7 +31,7 @@
 
 constexpr milliseconds BeatInterval { 500 };
 constexpr milliseconds IdleTick { 100 };
-constexpr milliseconds BusyTick { 25 }; // while requests wait
+constexpr milliseconds BusyTick { 12 }; // while requests wait
 constexpr milliseconds FindInterval { 5'000 };
 constexpr milliseconds FindAfter { 1'500 }; // from the start: seeds have answered by then
 
@@ -60,7 +60,7 @@
 
 // ---- Handlers -----------------------------------------------------------------------------------
 
-CallerHandler::CallerHandler(NodeState &state, LossAnnouncer &announcer)
+CallerHandler::CallerHandler(NodeState &state, NodeAnnouncer &announcer)
     : m_state(state)
     , m_announcer(announcer)
 {
@@ -330,6 +330,8 @@
             m_state.replicas.onCopyAdded(copy->replica, copy->copy, now + copy->usableIn);
         else
             m_state.replicas.onCopyLeaving(copy->replica, copy->copy, now);
+    } else if (const auto *prompt = std::get_if<PromptNote>(&message)) {
+        m_state.replicas.onPrompt(prompt->replica, prompt->freshTokens, now);
     } else {
         const auto &loss = std::get<LossNote>(message);
         m_state.suspects.onLost(loss.fingerprint, loss.replica, now);
@@ -351,6 +353,11 @@
     m_copies.onDemand(sender, message.demand);
 }
 
+void EdgeProgram::announcePrompt(const std::string &replica, int freshTokens)
+{
+    m_link.send(PromptNote { replica, freshTokens }, m_state.directory.liveAddresses(steadyNow()));
+}
+
 void EdgeProgram::announceLoss(std::uint64_t fingerprint, const std::string &replica)
 {
     m_state.log.line("request_lost_replica")
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -23,12 +23,12 @@
 class CallerHandler : public HttpHandler
 {
 public:
-    CallerHandler(NodeState &state, LossAnnouncer &announcer);
+    CallerHandler(NodeState &state, NodeAnnouncer &announcer);
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
 
 private:
     NodeState &m_state;
-    LossAnnouncer &m_announcer;
+    NodeAnnouncer &m_announcer;
 };
 
 /// Tells callers which addresses to use.
@@ -64,7 +64,7 @@
     NodeState &m_state;
 };
 
-class EdgeProgram : private BeatListener, private StoreListener, private LossAnnouncer
+class EdgeProgram : private BeatListener, private StoreListener, private NodeAnnouncer
 {
 public:
     /// @param rereadSettings called when the settings may have changed
@@ -79,6 +79,7 @@
     void onBeat(const BeatMessage &message);
     void onList(ObjectKind kind, const std::vector<StoredItem> &items) override;
     void onChanges(ObjectKind kind, const std::vector<StoredItem> &items) override;
+    void announcePrompt(const std::string &replica, int freshTokens) override;
     void announceLoss(std::uint64_t fingerprint, const std::string &replica) override;
 
     void takeConfig(const StoredItem &item);
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-RequestFlow::RequestFlow(NodeState &state, LossAnnouncer &announcer, const HttpRequest &request,
+RequestFlow::RequestFlow(NodeState &state, NodeAnnouncer &announcer, const HttpRequest &request,
                          HttpReply &reply)
     : m_state(state)
     , m_announcer(announcer)
@@ -216,6 +216,8 @@
             .field("weighed", start.choice.weighed);
     m_firstByteSeen = false;
     m_connectionBroke = false;
+    if (!m_request.model.empty())
+        m_announcer.announcePrompt(start.choice.id, start.choice.freshTokens);
     AttemptResult end = co_await exchangeOnce(start);
     m_exchange.reset();
     if (m_callerLeft && end != AttemptResult::Delivered)
@@ -306,7 +308,6 @@
     const ReplicaRow *row = m_state.replicas.find(start.choice.id);
     const double slowness = row == nullptr ? 1.0 : row->slowness;
     m_state.replicas.onFirstByte(start.choice.id, start.choice.generation,
-                                 start.choice.freshTokens,
                                  double(taken.count()) / expected * slowness);
     m_state.chooser.onFirstByte(m_request.service, !m_request.model.empty(), taken);
     m_firstByteAfter = steadyNow() - m_arrived;
@@ -349,8 +350,7 @@
     const bool lost = end == AttemptResult::Lost || end == AttemptResult::StreamCut;
     if (lost && m_connectionBroke && m_state.suspects.onLost(m_fingerprint, id, now))
         m_announcer.announceLoss(m_fingerprint, id);
-    m_state.replicas.onFinished(id, start.choice.generation,
-                                m_firstByteSeen ? 0 : start.choice.freshTokens, outcome, now);
+    m_state.replicas.onFinished(id, start.choice.generation, outcome, now);
     m_state.waiting.pump();
 }
 
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -12,11 +12,16 @@
 
 namespace burdock {
 
-/// Tells the other nodes that a replica was lost while it ran a request.
-class LossAnnouncer
+/// Tells the other nodes what they cannot see.
+class NodeAnnouncer
 {
 public:
-    virtual ~LossAnnouncer() = default;
+    virtual ~NodeAnnouncer() = default;
+
+    /// A replica was sent a prompt to read.
+    virtual void announcePrompt(const std::string &replica, int freshTokens) = 0;
+
+    /// A replica was lost while it ran a request.
     virtual void announceLoss(std::uint64_t fingerprint, const std::string &replica) = 0;
 };
 
@@ -24,7 +29,7 @@
 {
 public:
     /// @param state, request, reply outlive the flow
-    RequestFlow(NodeState &state, LossAnnouncer &announcer, const HttpRequest &request,
+    RequestFlow(NodeState &state, NodeAnnouncer &announcer, const HttpRequest &request,
                 HttpReply &reply);
 
     ~RequestFlow();
@@ -69,7 +74,7 @@
     void logDone(const char *outcome, int status, const std::string &reason);
 
     NodeState &m_state;
-    LossAnnouncer &m_announcer;
+    NodeAnnouncer &m_announcer;
     const HttpRequest &m_raw;
     HttpReply &m_reply;
     std::shared_ptr<const ServingConfig> m_config; // keeps the route
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -48,14 +48,13 @@
         if (home)
             kept = std::max(kept, chain.sharedTokens);
         candidate.freshTokens = std::max(0, request.promptTokens - kept);
-        const double ahead = std::max<double>(row.prefillTokens,
-                                              m_table.estimatedWaiting(row, now)
-                                                      * profile.meanPrompt);
-        const double prefillMs = (ahead + candidate.freshTokens) / m_settings.prefillTokensPerMs;
-        candidate.firstByteUs = prefillMs * 1'000.0 + double(m_settings.stepTime.count())
+        const Duration prefill = m_table.prefillAhead(row, now)
+                + m_table.prefillTime(row, candidate.freshTokens);
+        candidate.firstByteUs = double(prefill.count() + m_settings.stepTime.count())
                 + load * double(m_settings.stepPerRequest.count());
     }
-    candidate.firstByteUs *= row.slowness;
+    if (request.model.empty())
+        candidate.firstByteUs *= row.slowness; // prefill times include it
     if (now < row.coldUntil)
         candidate.firstByteUs *= 1.5; // a cold replica works at about two thirds of its speed
     const double distance =
@@ -66,21 +65,27 @@
     return candidate;
 }
 
-bool ReplicaChooser::hasRoom(const Candidate &candidate, const ServingRequest &request, Instant now)
+double ReplicaChooser::mostRequests(const ReplicaRow &row, const ServingRequest &request)
 {
-    const ReplicaRow &row = *candidate.row;
-    const double load = m_table.estimatedLoad(row, now);
     if (request.model.empty())
-        return load < slots(row) * m_settings.plainOverSlots;
+        return slots(row) * m_settings.plainOverSlots;
     double most = slots(row);
     if (const auto kv = m_kvTokens.find(request.service); kv != m_kvTokens.end() && kv->second > 0)
         most = std::min(most, m_settings.kvShare * kv->second
                                 / std::max(1.0, m_profiles[request.service].meanTokens));
-    if (load >= std::max(1.0, most))
+    return std::max(1.0, most);
+}
+
+bool ReplicaChooser::hasRoom(const Candidate &candidate, const ServingRequest &request, Instant now)
+{
+    const ReplicaRow &row = *candidate.row;
+    if (m_table.estimatedLoad(row, now) >= mostRequests(row, request))
         return false;
-    const double queueUs = candidate.firstByteUs
-            - candidate.freshTokens / m_settings.prefillTokensPerMs * 1'000.0 * row.slowness;
-    return queueUs <= double(m_settings.mostPrefillAhead.count());
+    if (request.model.empty())
+        return true;
+    const Duration ahead = m_table.prefillAhead(row, now);
+    const Duration own = m_table.prefillTime(row, candidate.freshTokens);
+    return ahead <= m_settings.prefillIdle || ahead + own <= m_settings.prefillLimit;
 }
 
 ChooserAnswer ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -8,7 +8,8 @@
 //
 // For model replicas the time is made of prompt tokens ahead of the request, its own tokens that the
 // replica does not keep, and the batch; for plain ones of the requests beyond the replica's slots.
-// It answers two loads: uneven ones, where many nodes see the same stale readings (a random factor
+// A replica gets only so many prompts at a time that the pauses of its running streams stay short;
+// nodes tell each other of the prompts that they send. It answers two more loads: uneven ones, where many nodes see the same stale readings (a random factor
 // keeps them apart), and replicas that are slow or fail while they call themselves healthy (observed
 // slowness and failures multiply the cost).
 #pragma once
@@ -48,7 +49,6 @@
 {
     std::string zone;                                         // availability zone of this node
     Duration zoneDistance = std::chrono::milliseconds(4);     // cost of leaving it: way and traffic
-    double prefillTokensPerMs = 18.0;                         // start value; slowness corrects it
     Duration stepTime = std::chrono::milliseconds(10);        // one step of a batch
     Duration stepPerRequest = std::chrono::microseconds(300); // each request slows the others
     Duration plainServiceTime = std::chrono::milliseconds(40); // start value; learned
@@ -57,7 +57,10 @@
     double kvShare = 0.85;         // of a replica's KV cache that requests may fill
     double plainOverSlots = 1.25;  // requests at a plain replica, against its slots
     int defaultSlots = 16;         // for replicas that do not say
-    Duration mostPrefillAhead = std::chrono::milliseconds(800); // prompts queued before a replica
+    // Prompts are read between the tokens of running streams, and an event may hold two tokens: with
+    // more than this to read, two steps together exceed the longest pause that is still on time.
+    Duration prefillLimit = std::chrono::milliseconds(165);
+    Duration prefillIdle = std::chrono::milliseconds(12); // less ahead is nothing: about one step
 };
 
 struct ServiceProfile
@@ -107,6 +110,7 @@
     Candidate weigh(const ReplicaRow &row, const ServingRequest &request, const PromptChain &chain,
                     bool home, Instant now);
     bool hasRoom(const Candidate &candidate, const ServingRequest &request, Instant now);
+    double mostRequests(const ReplicaRow &row, const ServingRequest &request);
     int slots(const ReplicaRow &row) const;
 
     const ReplicaTable &m_table;
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -149,14 +149,37 @@
     return found == m_rows.end() ? nullptr : &found->second;
 }
 
-void ReplicaTable::onSent(const std::string &id, int promptTokens, Instant)
+void ReplicaTable::onSent(const std::string &id, int freshTokens, Instant now)
 {
     ReplicaRow *row = findRow(id);
     if (row == nullptr)
         return;
     row->inFlight++;
     row->changeSinceLoad++;
-    row->prefillTokens += promptTokens;
+    onPrompt(id, freshTokens, now);
+}
+
+void ReplicaTable::onPrompt(const std::string &id, int freshTokens, Instant now)
+{
+    ReplicaRow *row = findRow(id);
+    if (row == nullptr || freshTokens <= 0)
+        return;
+    row->prefillUntil = std::max(row->prefillUntil, now) + prefillTime(*row, freshTokens);
+}
+
+Duration ReplicaTable::prefillTime(const ReplicaRow &row, int freshTokens) const
+{
+    constexpr double Million = 1e6;
+    constexpr double MicrosecondsPerMs = 1e3;
+    const double tokens = freshTokens;
+    const double ms = tokens / m_settings.prefillTokensPerMs
+            + m_settings.pairsMsPerMillion * tokens * tokens / Million;
+    return Duration(static_cast<Duration::rep>(ms * row.slowness * MicrosecondsPerMs));
+}
+
+Duration ReplicaTable::prefillAhead(const ReplicaRow &row, Instant now) const
+{
+    return std::max(Duration::zero(), row.prefillUntil - now);
 }
 
 void ReplicaTable::onLoad(const std::string &id, const LoadReading &reading, Instant now)
@@ -169,21 +192,19 @@
     row->changeSinceLoad = 0;
 }
 
-void ReplicaTable::onFirstByte(const std::string &id, std::uint64_t generation, int promptTokens,
-                               double ratio)
+void ReplicaTable::onFirstByte(const std::string &id, std::uint64_t generation, double ratio)
 {
     ReplicaRow *row = findRow(id);
     if (row == nullptr || row->generation != generation)
         return;
     constexpr double LeastRatio = 0.25; // one odd answer must not make a replica look idle or dead
     constexpr double MostRatio = 8.0;
-    row->prefillTokens -= promptTokens;
     row->connectFailures = 0;
     row->slowness += m_settings.smoothing
             * (std::clamp(ratio, LeastRatio, MostRatio) - row->slowness);
 }
 
-void ReplicaTable::onFinished(const std::string &id, std::uint64_t generation, int promptTokensLeft,
+void ReplicaTable::onFinished(const std::string &id, std::uint64_t generation,
                               ReplicaOutcome outcome, Instant now)
 {
     ReplicaRow *row = findRow(id);
@@ -191,7 +212,6 @@
         return;
     row->inFlight--;
     row->changeSinceLoad--;
-    row->prefillTokens -= promptTokensLeft;
     if (outcome == ReplicaOutcome::Rejected)
         row->avoidUntil = std::max(row->avoidUntil, now + m_settings.rejectedAvoid);
     if (outcome == ReplicaOutcome::Served || outcome == ReplicaOutcome::Failed) {
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -11,7 +11,7 @@
 // counts what this node sends and sees finished:
 //
 //   table.onAnnounced(info, now);
-//   table.onSent(id, promptTokens, now);             // load + 1
+//   table.onSent(id, freshTokens, now);              // load + 1
 //   table.onLoad(id, { 12, 0, 64 }, now);            // read from the head of an answer
 //   table.onFinished(id, outcome, now);
 //
@@ -73,7 +73,7 @@
     ReplicaInfo info;                // as last announced
     std::uint64_t generation = 0;    // never reused; a new one for each start of the replica
     int inFlight = 0;                // sent from here and not finished
-    int prefillTokens = 0;           // sent from here, no first byte yet
+    Instant prefillUntil;            // prompts sent by any node are read by then, by estimate
     LoadReading load;                // newest reading
     Instant loadReadAt;              // when it came
     int changeSinceLoad = 0;         // own sends less own finishes since that reading
@@ -99,6 +99,8 @@
     Duration leavingFor = std::chrono::seconds(15); // a copy ordered out; its last runs take their time
     Duration addedFor = std::chrono::milliseconds(3'000); // two heartbeats: the list shows it then
     double smoothing = 0.15; // weight of the newest outcome in shares
+    double prefillTokensPerMs = 18.0; // start value, of the engines served today; slowness corrects
+    double pairsMsPerMillion = 1.4;   // attention over a long prompt grows with its square
 };
 
 class ReplicaTable
@@ -133,17 +135,21 @@
 
     // ---- Requests ----
 
-    void onSent(const std::string &id, int promptTokens, Instant now);
+    /// @param freshTokens prompt tokens that the replica has to read; 0 for plain services
+    void onSent(const std::string &id, int freshTokens, Instant now);
+
+    /// A replica got a prompt to read, from this node or another.
+    void onPrompt(const std::string &id, int freshTokens, Instant now);
+
     void onLoad(const std::string &id, const LoadReading &reading, Instant now);
 
     /// The first byte of an answer came.
     /// @param ratio time it took against the time expected
-    void onFirstByte(const std::string &id, std::uint64_t generation, int promptTokens,
-                     double ratio);
+    void onFirstByte(const std::string &id, std::uint64_t generation, double ratio);
 
-    /// A request ended. For one without first byte, give its prompt tokens back.
-    void onFinished(const std::string &id, std::uint64_t generation, int promptTokensLeft,
-                    ReplicaOutcome outcome, Instant now);
+    /// A request ended.
+    void onFinished(const std::string &id, std::uint64_t generation, ReplicaOutcome outcome,
+                    Instant now);
 
     /// No connection could be opened.
     void onConnectFailed(const std::string &id, Instant now);
@@ -166,6 +172,12 @@
     /// @return requests at the replica, from the newest reading and own counts
     double estimatedLoad(const ReplicaRow &row, Instant now) const;
 
+    /// @return time that a replica takes to read prompt tokens
+    Duration prefillTime(const ReplicaRow &row, int freshTokens) const;
+
+    /// @return time until the prompts that the replica has are read
+    Duration prefillAhead(const ReplicaRow &row, Instant now) const;
+
     /// @return requests waiting at the replica, by the newest reading while it is usable
     double estimatedWaiting(const ReplicaRow &row, Instant now) const;
 
