Evict only copies that are not needed; wait only for copies that are coming; refuse late ones at once

The holder announces loads with their expected end; a request waits for such a copy, or 0.3 s for news of one.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -71,8 +71,8 @@
 
 json::array toJson(const CopyNote &note)
 {
-    return { static_cast<std::int64_t>(MessageType::Copy), note.replica, note.copy, note.added,
-             note.usableIn.count() };
+    return { static_cast<std::int64_t>(MessageType::Copy), note.replica, note.copy,
+             static_cast<std::int64_t>(note.change), note.usableIn.count() };
 }
 
 json::array toJson(const LossNote &note)
@@ -104,6 +104,14 @@
     return message;
 }
 
+CopyChange copyChangeFrom(const json::value &value)
+{
+    const auto number = value.to_number<std::int64_t>();
+    if (number < 0 || number > static_cast<std::int64_t>(CopyChange::Leaving))
+        throw std::invalid_argument("unknown change of a copy");
+    return static_cast<CopyChange>(number);
+}
+
 PeerMessage fromJson(const json::array &list)
 {
     switch (static_cast<MessageType>(list.at(0).to_number<std::int64_t>())) {
@@ -112,7 +120,7 @@
     case MessageType::Want:
         return WantNote { textAt(list, 1), textAt(list, 2), textAt(list, 3) };
     case MessageType::Copy:
-        return CopyNote { textAt(list, 1), textAt(list, 2), list.at(3).as_bool(),
+        return CopyNote { textAt(list, 1), textAt(list, 2), copyChangeFrom(list.at(3)),
                           std::chrono::milliseconds(list.at(4).to_number<std::int64_t>()) };
     case MessageType::Loss:
         return LossNote { list.at(1).to_number<std::uint64_t>(), textAt(list, 2) };
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -38,7 +38,7 @@
 {
     std::string replica;
     std::string copy;
-    bool added = true;
+    CopyChange change = CopyChange::Usable;
     std::chrono::milliseconds usableIn { 0 };
 };
 
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -233,15 +233,11 @@
             asio::co_spawn(m_state.io, askReport(std::move(*ask)), asio::detached);
         } else {
             const auto &change = std::get<CopyChanged>(action);
-            const CopyNote note { change.replica, change.copy, change.added,
+            const CopyNote note { change.replica, change.copy, change.change,
                                   std::chrono::duration_cast<std::chrono::milliseconds>(
                                           change.usableIn) };
             m_link.send(note, m_state.directory.liveAddresses(steadyNow()));
-            const Instant now = steadyNow();
-            if (change.added)
-                m_state.replicas.onCopyAdded(change.replica, change.copy, now + change.usableIn);
-            else
-                m_state.replicas.onCopyLeaving(change.replica, change.copy, now);
+            m_state.takeCopyChange(change);
         }
     }
 }
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -326,10 +326,7 @@
     } else if (const auto *want = std::get_if<WantNote>(&message)) {
         m_copies.onWant(*want);
     } else if (const auto *copy = std::get_if<CopyNote>(&message)) {
-        if (copy->added)
-            m_state.replicas.onCopyAdded(copy->replica, copy->copy, now + copy->usableIn);
-        else
-            m_state.replicas.onCopyLeaving(copy->replica, copy->copy, now);
+        m_state.takeCopyChange({ copy->replica, copy->copy, copy->change, copy->usableIn });
     } else if (const auto *prompt = std::get_if<PromptNote>(&message)) {
         m_state.replicas.onPrompt(prompt->replica, prompt->freshTokens, now);
     } else {
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -106,6 +106,22 @@
     return m_budgets.emplace(service, RetryBudget(settings)).first->second;
 }
 
+void NodeState::takeCopyChange(const CopyChanged &change)
+{
+    const Instant now = steadyNow();
+    switch (change.change) {
+    case CopyChange::Usable:
+        replicas.onCopyAdded(change.replica, change.copy, now + change.usableIn);
+        break;
+    case CopyChange::Coming:
+        replicas.onCopyComing(change.replica, change.copy, now + change.usableIn);
+        break;
+    case CopyChange::Leaving:
+        replicas.onCopyLeaving(change.replica, change.copy, now);
+        break;
+    }
+}
+
 void NodeState::applyConfig(ServingConfig next)
 {
     if (next.version <= config->version)
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -9,6 +9,7 @@
 #include "fleet/nodedirectory.h"
 #include "net/httpclient.h"
 #include "net/metrics.h"
+#include "placing/copyplacement.h"
 #include "serving/replicachooser.h"
 #include "serving/scheduler.h"
 #include "serving/servingconfig.h"
@@ -67,6 +68,9 @@
     /// @return the budget for sends beyond the first to a service
     RetryBudget &budgetOf(const std::string &service);
 
+    /// Takes the news of a copy into the table of replicas.
+    void takeCopyChange(const CopyChanged &change);
+
     /// Takes a configuration, unless it is not newer than the one in force.
     void applyConfig(ServingConfig config);
 
--- a/src/edge/storewatch.h
+++ b/src/edge/storewatch.h
@@ -28,7 +28,7 @@
     std::chrono::milliseconds wait { 15'000 };   // a call is held this long; below the history of 20 s
     std::chrono::milliseconds firstPause { 100 }; // after a failure; doubles
     std::chrono::milliseconds lastPause { 800 };  // up to this: the store's return is noticed within
-    std::chrono::milliseconds batchPause { 400 }; // after changes: those that follow come together;
+    std::chrono::milliseconds batchPause { 250 }; // after changes: those that follow come together;
                                                   // far below the 2 s within which they must be in force
     Duration calmAfter = std::chrono::seconds(5); // without failures the store counts as undisturbed
 };
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -48,6 +48,8 @@
     return "a" + std::to_string(number);
 }
 
+constexpr std::uint64_t FirstTerm = 1;
+
 /// A load that is not listed after this many times its usual duration has failed.
 constexpr int LoadPatience = 4;
 constexpr std::chrono::seconds LoadPatienceExtra { 3 };
@@ -188,6 +190,8 @@
                 : findModel(*service->second.engine, command.model);
         const Duration usual = model == nullptr ? Duration(0) : Duration(model->storeLoad);
         engine.loading[command.model] = now + usual * LoadPatience + LoadPatienceExtra;
+        m_actions.emplace_back(CopyChanged { engine.info.id, command.model, CopyChange::Coming,
+                                             loadTime(engine, model) });
         engine.keepUntil[command.model] = now + usual + m_settings.keepFor;
     } else if (command.adapter.empty()) {
         engine.unloading.insert(command.model);
@@ -195,7 +199,7 @@
         const std::string copy = copyName(command.model, command.adapter);
         engine.pendingAdapters[copy] = now;
         m_actions.emplace_back(
-                CopyChanged { engine.info.id, copy, true, m_settings.adapterReady });
+                CopyChanged { engine.info.id, copy, CopyChange::Usable, m_settings.adapterReady });
     } else {
         engine.pendingAdapters.erase(copyName(command.model, command.adapter));
         for (ModelCopy &copy : engine.info.models) {
@@ -242,7 +246,7 @@
 {
     if (holder && (!m_holder || term != m_term)) {
         for (auto &[service, ceiling] : m_ceilings)
-            ceiling.restart(now);
+            ceiling.restart(now, term == FirstTerm);
         for (auto &[id, engine] : m_engines) {
             const ReplicaInfo info = engine.info;
             forget(engine, info); // another holder may have given orders since
@@ -294,6 +298,15 @@
     return !contains(engine.info.inHostMemory, model) && !contains(engine.info.onDisk, model);
 }
 
+Duration CopyPlacement::loadTime(const EngineRecord &engine, const EngineModel *model)
+{
+    if (model == nullptr)
+        return {};
+    if (contains(engine.info.inHostMemory, model->name))
+        return model->hostCopyLoad;
+    return contains(engine.info.onDisk, model->name) ? model->localDiskLoad : model->storeLoad;
+}
+
 double CopyPlacement::freeMemory(const EngineRecord &engine, const EngineLimits &limits) const
 {
     double used = 0.0;
@@ -524,9 +537,12 @@
     EngineRecord *best = nullptr;
     std::string bestVictim;
     double bestCost = 0.0;
-    for (EngineRecord *engine : plan.engines) {
-        if (!engine->unloading.empty())
-            return false; // room is being made already
+    const bool forDemand = view.copies > 0 || view.wanted;
+    for (const EngineRecord *engine : plan.engines) {
+        const bool hasRoom = !view.holders.contains(engine->info.id)
+                && freeMemory(*engine, *plan.limits) >= view.model->memoryMb;
+        if (!engine->unloading.empty() || hasRoom)
+            return false; // room is being made, or waits for its turn at the weight store
     }
     for (EngineRecord *engine : plan.engines) {
         if (!mayOrder(*engine)
@@ -543,7 +559,9 @@
                 continue;
             const double loss = victim->demand / victim->copies;
             const bool surplus = victim->copies > victim->desired;
-            const bool worthIt = view.copies == 0 || surplus || need > m_settings.surplusRatio * loss;
+            // A model that nobody asks for takes only places that nobody needs.
+            const bool worthIt = surplus || (view.copies == 0 && forDemand)
+                    || need > m_settings.surplusRatio * loss;
             if (!worthIt)
                 continue;
             const bool fromStore = loadsFromStore(*engine, view.model->name);
@@ -565,7 +583,7 @@
     ModelView *victim = plan.find(bestVictim);
     victim->copies--;
     victim->holders.erase(best->info.id);
-    m_actions.emplace_back(CopyChanged { best->info.id, bestVictim, false, {} });
+    m_actions.emplace_back(CopyChanged { best->info.id, bestVictim, CopyChange::Leaving, {} });
     send(*best, std::move(command), "make_room", victim->demand, victim->copies + 1, now);
     return true;
 }
@@ -645,7 +663,7 @@
     command.model = victimCopy->model;
     command.adapter = victim;
     m_actions.emplace_back(
-            CopyChanged { full->info.id, copyName(command.model, victim), false, {} });
+            CopyChanged { full->info.id, copyName(command.model, victim), CopyChange::Leaving, {} });
     send(*full, std::move(command), "make_room", least, 1, now);
     return true;
 }
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -48,8 +48,8 @@
 struct CopyPlacementSettings
 {
     std::string node;                      // holder's name in orders
-    double tokensPerCopy = 5'500.0;        // prompt tokens a second that one copy is to serve:
-                                           // about 0.3 of a replica, which has other copies too
+    double tokensPerCopy = 8'000.0;        // prompt tokens a second that one copy is to serve:
+                                           // under half of a replica, which has other copies too
     Duration demandFresh = std::chrono::seconds(3);  // older reports of a node are dropped
     Duration orderTimeout = std::chrono::milliseconds(600); // then an order counts as unanswered
     Duration reportTimeout = std::chrono::milliseconds(600); // then a report is asked for again
@@ -66,7 +66,7 @@
     Duration wantFresh = std::chrono::milliseconds(1'500); // a request waits for the copy this long
     double memoryMargin = 0.995; // of a replica's memory that is used
     int adapterOrdersAtOnce = 6; // under way over all replicas; few enough to keep each fast
-    double surplusRatio = 1.5;   // a copy moves only to demand this many times its own
+    double surplusRatio = 2.0;   // a copy moves only to demand this many times its own
     double storeLoadCost = 2.0;  // a load from the weight store against one from the replica's own
                                  // copies, in copies' loads: it takes several times as long
 };
@@ -88,13 +88,19 @@
     std::string address;
 };
 
-/// Tell the other nodes that a copy is there, or is about to go.
+enum class CopyChange {
+    Usable,  // an adapter was loaded; the listing shows it later
+    Coming,  // a model is being loaded; the listing shows when it is there
+    Leaving, // it was ordered out
+};
+
+/// Tell all nodes what happens to a copy.
 struct CopyChanged
 {
     std::string replica;
     std::string copy; // "model" or "model/adapter"
-    bool added = true;
-    Duration usableIn {}; // added: not before
+    CopyChange change = CopyChange::Usable;
+    Duration usableIn {}; // Usable, Coming: not before
 };
 
 using PlacingAction = std::variant<SendCommand, AskReport, CopyChanged>;
@@ -138,7 +144,7 @@
                   Instant now);
 
     /// This node became the holder, or stopped being it.
-    /// @param term of the lease
+    /// @param term of the lease; in the first term nobody has given orders before
     void setHolder(bool holder, std::uint64_t term, Instant now);
 
     void tick(Instant now);
@@ -181,6 +187,7 @@
     double freeMemory(const EngineRecord &engine, const EngineLimits &limits) const;
     bool takesAdapters(const EngineRecord &engine, Instant now) const;
     static int adaptersOn(const EngineRecord &engine);
+    static Duration loadTime(const EngineRecord &engine, const EngineModel *model);
     void forget(EngineRecord &engine, const ReplicaInfo &info);
     static const ModelCopy *copyOn(const EngineRecord &engine, const std::string &model);
     static bool hasAdapter(const EngineRecord &engine, const std::string &model,
--- a/src/placing/loadceiling.cpp
+++ b/src/placing/loadceiling.cpp
@@ -11,9 +11,9 @@
     m_tokens = std::min(m_settings.burst, m_tokens + seconds * m_settings.loadsPerSecond);
 }
 
-void LoadCeiling::restart(Instant now)
+void LoadCeiling::restart(Instant now, bool first)
 {
-    m_tokens = 0.0;
+    m_tokens = first ? m_settings.burst : 0.0;
     m_refilledAt = now;
 }
 
--- a/src/placing/loadceiling.h
+++ b/src/placing/loadceiling.h
@@ -21,7 +21,8 @@
     void configure(const LoadCeilingSettings &settings) { m_settings = settings; }
 
     /// Empties the bucket, for a new holder.
-    void restart(Instant now);
+    /// @param first nobody has loaded before: it begins full
+    void restart(Instant now, bool first);
 
     /// @return whether a load may begin now
     bool mayLoad(Instant now);
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -59,8 +59,12 @@
         candidate.firstByteUs *= 1.5; // a cold replica works at about two thirds of its speed
     const double distance =
             row.info.zone == m_settings.zone ? 0.0 : double(m_settings.zoneDistance.count());
+    double disturbance = 0.0;
+    if (!request.model.empty()
+        && m_table.prefillTime(row, candidate.freshTokens) > m_settings.prefillLimit)
+        disturbance = load * double(m_settings.disturbedStream.count());
     const double failures = 1.0 + m_settings.failureWeight * row.failureShare;
-    candidate.cost = (candidate.firstByteUs * failures + distance)
+    candidate.cost = (candidate.firstByteUs * failures + distance + disturbance)
             * (1.0 + m_settings.spread * m_random.unit());
     return candidate;
 }
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -60,6 +60,8 @@
     // Prompts are read between the tokens of running streams, and an event may hold two tokens: with
     // more than this to read, two steps together exceed the longest pause that is still on time.
     Duration prefillLimit = std::chrono::milliseconds(165);
+    Duration disturbedStream = std::chrono::milliseconds(12); // cost of a prompt beyond that limit, for
+                                                              // each request that runs there
     Duration prefillIdle = std::chrono::milliseconds(12); // less ahead is nothing: about one step
 };
 
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -72,6 +72,7 @@
     row->info.draining = info.draining || wasDraining; // a drain is never taken back
     row->goneAt = {};
     row->coldUntil = now + info.coldLeft;
+    std::erase_if(row->coming, [&](const auto &entry) { return isListed(info, entry.first); });
     // Once it is not listed any more, a copy that is listed later is a new one.
     std::erase_if(row->absent, [&](const auto &entry) { return !isListed(info, entry.first); });
     std::erase_if(row->added, [&](const auto &entry) {
@@ -119,6 +120,28 @@
     row->added.erase(copy);
 }
 
+void ReplicaTable::onCopyComing(const std::string &id, const std::string &copy, Instant expectedAt)
+{
+    ReplicaRow *row = findRow(id);
+    if (row != nullptr)
+        row->coming[copy] = expectedAt;
+}
+
+Instant ReplicaTable::copyExpectedAt(const std::string &service, const std::string &copy,
+                                     Instant now) const
+{
+    Instant earliest = Instant::max();
+    for (const std::string &id : ofService(service)) {
+        const ReplicaRow *row = find(id);
+        const auto coming = row->coming.find(copy);
+        if (coming == row->coming.end() || row->info.draining
+            || now > coming->second + m_settings.comingLate)
+            continue;
+        earliest = std::min(earliest, std::max(now, coming->second));
+    }
+    return earliest;
+}
+
 void ReplicaTable::onCopyLeaving(const std::string &id, const std::string &copy, Instant now)
 {
     ReplicaRow *row = findRow(id);
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -84,6 +84,7 @@
     Instant goneAt;                  // missing from the list: dropped then; zero when listed
     Instant coldUntil;               // slow until then
     std::unordered_map<std::string, Instant> absent; // "model/adapter" it denied holding, until then
+    std::unordered_map<std::string, Instant> coming; // models being loaded, expected then
     std::unordered_map<std::string, Instant> added;  // "model/adapter" loaded after the announcement
 };
 
@@ -96,6 +97,7 @@
     Duration connectAvoidMax = std::chrono::milliseconds(2'400); // so a recovered replica is found
     Duration loadUsable = std::chrono::milliseconds(1'000); // older readings decay to own counts
     Duration deniedFor = std::chrono::milliseconds(700);   // a copy denied by its replica
+    Duration comingLate = std::chrono::seconds(4);  // beyond the expected time a load has failed
     Duration leavingFor = std::chrono::seconds(15); // a copy ordered out; its last runs take their time
     Duration addedFor = std::chrono::milliseconds(3'000); // two heartbeats: the list shows it then
     double smoothing = 0.15; // weight of the newest outcome in shares
@@ -124,6 +126,12 @@
     /// A copy was loaded that the next announcement will show.
     void onCopyAdded(const std::string &id, const std::string &copy, Instant usableAt);
 
+    /// A model is being loaded.
+    void onCopyComing(const std::string &id, const std::string &copy, Instant expectedAt);
+
+    /// @return when a replica of the service is expected to hold the copy; Instant::max() if none is
+    Instant copyExpectedAt(const std::string &service, const std::string &copy, Instant now) const;
+
     /// A copy was ordered out; it gets nothing new, though it is listed until its last run ends.
     void onCopyLeaving(const std::string &id, const std::string &copy, Instant now);
 
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -79,9 +79,13 @@
         return now + Duration(static_cast<Duration::rep>(double(left.count()) * part));
     };
     switch (waiting.cause) {
-    case NoReplica::NotHeld:
-        return request.model.empty() ? std::min(now + m_settings.unusableWait, request.deadline)
-                                     : share(m_settings.placingShare);
+    case NoReplica::NotHeld: {
+        const Instant expected = m_table.copyExpectedAt(
+                request.service, copyName(request.model, request.adapter), now);
+        const Instant latest = share(m_settings.placingShare);
+        const Instant news = std::min(now + m_settings.orderWait, latest);
+        return expected < latest ? latest : news;
+    }
     case NoReplica::Unusable:
         return std::min(now + m_settings.unusableWait, share(m_settings.placingShare));
     case NoReplica::Full:
@@ -90,6 +94,19 @@
     return std::max(std::min(request.objective, request.deadline), share(m_settings.lateShare));
 }
 
+/// A load may have been ordered since the request began to wait.
+Instant RequestScheduler::extendedPatience(const Waiting &waiting, Instant now) const
+{
+    const ServingRequest &request = waiting.request;
+    const Duration whole = request.deadline - request.arrived;
+    const Instant latest = request.arrived
+            + Duration(static_cast<Duration::rep>(double(whole.count())
+                                                  * m_settings.placingShare));
+    const Instant expected =
+            m_table.copyExpectedAt(request.service, copyName(request.model, request.adapter), now);
+    return expected < latest ? latest : now;
+}
+
 std::size_t RequestScheduler::aheadOf(const Waiting &waiting) const
 {
     const auto queue = m_queues.find(waiting.request.service);
@@ -120,7 +137,8 @@
     const double rate = startsPerSecond(waiting.request);
     if (waiting.cause == NoReplica::Full && rate > 0.0 && !waiting.attempted) {
         const double waitUs = 1e6 * double(aheadOf(waiting) + 1) / rate;
-        if (now + Duration(static_cast<Duration::rep>(waitUs)) > waiting.giveUpAt) {
+        const Instant expected = now + Duration(static_cast<Duration::rep>(waitUs));
+        if (expected > std::min(waiting.request.objective, waiting.giveUpAt)) {
             refuse(waiting, "overload", now);
             return;
         }
@@ -186,6 +204,8 @@
     pump(now);
     for (auto &[service, queue] : m_queues) {
         for (auto each = queue.begin(); each != queue.end();) {
+            if (now >= each->giveUpAt && each->cause == NoReplica::NotHeld)
+                each->giveUpAt = std::max(each->giveUpAt, extendedPatience(*each, now));
             if (now < each->giveUpAt) {
                 ++each;
                 continue;
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -60,10 +60,11 @@
     std::size_t mostQueued = 2'000; // requests waiting at this node; bounds its memory
     Duration unusableWait = std::chrono::milliseconds(250); // for a replica to come back; longer than
                                                             // the first pause after a failure
-    double placingShare = 0.55; // of a request's time that it may wait for a copy to be loaded
+    Duration orderWait = std::chrono::milliseconds(300); // for news that a copy is being loaded
+    double placingShare = 0.7; // of a request's time that it may wait for a copy to be loaded
     Duration wantRepeat = std::chrono::milliseconds(250); // WantCopy is repeated, it may get lost
     Duration rateWindow = std::chrono::milliseconds(500); // starts are counted over it
-    double lateShare = 0.45; // of a request's time within which a late start is still worth it
+    double lateShare = 0.7; // of a request's time within which a late start is still worth it
     std::chrono::milliseconds retryAfterMin { 250 };      // bounds of the advice to callers
     std::chrono::milliseconds retryAfterMax { 3'000 };    //
 };
@@ -117,6 +118,7 @@
     void refuse(const Waiting &waiting, const char *reason, Instant now);
     void want(const ServingRequest &request, Instant now);
     Instant patience(const Waiting &waiting, Instant now) const;
+    Instant extendedPatience(const Waiting &waiting, Instant now) const;
     double startsPerSecond(const ServingRequest &request) const;
     std::size_t aheadOf(const Waiting &waiting) const;
 
