Test the decisions; find two ways to overcommit a replica, both from listings that lag

tests/placing plays placement against replicas that lose orders or carry them out late. It failed: an adapter that only a report had shown was ordered again; after 2.5 s without a listing the holder forgot what a report had shown, and loaded a third model where two fit. What a report showed counts now until a listing that came after it. Idle adapters give way, ones in use stay (their replica refused orders for seconds). Queue waits also follow the prompts queued, so that the first burst is refused early.

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -133,6 +133,8 @@
         engine.loading.erase(copy.model);
     std::erase_if(engine.unloading,
                   [&](const std::string &model) { return copyOn(engine, model) == nullptr; });
+    if (now >= engine.reportedUntil)
+        engine.reported.clear();
     std::erase_if(engine.pendingAdapters, [&](const auto &entry) {
         return now - entry.second >= m_settings.adapterPending
                 || isListed(info.models, entry.first);
@@ -195,6 +197,8 @@
         engine.keepUntil[command.model] = now + usual + m_settings.keepFor;
     } else if (command.adapter.empty()) {
         engine.unloading.insert(command.model);
+        std::erase_if(engine.reported,
+                      [&](const ModelCopy &copy) { return copy.model == command.model; });
     } else if (command.load) {
         const std::string copy = copyName(command.model, command.adapter);
         engine.pendingAdapters[copy] = now;
@@ -202,9 +206,11 @@
                 CopyChanged { engine.info.id, copy, CopyChange::Usable, m_settings.adapterReady });
     } else {
         engine.pendingAdapters.erase(copyName(command.model, command.adapter));
-        for (ModelCopy &copy : engine.info.models) {
-            if (copy.model == command.model)
-                std::erase(copy.adapters, command.adapter);
+        for (auto *held : { &engine.info.models, &engine.reported }) {
+            for (ModelCopy &copy : *held) {
+                if (copy.model == command.model)
+                    std::erase(copy.adapters, command.adapter);
+            }
         }
     }
 }
@@ -271,8 +277,8 @@
 {
     if (engine.pendingAdapters.contains(copyName(model, adapter)))
         return true;
-    const ModelCopy *copy = copyOn(engine, model);
-    return copy != nullptr && contains(copy->adapters, adapter);
+    const std::string name = copyName(model, adapter);
+    return isListed(engine.info.models, name) || isListed(engine.reported, name);
 }
 
 int CopyPlacement::adaptersOn(const EngineRecord &engine)
@@ -375,16 +381,19 @@
 {
     std::erase_if(m_demand, [&](const auto &entry) { return now >= entry.second.until; });
     std::erase_if(m_wants, [&](const auto &entry) { return now >= entry.second.until; });
+    std::erase_if(m_noPreload, [&](const auto &entry) { return now >= entry.second; });
     for (auto &[id, engine] : m_engines) {
         if (engine.open && now >= engine.openUntil) {
             engine.open.reset();
             engine.trusted = false;
             engine.reportAt = now;
         }
-        if (now >= engine.reportedUntil)
-            engine.reported.clear();
-        std::erase_if(engine.loading, [&](const auto &entry) { return now >= entry.second; });
-        if (!engine.trusted && !engine.info.draining && now >= engine.reportAt) {
+        if (std::erase_if(engine.loading, [&](const auto &entry) { return now >= entry.second; }) > 0) {
+            engine.trusted = false; // it failed, or the listing does not come through
+            engine.reportAt = now;
+        }
+        if (!engine.trusted && !engine.info.draining && now >= engine.reportAt
+            && m_services.contains(engine.info.service)) {
             engine.reportAt = now + m_settings.reportTimeout;
             m_actions.emplace_back(AskReport { id, engine.info.address });
         }
@@ -603,7 +612,9 @@
         for (int number = 1; number <= view.model->adapters; ++number) {
             if (adapterOrdersOpen() >= m_settings.adapterOrdersAtOnce)
                 return;
-            placeAdapter(plan, *view.model, adapterName(number), false, now);
+            const std::string adapter = adapterName(number);
+            if (!m_noPreload.contains(copyName(view.model->name, adapter)))
+                placeAdapter(plan, *view.model, adapter, false, now);
         }
     }
 }
@@ -612,7 +623,6 @@
                                  bool wanted, Instant now)
 {
     EngineRecord *best = nullptr;
-    EngineRecord *full = nullptr;
     int bestCount = 0;
     for (EngineRecord *engine : plan.engines) {
         if (hasAdapter(*engine, model.name, adapter))
@@ -622,11 +632,8 @@
         if (copyOn(*engine, model.name) == nullptr || !takesAdapters(*engine, now))
             continue;
         const int count = adaptersOn(*engine);
-        if (count >= plan.limits->adapterSlots) {
-            if (full == nullptr)
-                full = engine;
+        if (count >= plan.limits->adapterSlots)
             continue;
-        }
         if (best == nullptr || count < bestCount) {
             best = engine;
             bestCount = count;
@@ -640,32 +647,44 @@
              plan.adapterDemand[copyName(model.name, adapter)], 0, now);
         return true;
     }
-    if (!wanted || full == nullptr)
-        return false;
-    // Every place is taken: the adapter that is asked for least gives way.
-    const ModelCopy *victimCopy = nullptr;
+    if (wanted)
+        makeAdapterRoom(plan, model, now);
+    return false;
+}
+
+/// Takes out the idle adapter that is asked for least, of the replicas that hold the model. Adapters
+/// in use stay: a replica would refuse other orders until their last request has ended.
+void CopyPlacement::makeAdapterRoom(Plan &plan, const EngineModel &model, Instant now)
+{
+    EngineRecord *best = nullptr;
+    std::string victimModel;
     std::string victim;
-    double least = 0.0;
-    for (const ModelCopy &copy : full->info.models) {
-        for (const std::string &each : copy.adapters) {
-            const double demand = plan.adapterDemand[copyName(copy.model, each)];
-            if (victimCopy == nullptr || demand < least) {
-                victimCopy = &copy;
+    double least = m_settings.adapterIdle;
+    for (EngineRecord *engine : plan.engines) {
+        if (copyOn(*engine, model.name) == nullptr || !takesAdapters(*engine, now))
+            continue;
+        for (const ModelCopy &copy : engine->info.models) {
+            for (const std::string &each : copy.adapters) {
+                const double demand = plan.adapterDemand[copyName(copy.model, each)];
+                if (demand >= least)
+                    continue;
+                best = engine;
+                victimModel = copy.model;
                 victim = each;
                 least = demand;
             }
         }
     }
-    if (victimCopy == nullptr)
-        return false;
+    if (best == nullptr)
+        return;
+    const std::string copy = copyName(victimModel, victim);
+    m_noPreload[copy] = now + m_settings.noPreloadFor;
+    m_actions.emplace_back(CopyChanged { best->info.id, copy, CopyChange::Leaving, {} });
     EngineCommand command;
     command.load = false;
-    command.model = victimCopy->model;
+    command.model = victimModel;
     command.adapter = victim;
-    m_actions.emplace_back(
-            CopyChanged { full->info.id, copyName(command.model, victim), CopyChange::Leaving, {} });
-    send(*full, std::move(command), "make_room", least, 1, now);
-    return true;
+    send(*best, std::move(command), "make_room", least, 1, now);
 }
 
 // ---- Orders -------------------------------------------------------------------------------------
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -10,7 +10,7 @@
 // One node acts, the holder of a lease; its shell calls tick() several times a second. Every model
 // gets one copy at least; models get more copies as the demand for them grows, of the memory that is
 // free, then of copies that the demand needs least. Adapters are loaded ahead of demand as far as
-// there are places.
+// there are places; one that is asked for takes the place of an idle one.
 //
 // Orders and doubt. Each order carries the number of orders that the replica had accepted when the
 // holder knew what it holds. The replica carries it out only while that number stands. So an order
@@ -65,6 +65,9 @@
     Duration listingLag = std::chrono::milliseconds(2'500); // a listing shows what a report showed
     Duration wantFresh = std::chrono::milliseconds(1'500); // a request waits for the copy this long
     double memoryMargin = 0.995; // of a replica's memory that is used
+    double adapterIdle = 25.0; // tokens a second; a request's share of the smoothed demand is above it
+                               // for some seconds
+    Duration noPreloadFor = std::chrono::seconds(10); // an adapter that gave way
     int adapterOrdersAtOnce = 6; // under way over all replicas; few enough to keep each fast
     double surplusRatio = 2.0;   // a copy moves only to demand this many times its own
     double storeLoadCost = 2.0;  // a load from the weight store against one from the replica's own
@@ -113,7 +116,7 @@
     std::uint64_t ordersAccepted = 0;     // by this process of the replica
     bool trusted = false;                 // the number of orders is known, not in doubt
     std::vector<ModelCopy> reported;      // held by the last report; the listing may lag behind it
-    Instant reportedUntil;                // then the listing shows it
+    Instant reportedUntil;                // a listing that comes after it shows what was reported
     std::optional<EngineCommand> open;    // sent, no answer yet
     Instant openUntil;                    // then it counts as unanswered
     bool openTakesStoreLoad = false;      // it took a token of the ceiling
@@ -179,6 +182,7 @@
     void placeAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter, bool wanted,
                       Instant now);
+    void makeAdapterRoom(Plan &plan, const EngineModel &model, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
     bool mayOrder(const EngineRecord &engine) const;
@@ -202,6 +206,7 @@
     std::map<std::string, EngineRecord> m_engines;       // by replica
     std::map<std::string, NodeDemand> m_demand;         // by node
     std::map<std::string, Want> m_wants;                // by service and copy
+    std::map<std::string, Instant> m_noPreload;         // adapters taken out a short time ago
     std::vector<PlacingAction> m_actions;
 };
 
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -121,6 +121,44 @@
     return ahead;
 }
 
+/// @return time that the replicas need for the prompts queued before a request, all of them together
+Duration RequestScheduler::promptsAhead(const Waiting &waiting, Instant now) const
+{
+    const ServingRequest &request = waiting.request;
+    const ReplicaRow *holder = nullptr;
+    int holders = 0;
+    Duration shortest = Duration::max();
+    for (const std::string &id : m_table.ofService(request.service)) {
+        const ReplicaRow *row = m_table.find(id);
+        if (!m_table.usable(*row, now) || !m_table.holds(*row, request.model, request.adapter, now))
+            continue;
+        holder = row;
+        holders++;
+        shortest = std::min(shortest, m_table.prefillAhead(*row, now));
+    }
+    if (holder == nullptr)
+        return {};
+    Duration queued {};
+    const std::string key = rateKey(request);
+    for (const Waiting &other : m_queues.at(request.service)) {
+        if (rateKey(other.request) == key && !goesBefore(request, other.request))
+            queued += m_table.prefillTime(*holder, other.request.promptTokens);
+    }
+    return shortest + queued / holders;
+}
+
+Duration RequestScheduler::expectedWait(const Waiting &waiting, Instant now) const
+{
+    Duration wait {};
+    if (!waiting.request.model.empty() && m_queues.contains(waiting.request.service))
+        wait = promptsAhead(waiting, now);
+    if (const double rate = startsPerSecond(waiting.request); rate > 0.0) {
+        const double byRate = 1e6 * double(aheadOf(waiting) + 1) / rate;
+        wait = std::max(wait, Duration(static_cast<Duration::rep>(byRate)));
+    }
+    return wait;
+}
+
 double RequestScheduler::startsPerSecond(const ServingRequest &request) const
 {
     const auto rate = m_rates.find(rateKey(request));
@@ -134,10 +172,8 @@
         refuse(waiting, "queue_full", now);
         return;
     }
-    const double rate = startsPerSecond(waiting.request);
-    if (waiting.cause == NoReplica::Full && rate > 0.0 && !waiting.attempted) {
-        const double waitUs = 1e6 * double(aheadOf(waiting) + 1) / rate;
-        const Instant expected = now + Duration(static_cast<Duration::rep>(waitUs));
+    if (waiting.cause == NoReplica::Full && !waiting.attempted) {
+        const Instant expected = now + expectedWait(waiting, now);
         if (expected > std::min(waiting.request.objective, waiting.giveUpAt)) {
             refuse(waiting, "overload", now);
             return;
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -7,8 +7,8 @@
 //
 // Answers the heaviest loads: demand that jumps to a multiple of what the replicas can serve, and
 // demand for models that are not resident yet. A queue is ordered by priority, then by who is due
-// first. A request is refused at once when the queue before it, at the rate at which it moves, would
-// start it too late to be on time; so callers learn early that they have to come back, and capacity
+// first. A request is refused at once when the queue before it, by the prompts in it and at the rate at
+// which it moves, would start it too late to be on time; so callers learn early that they have to come back, and capacity
 // goes to requests that are still on time.
 //
 //   scheduler.submit(request, {}, now);
@@ -120,6 +120,8 @@
     Instant patience(const Waiting &waiting, Instant now) const;
     Instant extendedPatience(const Waiting &waiting, Instant now) const;
     double startsPerSecond(const ServingRequest &request) const;
+    Duration expectedWait(const Waiting &waiting, Instant now) const;
+    Duration promptsAhead(const Waiting &waiting, Instant now) const;
     std::size_t aheadOf(const Waiting &waiting) const;
 
     ReplicaTable &m_table;
--- /dev/null
+++ b/tests/adapter/test_decoding.cpp
@@ -0,0 +1,240 @@
+// What the platform sends, decoded: the traps of its names, and bad input.
+#include "platform/hostsettings.h"
+#include "platform/requestdialect.h"
+#include "platform/storedecoder.h"
+
+#include <boost/json/parse.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+
+namespace {
+
+StoredItem item(const std::string &name, const char *json)
+{
+    StoredItem made;
+    made.name = name;
+    made.content = boost::json::parse(json);
+    return made;
+}
+
+HttpRequest request(std::vector<HttpHeader> headers)
+{
+    HttpRequest made;
+    made.method = "POST";
+    made.target = "/a/b?c=d";
+    made.host = "shop.example";
+    made.headers = std::move(headers);
+    return made;
+}
+
+bool hasHeader(const HttpRequest &request, const char *name)
+{
+    return headerValue(request.headers, name).has_value();
+}
+
+} // namespace
+
+TEST_GROUP(StoreDecoder)
+{
+    StoreDecoder decoder;
+};
+
+TEST(StoreDecoder, ReadsAReplica)
+{
+    const auto info = decoder.replica(item("i-1", R"({"service":"s","address":"10.0.0.1:80",
+        "zone":"z","slots":64,"state":"draining","cold_left_ms":250,"sequence":9,"born":1700,
+        "models":[{"name":"m","version":1,"adapters":["a1"]}],
+        "available":{"in_memory":["m"],"on_disk":["m","n"]}})"));
+    CHECK(isOk(info));
+    const ReplicaInfo &replica = valueOf(info);
+    CHECK_EQUAL(std::string("i-1"), replica.id);
+    CHECK(replica.draining);
+    CHECK(replica.coldLeft == 250ms);
+    CHECK_EQUAL(1700, replica.startedMs);
+    CHECK_EQUAL(std::string("a1"), replica.models.at(0).adapters.at(0));
+    CHECK_EQUAL(2, replica.onDisk.size());
+}
+
+TEST(StoreDecoder, AnEntryOfAnotherWriterNamesNoReplica)
+{
+    const char *bad[] = {
+        R"({"service":"s","address":"10.0.0.1:80"})",
+        R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
+        R"({"service":"s","address":"nowhere","state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:80","state":"sleeping"})",
+        R"([1,2,3])",
+        R"("text")",
+        R"(null)",
+    };
+    for (const char *json : bad)
+        CHECK(!isOk(decoder.replica(item("i-1", json))));
+}
+
+TEST(StoreDecoder, OddFieldsBesideTheNeededOnesAreLeftOut)
+{
+    const auto info = decoder.replica(item("i-1", R"({"service":"s","address":"10.0.0.1:80",
+        "state":"ready","slots":"many","models":[{"version":1},7,{"name":"m","adapters":[3]}]})"));
+    CHECK(isOk(info));
+    CHECK_EQUAL(0, valueOf(info).slots);
+    CHECK_EQUAL(1, valueOf(info).models.size());
+}
+
+TEST(StoreDecoder, ReadsRoutesByWhatMayBeRepeated)
+{
+    const auto config = decoder.configuration(item("main", R"({"version":7,"routes":[
+        {"name":"r1","host":"h","path_prefix":"/a/","type":"idempotent","service":"s","attempts":2},
+        {"name":"r2","host":"h","path_prefix":"/b/","type":"non_idempotent","service":"s"},
+        {"name":"r3","host":"h","path_prefix":"/c/","type":"streaming","service":"s"},
+        {"name":"r4","host":"h","path_prefix":"/d/","type":"streaming","resumable":true,
+         "split":[{"service":"s","weight":90},{"service":"t","weight":10}]}],
+        "services":[{"name":"s","engine":{"models":[{"name":"m","load_s":1.6}]}}],
+        "limits":{"idle_timeout_ms":15000}})"));
+    CHECK(isOk(config));
+    const auto &routes = valueOf(config).routes;
+    CHECK(routes[0].repeatable && !routes[1].repeatable);
+    CHECK(!routes[2].repeatable && routes[3].repeatable);
+    CHECK_EQUAL(2, routes[3].targets.size());
+    CHECK(valueOf(config).services.at("s").engine->models[0].storeLoad == 1'600ms);
+    CHECK(valueOf(config).limits.idleTimeout == 15s);
+}
+
+TEST(StoreDecoder, RefusesAConfigurationWithoutVersion)
+{
+    CHECK(!isOk(decoder.configuration(item("main", R"({"routes":[]})"))));
+    CHECK(!isOk(decoder.configuration(item("main", R"({"version":"7","routes":[]})"))));
+}
+
+TEST_GROUP(PlatformDialect)
+{
+    PlatformDialect dialect;
+};
+
+TEST(PlatformDialect, DecodesARequest)
+{
+    const auto decoded = dialect.decode(request({ { "Attempt-Id", "q1" },
+                                                  { "Deadline-Ms", "1500" },
+                                                  { "Model", "m/a3" },
+                                                  { "Token-Count", "1460,80" },
+                                                  { "Prompt-Prefix", "5c1e07a2:800,91bd3f06:410" },
+                                                  { "Last-Event-Id", "12" } }));
+    CHECK(isOk(decoded));
+    const CallerRequest &caller = valueOf(decoded);
+    CHECK(caller.timeLeft == 1'500ms);
+    CHECK_EQUAL(std::string("m"), caller.model);
+    CHECK_EQUAL(std::string("a3"), caller.adapter);
+    CHECK_EQUAL(1460, caller.promptTokens);
+    CHECK_EQUAL(80, caller.outputTokens);
+    CHECK_EQUAL(2, caller.prompt.size());
+    CHECK_EQUAL(410, caller.prompt[1].tokens);
+    CHECK_EQUAL(12, *caller.resumeAfter);
+}
+
+TEST(PlatformDialect, CallersCannotSetWhatIsTheSystemsToSet)
+{
+    const auto decoded = dialect.decode(request({ { "Attempt-Id", "q1" },
+                                                  { "hold", "h1" },
+                                                  { "Pin-Ms", "9" },
+                                                  { "KV-BACKUP", "10.0.0.1:80" },
+                                                  { "Kv-From", "10.0.0.1:80/x" },
+                                                  { "Expect-Instance", "i-9" },
+                                                  { "Request-Urgency", "0" },
+                                                  { "Connection", "keep-alive" },
+                                                  { "X-Other", "kept" } }));
+    const HttpRequest sent =
+            dialect.encode(valueOf(decoded), { "i-1", 900ms, std::nullopt, 4 });
+    for (const char *name : { "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Connection",
+                              "Request-Urgency" })
+        CHECK(!hasHeader(sent, name));
+    CHECK(hasHeader(sent, "X-Other"));
+    CHECK_EQUAL(std::string("i-1"), *headerValue(sent.headers, "Expect-Instance"));
+    CHECK_EQUAL(std::string("900"), *headerValue(sent.headers, "Deadline-Ms"));
+    CHECK_EQUAL(std::string("/a/b?c=d"), sent.target);
+    CHECK_EQUAL(std::string("shop.example"), sent.host);
+}
+
+TEST(PlatformDialect, ARequestWithoutIdIsMalformed)
+{
+    CHECK(!isOk(dialect.decode(request({ { "Model", "m" } }))));
+}
+
+TEST(PlatformDialect, OddHeadersAreIgnored)
+{
+    const auto decoded = dialect.decode(request({ { "Attempt-Id", "q1" },
+                                                  { "Deadline-Ms", "soon" },
+                                                  { "Token-Count", "," },
+                                                  { "Prompt-Prefix", ":,x,5c:,5c:-4,5c:7" } }));
+    CHECK(isOk(decoded));
+    CHECK(!valueOf(decoded).timeLeft.has_value());
+    CHECK_EQUAL(0, valueOf(decoded).promptTokens);
+    CHECK_EQUAL(1, valueOf(decoded).prompt.size());
+}
+
+TEST(PlatformDialect, KnowsWhoseAnswerItIsAndWhetherItRan)
+{
+    CallerRequest caller;
+    caller.name = "q1";
+    caller.model = "m";
+    const auto read = [&](int status, std::vector<HttpHeader> headers) {
+        return dialect.readHead({ status, std::move(headers) }, caller, "i-1");
+    };
+    CHECK(read(200, { { "Attempt-Id", "q2" }, { "Server-Seal", "s" } }).foreign);
+    CHECK(read(200, { { "Attempt-Id", "q1" } }).foreign);
+    CHECK(!read(200, { { "Attempt-Id", "q1" }, { "Server-Seal", "s" } }).foreign);
+    CHECK(!read(500, { { "Attempt-Id", "q1" } }).foreign);
+    CHECK(read(503, { { "Not-Executed", "1" } }).notRun);
+    CHECK(!read(503, { { "Attempt-Id", "q1" } }).notRun);
+    CHECK(read(421, { { "Instance-Id", "i-2" } }).otherReplica);
+    CHECK(read(421, { { "Instance-Id", "i-1" } }).copyAbsent);
+    const auto loaded = read(200, { { "Attempt-Id", "q1" },
+                                    { "Server-Seal", "s" },
+                                    { "Instance-Load", "3,1,8" } });
+    CHECK_EQUAL(3, loaded.load->running);
+    CHECK_EQUAL(8, loaded.load->slots);
+}
+
+TEST(PlatformDialect, AnswersWithAddresses)
+{
+    HttpRequest question;
+    question.target = "/resolve?name=shop.example&region=r&zone=z%2Da";
+    CHECK_EQUAL(std::string("z-a"), dialect.addressQuestion(question)->zone);
+    question.target = "/other";
+    CHECK(!dialect.addressQuestion(question).has_value());
+    CHECK_EQUAL(std::string(R"({"addresses":["10.0.0.1:80"],"ttl_s":1E0})"),
+                dialect.addressAnswer({ "10.0.0.1:80" }, 1s));
+}
+
+TEST(PlatformDialect, TellsWhenToComeBack)
+{
+    const auto headers = dialect.ownHeaders("q1", 1'250ms);
+    CHECK_EQUAL(std::string("1.250"), *headerValue(headers, "Retry-After"));
+    CHECK(!headerValue(dialect.ownHeaders("q1", 0ms), "Retry-After").has_value());
+}
+
+TEST_GROUP(HostSettings)
+{
+};
+
+TEST(HostSettings, ReadsWhatIsThereAndIgnoresTheRest)
+{
+    const auto profile = decodeHostSettings(R"({"node_name":"n","ip":"10.0.0.1","zone":"z",
+        "listen":{"frontend":"10.0.0.1:1","ready":"10.0.0.1:2","registry":"10.0.0.1:3"},
+        "port_range":[7380,7395],"seed_nodes":["10.0.0.2:4","odd",7],"new_field":{"a":1},
+        "bounds":{"grace_s":6,"lease_ms":2500,"retry_slack":54},
+        "limits":{"max_fds":4100},"platform":{"address":"10.0.0.9:8"}})");
+    CHECK(isOk(profile));
+    CHECK(valueOf(profile).bounds.graceTime == 6s);
+    CHECK(valueOf(profile).bounds.leaseTime == 2'500ms);
+    CHECK_EQUAL(1, valueOf(profile).seeds.size());
+    CHECK_EQUAL(7381, valueOf(profile).metrics.port);
+    CHECK_EQUAL(0, valueOf(profile).control.port);
+}
+
+TEST(HostSettings, SaysWhatIsMissing)
+{
+    CHECK(!isOk(decodeHostSettings("{")));
+    CHECK(!isOk(decodeHostSettings("{}")));
+    CHECK(!isOk(decodeHostSettings(R"({"listen":{},"platform":{"address":"10.0.0.9:8"}})")));
+}
--- /dev/null
+++ b/tests/edge/test_beatlink.cpp
@@ -0,0 +1,66 @@
+// Messages between nodes: what is sent arrives as it was, and what cannot be read does no harm.
+#include "edge/beatlink.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PeerMessages)
+{
+};
+
+TEST(PeerMessages, ABeatArrivesAsItWasSent)
+{
+    BeatMessage message;
+    message.beat.sender = { "n1", "10.0.0.1", "z" };
+    message.beat.started = 1'779'462'125'018;
+    message.beat.leaving = true;
+    message.beat.holder = { "n2", "10.0.0.2", 4 };
+    message.beat.others = { { "n3", "10.0.0.3", "z" } };
+    message.demand = { { "pool", "m", "", 1'234.0 } };
+    const auto back = decodePeerMessage(encodePeerMessage(message));
+    CHECK(back.has_value());
+    const auto &beat = std::get<BeatMessage>(*back);
+    CHECK_EQUAL(message.beat.started, beat.beat.started);
+    CHECK(beat.beat.leaving);
+    CHECK_EQUAL(4, beat.beat.holder.term);
+    CHECK_EQUAL(std::string("n3"), beat.beat.others.at(0).name);
+    CHECK_EQUAL(std::string("m"), beat.demand.at(0).model);
+}
+
+TEST(PeerMessages, NotesArriveAsTheyWereSent)
+{
+    const auto copy = std::get<CopyNote>(
+            *decodePeerMessage(encodePeerMessage(CopyNote { "r", "m/a", CopyChange::Coming, 40ms })));
+    CHECK(copy.change == CopyChange::Coming);
+    CHECK(copy.usableIn == 40ms);
+    const auto loss = std::get<LossNote>(
+            *decodePeerMessage(encodePeerMessage(LossNote { 0xffff'ffff'ffff'fffe, "r" })));
+    CHECK_EQUAL(0xffff'ffff'ffff'fffe, loss.fingerprint);
+    const auto prompt = std::get<PromptNote>(
+            *decodePeerMessage(encodePeerMessage(PromptNote { "r", 1'800 })));
+    CHECK_EQUAL(1'800, prompt.freshTokens);
+}
+
+TEST(PeerMessages, WhatIsNoMessageIsNothing)
+{
+    for (const char *text : { "", "[]", "{}", "[9]", "[1]", "[3,\"r\",\"c\",7,1]", "[5,\"r\",\"x\"]",
+                              "[1,[\"n\"],0,true,[],[],[]]" })
+        CHECK(!decodePeerMessage(text).has_value());
+    CHECK(rc::check("arbitrary bytes", [] {
+        decodePeerMessage(*rc::gen::arbitrary<std::string>());
+    }));
+}
+
+TEST(PeerMessages, ABeatWithManyModelsStaysADatagram)
+{
+    BeatMessage message;
+    for (int number = 0; number < 500; ++number)
+        message.demand.push_back({ "service", "model-" + std::to_string(number), "", number * 1.0 });
+    CHECK(encodePeerMessage(message).size() < 1'800);
+    const auto beat = std::get<BeatMessage>(*decodePeerMessage(encodePeerMessage(message)));
+    CHECK_EQUAL(std::string("model-499"), beat.demand.at(0).model); // the largest are kept
+}
--- /dev/null
+++ b/tests/net/test_httpclient.cpp
@@ -0,0 +1,193 @@
+// The HTTP client against servers that misbehave, on loopback.
+#include "net/coroutines.h"
+#include "net/httpclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <optional>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+/// Answers each request head with the next text; an empty text closes the connection.
+struct ScriptedServer
+{
+    ScriptedServer(asio::io_context &context, std::vector<std::string> texts)
+        : io(context)
+        , acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , answers(std::move(texts))
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
+
+    asio::awaitable<void> accept()
+    {
+        while (next < answers.size()) {
+            Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+            connections++;
+            co_await serve(socket);
+        }
+    }
+
+    asio::awaitable<void> serve(Tcp::socket &socket)
+    {
+        asio::streambuf buffer;
+        while (next < answers.size()) {
+            boost::system::error_code failure;
+            const auto bytes =
+                    co_await asio::async_read_until(socket, buffer, "\r\n\r\n", withError(failure));
+            if (failure)
+                co_return;
+            buffer.consume(bytes);
+            const std::string text = answers[next++];
+            co_await asio::async_write(socket, asio::buffer(text), withError(failure));
+            if (failure || text.find("Close-Now") != std::string::npos)
+                co_return;
+        }
+    }
+
+    asio::io_context &io;
+    Tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    std::size_t next = 0;
+    int connections = 0;
+};
+
+const std::string Plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_GROUP(HttpClient)
+{
+    asio::io_context io { 1 };
+
+    /// Makes calls one after the other.
+    std::vector<CallResult<HttpResponse>> call(HttpClient &client, const Endpoint &endpoint,
+                                               int count, const std::string &body = "")
+    {
+        std::vector<CallResult<HttpResponse>> results;
+        const auto run = [&]() -> asio::awaitable<void> {
+            for (int each = 0; each < count; ++each) {
+                HttpRequest request;
+                request.method = body.empty() ? "GET" : "POST";
+                request.body = body;
+                results.push_back(co_await client.call(endpoint, request, steadyNow() + 2s));
+                co_await sleepFor(5ms);
+            }
+        };
+        asio::co_spawn(io, run(), asio::detached);
+        io.run_for(5s);
+        return results;
+    }
+
+    static bool served(const CallResult<HttpResponse> &result)
+    {
+        return std::holds_alternative<HttpResponse>(result);
+    }
+};
+
+TEST(HttpClient, KeepsAConnectionForTheNextCall)
+{
+    ScriptedServer server(io, { Plain, Plain, Plain });
+    HttpClient client(io);
+    const auto results = call(client, server.endpoint(), 3);
+    CHECK_EQUAL(3, results.size());
+    CHECK(served(results[2]));
+    CHECK_EQUAL(1, server.connections);
+}
+
+// Bytes beyond an answer would be taken for the answer to the next request.
+TEST(HttpClient, DropsAConnectionWithBytesBeyondTheAnswer)
+{
+    ScriptedServer server(io, { Plain + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother\r\nClose-Now",
+                                Plain });
+    HttpClient client(io);
+    const auto results = call(client, server.endpoint(), 2);
+    CHECK_EQUAL(2, results.size());
+    CHECK(served(results[1]));
+    CHECK_EQUAL(std::string("ok"), std::get<HttpResponse>(results[1]).body);
+    CHECK_EQUAL(2, server.connections);
+}
+
+TEST(HttpClient, GivesUpAKeptConnectionBeforeTheServerDoes)
+{
+    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\n"
+                                "okClose-Now",
+                                Plain });
+    server.answers[0].resize(server.answers[0].size() - 9); // stays open, yet is not used again
+    HttpClient client(io);
+    asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                HttpRequest request;
+                co_await client.call(server.endpoint(), request, steadyNow() + 1s);
+            },
+            asio::detached);
+    io.run_for(200ms);
+    CHECK_EQUAL(1, client.connectionsOpened());
+    asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                HttpRequest request;
+                co_await client.call(server.endpoint(), request, steadyNow() + 100ms);
+            },
+            asio::detached);
+    io.run_for(300ms);
+    CHECK_EQUAL(2, client.connectionsOpened());
+}
+
+TEST(HttpClient, AnAnswerMayEndWithItsConnection)
+{
+    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\nX: Close-Now\r\n\r\nall of it" });
+    HttpClient client(io);
+    const auto results = call(client, server.endpoint(), 1);
+    CHECK(served(results[0]));
+    CHECK_EQUAL(std::string("all of it"), std::get<HttpResponse>(results[0]).body);
+}
+
+TEST(HttpClient, ATruncatedAnswerIsNone)
+{
+    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\nX: Close-Now\r\nContent-Length: 50\r\n\r\nhalf" });
+    HttpClient client(io);
+    const auto results = call(client, server.endpoint(), 1);
+    CHECK(!served(results[0]));
+    CHECK(std::get<CallFailure>(results[0]).bytesSent);
+}
+
+TEST(HttpClient, WithoutAListenerNothingWasSent)
+{
+    Endpoint nobody;
+    {
+        ScriptedServer server(io, {});
+        nobody = server.endpoint();
+    }
+    HttpClient client(io);
+    const auto results = call(client, nobody, 1);
+    CHECK(!served(results[0]));
+    CHECK(!std::get<CallFailure>(results[0]).bytesSent);
+}
+
+// A server may answer before it has read a long body: waiting for the write would wait forever.
+TEST(HttpClient, ReadsAnEarlyAnswerAndDropsTheConnection)
+{
+    const std::string large(8 * 1024 * 1024, 'x');
+    ScriptedServer server(io, { "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno", Plain });
+    HttpClient client(io);
+    const auto results = call(client, server.endpoint(), 1, large);
+    CHECK(served(results[0]));
+    CHECK_EQUAL(413, std::get<HttpResponse>(results[0]).head.status);
+}
--- /dev/null
+++ b/tests/placing/test_copyplacement.cpp
@@ -0,0 +1,370 @@
+// Placement against replicas that carry out orders, lose answers, or carry orders out late.
+#include "placing/copyplacement.h"
+
+#include "base/random.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <vector>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant Start { 1'000s };
+constexpr double ModelMb = 70'000.0;
+constexpr int ModelCount = 6;
+constexpr int AdapterSlots = 4;
+
+ServingConfig config()
+{
+    ServingService service;
+    service.name = "pool";
+    EngineLimits engine;
+    engine.weightsMb = 145'000.0; // two models
+    engine.adapterSlots = AdapterSlots;
+    engine.loadsPerSecond = 2.0;
+    for (int number = 0; number < ModelCount; ++number) {
+        EngineModel model;
+        model.name = "m" + std::to_string(number);
+        model.memoryMb = ModelMb;
+        model.storeLoad = 2s;
+        model.hostCopyLoad = 800ms;
+        model.localDiskLoad = 1s;
+        model.adapters = number == 0 ? 6 : 0;
+        model.adapterMb = 60.0;
+        engine.models.push_back(model);
+    }
+    service.engine = engine;
+    ServingConfig made;
+    made.version = 1;
+    made.services[service.name] = service;
+    return made;
+}
+
+/// A replica that checks the number of orders, loads for a while, and crashes when overcommitted.
+struct FakeReplica
+{
+    std::string id;
+    std::uint64_t accepted = 0;
+    std::map<std::string, std::vector<std::string>> models;
+    std::string loading;
+    Instant busyUntil;
+    bool overcommitted = false;
+
+    OrderAnswer order(const EngineCommand &command, Instant now)
+    {
+        if (command.ordersAccepted != accepted)
+            return OrderAnswer::Conflict;
+        if (now < busyUntil)
+            return OrderAnswer::Conflict;
+        if (command.load && holds(command))
+            return OrderAnswer::AlreadySo;
+        if (command.adapter.empty())
+            orderModel(command, now);
+        else
+            orderAdapter(command);
+        accepted++;
+        return OrderAnswer::Accepted;
+    }
+
+    bool holds(const EngineCommand &command) const
+    {
+        const auto model = models.find(command.model);
+        if (model == models.end() || command.adapter.empty())
+            return model != models.end();
+        return std::count(model->second.begin(), model->second.end(), command.adapter) > 0;
+    }
+
+    void orderModel(const EngineCommand &command, Instant now)
+    {
+        if (!command.load) {
+            models.erase(command.model);
+            return;
+        }
+        loading = command.model;
+        busyUntil = now + 2s;
+        const double used = ModelMb * double(models.size() + (models.contains(loading) ? 0 : 1))
+                + 60.0 * AdapterSlots;
+        overcommitted = overcommitted || used > 145'000.0;
+    }
+
+    void orderAdapter(const EngineCommand &command)
+    {
+        auto &adapters = models[command.model];
+        if (command.load)
+            adapters.push_back(command.adapter);
+        else
+            std::erase(adapters, command.adapter);
+        std::size_t count = 0;
+        for (const auto &[model, held] : models)
+            count += held.size();
+        overcommitted = overcommitted || count > AdapterSlots;
+    }
+
+    void tick(Instant now)
+    {
+        if (!loading.empty() && now >= busyUntil) {
+            models[loading];
+            loading.clear();
+        }
+    }
+
+    ReplicaInfo listing() const
+    {
+        ReplicaInfo info;
+        info.id = id;
+        info.service = "pool";
+        info.address = "127.0.0.1:9000";
+        info.zone = "a";
+        info.startedMs = 1;
+        for (const auto &[model, adapters] : models)
+            info.models.push_back({ model, adapters });
+        return info;
+    }
+
+    EngineReport report(Instant now) const
+    {
+        EngineReport made;
+        made.startedMs = 1;
+        made.ordersAccepted = accepted;
+        made.busy = now < busyUntil;
+        made.models = listing().models;
+        return made;
+    }
+};
+
+/// Replicas, a placement, and what goes wrong between them.
+struct World
+{
+    explicit World(std::uint64_t seed)
+        : random(seed)
+    {
+        CopyPlacementSettings settings;
+        settings.node = "node-1";
+        placement = std::make_unique<CopyPlacement>(settings);
+        placement->onConfig(config());
+        for (int number = 0; number < 4; ++number) {
+            FakeReplica replica;
+            replica.id = "r" + std::to_string(number);
+            replica.models["m" + std::to_string(number % 2)];
+            replicas.push_back(replica);
+        }
+        placement->setHolder(true, 1, now);
+    }
+
+    FakeReplica &find(const std::string &id)
+    {
+        for (FakeReplica &replica : replicas) {
+            if (replica.id == id)
+                return replica;
+        }
+        FAIL("an order to a replica that does not exist");
+        return replicas.front();
+    }
+
+    void carryOut()
+    {
+        for (PlacingAction &action : placement->takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action))
+                deliver(send->command);
+            else if (const auto *ask = std::get_if<AskReport>(&action))
+                placement->onReport(ask->replica, find(ask->replica).report(now), now);
+        }
+    }
+
+    void deliver(const EngineCommand &command)
+    {
+        orders++;
+        if (command.load && command.adapter.empty())
+            loads.push_back(now);
+        const bool lost = random.unit() < lostShare;
+        if (lost && random.unit() < 0.5) { // carried out 2 to 6 s later
+            late.push_back({ now + 2s + Duration(random.below(4'000'000)), command });
+            return;
+        }
+        const OrderAnswer answer = find(command.replica).order(command, now);
+        placement->onOrderAnswer(command, lost ? OrderAnswer::Unanswered : answer, now);
+    }
+
+    void step()
+    {
+        now += 100ms;
+        for (auto &[at, command] : late) {
+            if (now >= at && command.replica != "")
+                find(command.replica).order(command, now);
+        }
+        std::erase_if(late, [&](const auto &entry) { return now >= entry.first; });
+        for (FakeReplica &replica : replicas) {
+            replica.tick(now);
+            if (random.unit() < 0.1) // listings lag behind
+                placement->onReplica(replica.listing(), now);
+        }
+        placement->tick(now);
+        carryOut();
+    }
+
+    void run(Duration span)
+    {
+        for (const Instant end = now + span; now < end;)
+            step();
+    }
+
+    bool anyOvercommitted() const
+    {
+        return std::any_of(replicas.begin(), replicas.end(),
+                           [](const FakeReplica &replica) { return replica.overcommitted; });
+    }
+
+    int copiesOf(const std::string &model) const
+    {
+        return static_cast<int>(std::count_if(
+                replicas.begin(), replicas.end(),
+                [&](const FakeReplica &replica) { return replica.models.contains(model); }));
+    }
+
+    Random random;
+    Instant now = Start;
+    std::unique_ptr<CopyPlacement> placement;
+    std::vector<FakeReplica> replicas;
+    std::vector<std::pair<Instant, EngineCommand>> late;
+    std::vector<Instant> loads;
+    int orders = 0;
+    double lostShare = 0.0;
+};
+
+} // namespace
+
+TEST_GROUP(CopyPlacement)
+{
+};
+
+TEST(CopyPlacement, EveryModelGetsACopy)
+{
+    World world(1);
+    world.run(20s);
+    for (int model = 0; model < ModelCount; ++model)
+        CHECK(world.copiesOf("m" + std::to_string(model)) >= 1);
+    CHECK(!world.anyOvercommitted());
+}
+
+TEST(CopyPlacement, ModelsInDemandGetMoreCopies)
+{
+    World world(2);
+    world.run(10s);
+    for (int second = 0; second < 20; ++second) {
+        world.placement->onDemand("node-1", { { "pool", "m5", "", 20'000.0 } }, world.now);
+        world.run(1s);
+    }
+    CHECK(world.copiesOf("m5") >= 2);
+    for (int model = 0; model < ModelCount; ++model)
+        CHECK(world.copiesOf("m" + std::to_string(model)) >= 1);
+}
+
+TEST(CopyPlacement, AnAdapterThatIsAskedForIsLoadedAtOnce)
+{
+    World world(3);
+    world.run(10s);
+    world.placement->onWant("pool", "m0", "a6", world.now);
+    world.run(1s);
+    bool held = false;
+    for (const FakeReplica &replica : world.replicas) {
+        const auto model = replica.models.find("m0");
+        held = held || (model != replica.models.end()
+                        && std::count(model->second.begin(), model->second.end(), "a6") > 0);
+    }
+    CHECK(held);
+}
+
+// A report of a busy replica does not show what it is loading: an order that followed it
+// overcommitted the memory (LIMIT).
+TEST(CopyPlacement, OrdersNothingWhileTheReportSaysBusy)
+{
+    CopyPlacementSettings settings;
+    settings.node = "node-1";
+    CopyPlacement placement(settings);
+    placement.onConfig(config());
+    FakeReplica replica;
+    replica.id = "r0";
+    replica.models["m0"];
+    replica.accepted = 5; // orders of an earlier holder, the last of which is being carried out
+    replica.loading = "m1";
+    replica.busyUntil = Start + 2s;
+    placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    for (Instant now = Start; now < Start + 1'900ms; now += 100ms) {
+        placement.tick(now);
+        for (PlacingAction &action : placement.takeActions()) {
+            CHECK(!std::holds_alternative<SendCommand>(action));
+            if (std::holds_alternative<AskReport>(action))
+                placement.onReport("r0", replica.report(now), now);
+        }
+    }
+}
+
+TEST(CopyPlacement, AReplicaWithoutModelsIsNeverAskedForReports)
+{
+    CopyPlacementSettings settings;
+    settings.node = "node-1";
+    CopyPlacement placement(settings);
+    placement.onConfig(config());
+    ReplicaInfo plain;
+    plain.id = "p0";
+    plain.service = "orders";
+    placement.onReplica(plain, Start);
+    placement.setHolder(true, 1, Start);
+    placement.tick(Start + 1s);
+    CHECK(placement.takeActions().empty());
+}
+
+TEST(CopyPlacement, LoadsStayBelowTheCeiling)
+{
+    CHECK(rc::check("no window of 5 s has more loads than the weight store allows", [] {
+        World world(*rc::gen::arbitrary<std::uint64_t>());
+        world.lostShare = 0.2;
+        for (int second = 0; second < 30; ++second) {
+            const auto model = "m" + std::to_string(*rc::gen::inRange(0, ModelCount));
+            world.placement->onDemand("node-1", { { "pool", model, "", 30'000.0 } }, world.now);
+            world.run(1s);
+        }
+        constexpr double Most = 2.0 * 5.0 * 1.1 + 3.0;
+        for (const Instant first : world.loads) {
+            const auto count = std::count_if(
+                    world.loads.begin(), world.loads.end(),
+                    [&](Instant each) { return each >= first && each < first + 5s; });
+            RC_ASSERT(double(count) <= Most);
+        }
+    }));
+}
+
+TEST(CopyPlacement, NothingIsOvercommittedWhenOrdersAreLostOrLate)
+{
+    CHECK(rc::check("memory and adapter places hold", [] {
+        World world(*rc::gen::arbitrary<std::uint64_t>());
+        world.lostShare = 0.35;
+        for (int second = 0; second < 40; ++second) {
+            const auto model = "m" + std::to_string(*rc::gen::inRange(0, ModelCount));
+            world.placement->onDemand("node-1", { { "pool", model, "", 30'000.0 } }, world.now);
+            world.placement->onWant("pool", "m0",
+                                    "a" + std::to_string(*rc::gen::inRange(1, 7)), world.now);
+            if (second % 13 == 12) { // another holder goes on, without the memory of the first
+                world.placement->setHolder(false, 0, world.now);
+                world.placement->setHolder(true, static_cast<std::uint64_t>(second), world.now);
+            }
+            world.run(1s);
+            RC_ASSERT(!world.anyOvercommitted());
+        }
+    }));
+}
+
+TEST(CopyPlacement, WithoutTheLeaseNothingIsOrdered)
+{
+    World world(5);
+    world.placement->setHolder(false, 0, world.now);
+    world.run(10s);
+    CHECK_EQUAL(0, world.orders);
+}
