--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "serving/scheduler.h"
 
 #include <algorithm>
-#include <unordered_set>
 #include <utility>
 
 namespace burdock {
@@ -205,21 +204,30 @@
         return;
     for (auto &[service, queue] : m_queues) {
         std::unordered_set<std::string> stuck; // copies without room: no need to ask again
-        for (auto each = queue.begin(); each != queue.end();) {
-            const std::string key = rateKey(each->request);
-            if (each->excluded.empty() && stuck.contains(key)) {
-                ++each;
-                continue;
-            }
-            if (!tryStart(*each, now)) {
-                if (each->excluded.empty())
-                    stuck.insert(key);
-                ++each;
-                continue;
-            }
-            m_where.erase(each->request.id);
-            each = queue.erase(each);
+        // Behind a long queue everybody would be late: those who can still be on time go first.
+        pumpQueue(queue, stuck, false, now);
+        pumpQueue(queue, stuck, true, now);
+    }
+}
+
+void RequestScheduler::pumpQueue(Queue &queue, std::unordered_set<std::string> &stuck, bool late,
+                                 Instant now)
+{
+    for (auto each = queue.begin(); each != queue.end();) {
+        const std::string key = rateKey(each->request);
+        const bool isLate = now >= each->request.objective;
+        if (isLate != late || (each->excluded.empty() && stuck.contains(key))) {
+            ++each;
+            continue;
+        }
+        if (!tryStart(*each, now)) {
+            if (each->excluded.empty())
+                stuck.insert(key);
+            ++each;
+            continue;
         }
+        m_where.erase(each->request.id);
+        each = queue.erase(each);
     }
 }
 
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -7,7 +7,7 @@
 //
 // Answers the heaviest loads: demand that jumps to a multiple of what the replicas can serve, and
 // demand for models that are not resident yet. A queue is ordered by priority, then by who is due
-// first. A request is refused at once when the queue before it, by the prompts in it and at the rate at
+// first; those that are late already come after those that can still be on time. A request is refused at once when the queue before it, by the prompts in it and at the rate at
 // which it moves, would start it too late to be on time; so callers learn early that they have to come back, and capacity
 // goes to requests that are still on time.
 //
@@ -22,6 +22,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -113,6 +114,7 @@
         double perSecond = 0.0; // smoothed; 0: not known
     };
 
+    void pumpQueue(Queue &queue, std::unordered_set<std::string> &stuck, bool late, Instant now);
     bool tryStart(Waiting &waiting, Instant now);
     void enqueue(Waiting waiting, Instant now);
     void refuse(const Waiting &waiting, const char *reason, Instant now);
