Keep room for the model it was made for, make room for several models at a time

It took a replica that was loading for 8.6 s as having room, and one eviction under way stopped all others.

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -476,7 +476,7 @@
     std::stable_sort(order.begin(), order.end(), [](const ModelView *left, const ModelView *right) {
         const auto rank = [](const ModelView *view) {
             if (view->copies == 0)
-                return view->wanted ? 0 : 1;
+                return view->wanted || view->demand > 0.0 ? 0 : 1;
             return 2;
         };
         if (rank(left) != rank(right))
@@ -505,6 +505,7 @@
     for (EngineRecord *engine : plan.engines) {
         const std::string &id = engine->info.id;
         if (!mayOrder(*engine) || view.holders.contains(id)
+            || isKeptForOther(*engine, view.model->name, now)
             || freeMemory(*engine, *plan.limits) < view.model->memoryMb)
             continue;
         const bool fromStore = loadsFromStore(*engine, view.model->name);
@@ -529,6 +530,7 @@
         return false;
     if (bestFromStore)
         ceiling.onLoad(now);
+    best->roomFor.clear();
     EngineCommand command;
     command.model = view.model->name;
     send(*best, std::move(command), reason, view.demand, view.copies, now);
@@ -539,6 +541,12 @@
     return true;
 }
 
+bool CopyPlacement::isKeptForOther(const EngineRecord &engine, const std::string &model,
+                                   Instant now) const
+{
+    return !engine.roomFor.empty() && engine.roomFor != model && now < engine.roomUntil;
+}
+
 /// Takes out the copies that the demand needs least, on the one replica where that costs least.
 bool CopyPlacement::makeRoom(Plan &plan, const ModelView &view, Instant now)
 {
@@ -546,16 +554,19 @@
     EngineRecord *best = nullptr;
     std::string bestVictim;
     double bestCost = 0.0;
-    const bool forDemand = view.copies > 0 || view.wanted;
+    const bool forDemand = view.wanted || view.demand > 0.0;
     for (const EngineRecord *engine : plan.engines) {
-        const bool hasRoom = !view.holders.contains(engine->info.id)
+        if (engine->roomFor == view.model->name && now < engine->roomUntil)
+            return false; // room is being made
+        const bool hasRoom = mayOrder(*engine) && !view.holders.contains(engine->info.id)
+                && !isKeptForOther(*engine, view.model->name, now)
                 && freeMemory(*engine, *plan.limits) >= view.model->memoryMb;
-        if (!engine->unloading.empty() || hasRoom)
-            return false; // room is being made, or waits for its turn at the weight store
+        if (hasRoom)
+            return false; // it only waits for its turn at the weight store
     }
     for (EngineRecord *engine : plan.engines) {
-        if (!mayOrder(*engine)
-            || view.holders.contains(engine->info.id))
+        if (!mayOrder(*engine) || view.holders.contains(engine->info.id)
+            || isKeptForOther(*engine, view.model->name, now))
             continue;
         const double missing = view.model->memoryMb - freeMemory(*engine, *plan.limits);
         for (const ModelCopy &copy : engine->info.models) {
@@ -586,6 +597,8 @@
     }
     if (best == nullptr)
         return false;
+    best->roomFor = view.model->name;
+    best->roomUntil = now + m_settings.roomKept;
     EngineCommand command;
     command.load = false;
     command.model = bestVictim;
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -55,6 +55,7 @@
     Duration reportTimeout = std::chrono::milliseconds(600); // then a report is asked for again
     Duration reportPause = std::chrono::milliseconds(150);   // after a conflict: the order under way
                                                              // at the replica ends
+    Duration roomKept = std::chrono::seconds(8); // for the model that a copy made room for
     Duration keepFor = std::chrono::seconds(6); // a new copy is not taken out for another's demand
     Duration adapterReady = std::chrono::milliseconds(40); // from an order until it serves
     Duration adapterPending = std::chrono::seconds(3);     // listings after it show the adapter
@@ -124,6 +125,8 @@
     std::set<std::string> unloading;      // models ordered out, still listed
     std::map<std::string, Instant> pendingAdapters; // "model/adapter" not listed yet: ordered at
     std::map<std::string, Instant> keepUntil; // models loaded a short time ago
+    std::string roomFor;                  // a copy was taken out so that this model fits
+    Instant roomUntil;                    // others may take the room then
     Instant reportAt;                     // next report may be asked for then
     int reportsUnanswered = 0;            // in a row
     Instant lastOrderAt;                  // an order was accepted
@@ -179,6 +182,7 @@
     void placeModels(Plan &plan, Instant now);
     bool placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
     bool makeRoom(Plan &plan, const ModelView &view, Instant now);
+    bool isKeptForOther(const EngineRecord &engine, const std::string &model, Instant now) const;
     void placeAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter, bool wanted,
                       Instant now);
