Let a few nodes of each zone watch the store for the others in large fleets

The first two nodes of a zone watch with short waits and say with each answer how old their knowledge is; a follower with sources older than 1.1 s asks the store. Up to 12 nodes nothing changes. Prompt notes go to the nodes of the zone, and leaving the zone costs 12 ms in place of 4.

--- /dev/null
+++ b/src/edge/changefeed.h
@@ -0,0 +1,148 @@
+// Lets a few nodes watch the store for all others, so that its calls do not grow with the fleet.
+//
+// Index
+//   ChangeCache        what a node has seen of the replicas, for nodes that ask
+//   FeedPage           one answer of a node to another
+//   FollowSettings
+//   FollowedStore      an ObjectStore that asks other nodes first
+//
+// In each availability zone the first nodes by name watch the store with short waits, so that they
+// know at any time how old their knowledge is. The others ask them, by long polls that tell that age
+// with every answer. A follower whose sources are too old asks the store itself; so it learns of a
+// change in time also when its sources are cut from the store. Revisions are the store's own, which
+// makes sources interchangeable. The configuration, which can be large, is read from the store when a
+// source names a newer revision. Small fleets watch the store from every node.
+#pragma once
+
+#include "edge/eventlog.h"
+#include "edge/ports.h"
+#include "fleet/nodedirectory.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <list>
+#include <map>
+
+namespace burdock {
+
+// ---- Page ---------------------------------------------------------------------------------------
+
+struct FeedPage
+{
+    bool historyGone = false;                // list anew
+    bool listed = false;                     // the items are all there are
+    std::uint64_t revision = 0;              // of the store, for the replicas
+    std::uint64_t configRevision = 0;        // of the newest configuration known
+    std::chrono::milliseconds age { 0 };     // since the store last confirmed both
+    std::vector<StoredItem> items;           // changes since the asked revision
+};
+
+std::string encodeFeedPage(const FeedPage &page);
+std::optional<FeedPage> decodeFeedPage(std::string_view text);
+
+// ---- Cache --------------------------------------------------------------------------------------
+
+class ChangeCache
+{
+public:
+    /// Takes the whole list.
+    void onList(const std::vector<StoredItem> &items, std::uint64_t revision);
+
+    /// Takes changes up to a revision.
+    void onChanges(const std::vector<StoredItem> &items, std::uint64_t revision);
+
+    /// @param since the asker's revision; 0 asks for the whole list
+    FeedPage page(std::uint64_t since) const;
+
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    struct Change
+    {
+        std::uint64_t revision = 0; // of the answer that brought it
+        StoredItem item;
+    };
+
+    static constexpr std::size_t MostChanges = 2'000; // some minutes' worth; then followers list anew
+
+    std::map<std::string, StoredItem> m_items;
+    std::deque<Change> m_changes;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_oldest = 0; // changes after it are kept
+};
+
+// ---- Store --------------------------------------------------------------------------------------
+
+struct FollowSettings
+{
+    std::size_t smallFleet = 12;      // up to here every node watches the store
+    std::size_t watchersPerZone = 2;  // so that one may fail
+    std::chrono::milliseconds watcherWait { 700 };   // of a watcher's calls; bounds its age
+    std::chrono::milliseconds fallbackWait { 700 };  // of a follower's own call without a source
+    std::chrono::milliseconds pollWait { 500 };      // a source holds a follower's question
+    std::chrono::milliseconds pollTimeout { 900 };   // then the source has failed
+    std::chrono::milliseconds mostAge { 1'100 };     // with a poll and a call below the 2 s in which a
+                                                     // change must be in force
+    std::chrono::milliseconds sourceRest { 1'500 };  // a source that failed is not asked
+};
+
+class FollowedStore : public ObjectStore, public HttpHandler
+{
+public:
+    /// @param store, http, directory, log must outlive the object
+    /// @param feedPort where nodes answer each other's questions
+    FollowedStore(boost::asio::io_context &io, ObjectStore &store, HttpClient &http,
+                  NodeDirectory &directory, EventLog &log, NodeInfo self, std::uint16_t feedPort,
+                  FollowSettings settings = {});
+
+    boost::asio::awaitable<ListAnswer> list(ObjectKind kind) override;
+    boost::asio::awaitable<WatchAnswer> watch(ObjectKind kind, std::uint64_t revision,
+                                              std::chrono::milliseconds wait) override;
+    boost::asio::awaitable<ReadAnswer> read(ObjectKind kind, std::string name) override;
+    boost::asio::awaitable<StoreWriteAnswer> write(ObjectKind kind, std::string name,
+                                                   std::uint64_t expectedRevision,
+                                                   boost::json::value content) override;
+    boost::asio::awaitable<WriteOutcome> remove(ObjectKind kind, std::string name) override;
+
+    /// Answers another node's question.
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
+
+    /// @return whether this node watches the store itself
+    bool watches() const;
+
+private:
+    boost::asio::awaitable<ListAnswer> listFromStore(ObjectKind kind);
+    boost::asio::awaitable<WatchAnswer> watchStore(ObjectKind kind, std::uint64_t revision,
+                                                   std::chrono::milliseconds wait);
+    boost::asio::awaitable<WatchAnswer> followReplicas(std::uint64_t revision, Instant until);
+    boost::asio::awaitable<WatchAnswer> followConfig(std::uint64_t revision, Instant until);
+    boost::asio::awaitable<std::optional<FeedPage>> ask(const std::string &ip,
+                                                        std::uint64_t revision);
+    std::optional<std::string> source();
+    std::chrono::milliseconds age() const;
+    void confirm(ObjectKind kind, std::uint64_t revision);
+    void wakeAskers();
+
+    boost::asio::io_context &m_io;
+    ObjectStore &m_store;
+    HttpClient &m_http;
+    NodeDirectory &m_directory;
+    EventLog &m_log;
+    NodeInfo m_self;
+    std::uint16_t m_feedPort;
+    FollowSettings m_settings;
+    ChangeCache m_cache;
+    std::uint64_t m_configRevision = 0;      // known to this node
+    std::uint64_t m_configRevisionTold = 0;  // named by a source
+    Instant m_replicasConfirmed;             // asked of the store then, by this node or its source
+    Instant m_configConfirmed;               //
+    std::map<std::string, Instant> m_resting; // sources that failed, by address
+    std::list<boost::asio::steady_timer *> m_askers; // questions that wait for changes
+    std::size_t m_nextSource = 0;
+};
+
+} // namespace burdock
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -35,6 +35,11 @@
 constexpr milliseconds FindInterval { 5'000 };
 constexpr milliseconds FindAfter { 1'500 }; // from the start: seeds have answered by then
 
+/// Questions between nodes of one availability zone.
+constexpr milliseconds FeedConnectTimeout { 250 };
+constexpr milliseconds FeedIdleLimit { 30'000 };
+constexpr milliseconds FeedSilence { 2'000 };
+
 /// Descriptors besides callers' connections: replicas, the store, files.
 constexpr std::size_t ReservedDescriptors = 700;
 constexpr std::size_t LeastConnections = 256;
@@ -106,8 +111,9 @@
     co_await reply.send(ready ? StatusOk : StatusUnavailable, {}, "");
 }
 
-MetricsHandler::MetricsHandler(NodeState &state)
+MetricsHandler::MetricsHandler(NodeState &state, const FollowedStore &followed)
     : m_state(state)
+    , m_followed(followed)
 {
 }
 
@@ -120,6 +126,7 @@
     metrics.set("burdock_replica_connections_opened",
                 double(m_state.replicasHttp.connectionsOpened()));
     metrics.set("burdock_nodes_known", double(m_state.directory.known()));
+    metrics.set("burdock_watches_store", m_followed.watches() ? 1.0 : 0.0);
     metrics.set("burdock_log_lines_dropped", double(m_state.log.dropped()));
     std::vector<HttpHeader> headers;
     headers.push_back({ "Content-Type", "text/plain" });
@@ -134,16 +141,21 @@
     , m_rereadSettings(std::move(rereadSettings))
     , m_link(io, m_state.log, *this)
     , m_copies(m_state, m_link)
-    , m_configWatch(io, ports.store, m_state.log, *this, ObjectKind::Configuration)
-    , m_replicaWatch(io, ports.store, m_state.log, *this, ObjectKind::Replicas)
+    , m_feedHttp(io, { FeedConnectTimeout, FeedIdleLimit, FeedSilence })
+    , m_followed(io, ports.store, m_feedHttp, m_state.directory, m_state.log,
+                 { m_state.profile.name, m_state.profile.ip, m_state.profile.zone },
+                 m_state.profile.feedPort)
+    , m_configWatch(io, m_followed, m_state.log, *this, ObjectKind::Configuration)
+    , m_replicaWatch(io, m_followed, m_state.log, *this, ObjectKind::Replicas)
     , m_callerHandler(m_state, *this)
     , m_directoryHandler(m_state)
     , m_readinessHandler(m_state)
-    , m_metricsHandler(m_state)
+    , m_metricsHandler(m_state, m_followed)
     , m_callers(io, callerLimits({}, m_state.profile.descriptors), m_callerHandler)
     , m_directory(io, {}, m_directoryHandler)
     , m_readiness(io, {}, m_readinessHandler)
     , m_metricsServer(io, {}, m_metricsHandler)
+    , m_feedServer(io, {}, m_followed)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(io)
 {
@@ -163,11 +175,12 @@
 Result<Done> EdgeProgram::start()
 {
     const NodeProfile &profile = m_state.profile;
-    const std::pair<HttpServer &, const Endpoint &> servers[] = {
+    const std::pair<HttpServer &, Endpoint> servers[] = {
         { m_callers, profile.callers },
         { m_directory, profile.directory },
         { m_readiness, profile.readiness },
         { m_metricsServer, profile.metrics },
+        { m_feedServer, { profile.ip, profile.feedPort } },
     };
     for (const auto &[server, endpoint] : servers) {
         if (endpoint.port == 0)
@@ -352,7 +365,7 @@
 
 void EdgeProgram::announcePrompt(const std::string &replica, int freshTokens)
 {
-    m_link.send(PromptNote { replica, freshTokens }, m_state.directory.liveAddresses(steadyNow()));
+    m_link.send(PromptNote { replica, freshTokens }, m_state.directory.neighbours(steadyNow()));
 }
 
 void EdgeProgram::announceLoss(std::uint64_t fingerprint, const std::string &replica)
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "edge/beatlink.h"
+#include "edge/changefeed.h"
 #include "edge/copyshell.h"
 #include "edge/nodestate.h"
 #include "edge/requestflow.h"
@@ -57,11 +58,12 @@
 class MetricsHandler : public HttpHandler
 {
 public:
-    explicit MetricsHandler(NodeState &state);
+    MetricsHandler(NodeState &state, const FollowedStore &followed);
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
 
 private:
     NodeState &m_state;
+    const FollowedStore &m_followed;
 };
 
 class EdgeProgram : private BeatListener, private StoreListener, private NodeAnnouncer
@@ -100,6 +102,8 @@
     std::function<void(EventLog &)> m_rereadSettings;
     BeatLink m_link;
     CopyShell m_copies;
+    HttpClient m_feedHttp;
+    FollowedStore m_followed;
     StoreWatch m_configWatch;
     StoreWatch m_replicaWatch;
     CallerHandler m_callerHandler;
@@ -110,6 +114,7 @@
     HttpServer m_directory;
     HttpServer m_readiness;
     HttpServer m_metricsServer;
+    HttpServer m_feedServer;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
--- a/src/edge/nodeprofile.h
+++ b/src/edge/nodeprofile.h
@@ -33,6 +33,7 @@
     Endpoint control;           // calls of other nodes
     Endpoint metrics;           // counters and latencies, for operators
     std::uint16_t peerPort = 0; // datagrams between nodes
+    std::uint16_t feedPort = 0; // questions of other nodes about changes in the store
     std::vector<std::string> seeds; // IP addresses of nodes to ask first; may be stale
     Endpoint store;             // the platform's store
     ServingBounds bounds;
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -116,6 +116,33 @@
     return names;
 }
 
+std::vector<NodeInfo> NodeDirectory::firstOfZone(std::size_t count, Instant now) const
+{
+    std::map<std::string, NodeInfo> zone { { m_self.name, m_self } };
+    for (const auto &[name, row] : m_nodes) {
+        if (row.info.zone == m_self.zone && isLive(row, now))
+            zone[name] = row.info;
+    }
+    std::vector<NodeInfo> first;
+    for (const auto &[name, info] : zone) {
+        if (first.size() < count)
+            first.push_back(info);
+    }
+    return first;
+}
+
+std::vector<std::string> NodeDirectory::neighbours(Instant now) const
+{
+    const bool isSmall = known() <= m_settings.smallFleet;
+    std::vector<std::string> addresses;
+    for (const auto &[name, row] : m_nodes) {
+        const bool near = isSmall || row.info.zone == m_self.zone;
+        if (near && now - row.namedAt < m_settings.neighbourFor)
+            addresses.push_back(row.info.ip);
+    }
+    return addresses;
+}
+
 std::vector<std::string> NodeDirectory::liveAddresses(Instant now) const
 {
     std::vector<std::string> addresses;
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -53,6 +53,8 @@
     std::size_t zonePeers = 10;  // nodes of the own zone that get every heartbeat
     std::size_t otherPeers = 2;  // others, drawn anew each time
     std::size_t othersTold = 6;  // nodes named in a heartbeat
+    std::size_t smallFleet = 16; // up to here all nodes are neighbours
+    Duration neighbourFor = std::chrono::seconds(5); // named by somebody within it
     std::size_t addressesMost = 16; // in one answer to a caller
     std::size_t addressesLeast = 2; // with fewer in the zone, others are added
 };
@@ -88,6 +90,13 @@
     /// @return this node and the live ones, by name
     std::vector<std::string> liveNames(Instant now) const;
 
+    /// @return the first live nodes of the own availability zone by name, this one included
+    std::vector<NodeInfo> firstOfZone(std::size_t count, Instant now) const;
+
+    /// @return addresses of the nodes that send to the same replicas as this one: those of the
+    ///         availability zone, or all nodes of a small fleet
+    std::vector<std::string> neighbours(Instant now) const;
+
     /// @return live nodes' addresses
     std::vector<std::string> liveAddresses(Instant now) const;
 
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -48,7 +48,7 @@
 struct ChooserSettings
 {
     std::string zone;                                         // availability zone of this node
-    Duration zoneDistance = std::chrono::milliseconds(4);     // cost of leaving it: way and traffic
+    Duration zoneDistance = std::chrono::milliseconds(12);    // cost of leaving it: way and traffic
     Duration stepTime = std::chrono::milliseconds(10);        // one step of a batch
     Duration stepPerRequest = std::chrono::microseconds(300); // each request slows the others
     Duration plainServiceTime = std::chrono::milliseconds(40); // start value; learned
