--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -120,7 +120,8 @@
 {
     std::map<std::string, NodeInfo> zone { { m_self.name, m_self } };
     for (const auto &[name, row] : m_nodes) {
-        if (row.info.zone == m_self.zone && isLive(row, now))
+        const bool isNamed = !row.leaving && now - row.namedAt < m_settings.neighbourFor;
+        if (row.info.zone == m_self.zone && isNamed)
             zone[name] = row.info;
     }
     std::vector<NodeInfo> first;
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -90,7 +90,8 @@
     /// @return this node and the live ones, by name
     std::vector<std::string> liveNames(Instant now) const;
 
-    /// @return the first live nodes of the own availability zone by name, this one included
+    /// @return the first nodes of the own availability zone by name, this one included; those that
+    ///         anybody named a short time ago, since not every node hears every other
     std::vector<NodeInfo> firstOfZone(std::size_t count, Instant now) const;
 
     /// @return addresses of the nodes that send to the same replicas as this one: those of the
--- a/tests/fleet/test_nodedirectory.cpp
+++ b/tests/fleet/test_nodedirectory.cpp
@@ -91,6 +91,20 @@
     CHECK(directory.addressesFor("b", true, Start).size() <= settings.addressesMost);
 }
 
+// Each node heard only its ring neighbours, took itself for the first of its zone, and all watched
+// the store.
+TEST(NodeDirectory, AllNodesOfAZoneAgreeWhoIsFirst)
+{
+    NodeDirectory far { { "9", "10.0.0.9", "a" }, {}, 6 };
+    NodeBeat told = beat("8", "a");
+    told.others = { { "1", "10.0.0.1", "a" }, { "2", "10.0.0.2", "a" }, { "3", "10.0.0.3", "a" } };
+    far.onBeat(told, Start);
+    const auto first = far.firstOfZone(2, Start);
+    CHECK_EQUAL(std::string("1"), first.at(0).name);
+    CHECK_EQUAL(std::string("2"), first.at(1).name);
+    CHECK_EQUAL(1, far.firstOfZone(2, Start + 6s).size()); // nobody named them since
+}
+
 TEST(NodeDirectory, FindsNodesThatOthersName)
 {
     NodeBeat told = beat("2", "b");
