--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -200,18 +200,21 @@
 asio::awaitable<WatchAnswer> FollowedStore::watchStore(ObjectKind kind, std::uint64_t revision,
                                                        milliseconds wait)
 {
-    Instant asked = steadyNow();
+    const Instant asked = steadyNow();
     WatchAnswer answer = co_await m_store.watch(kind, revision, wait);
     const auto *changes = std::get_if<ItemList>(&answer);
     if (changes == nullptr)
         co_return answer;
-    // Whatever happened before the answer left is in it.
-    asked = std::max(asked, steadyNow() - Duration(m_settings.pollWait));
+    // What happened before the answer left is in it. Without changes it left when the wait was over.
+    const Instant now = steadyNow();
+    const Instant confirmed = changes->items.empty()
+            ? std::min(now, asked + Duration(wait))
+            : std::max(asked, now - Duration(m_settings.answerWay));
     if (kind == ObjectKind::Replicas) {
         m_cache.onChanges(changes->items, changes->revision);
-        m_replicasConfirmed = asked;
+        m_replicasConfirmed = confirmed;
     } else if (kind == ObjectKind::Configuration) {
-        m_configConfirmed = asked;
+        m_configConfirmed = confirmed;
         confirm(kind, changes->revision);
     }
     if (!changes->items.empty())
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -81,7 +81,8 @@
 {
     std::size_t smallFleet = 12;      // up to here every node watches the store
     std::size_t watchersPerZone = 2;  // so that one may fail
-    std::chrono::milliseconds watcherWait { 700 };   // of a watcher's calls; bounds its age
+    std::chrono::milliseconds watcherWait { 600 };   // of a watcher's calls; bounds its age
+    std::chrono::milliseconds answerWay { 200 };     // of an answer from the store, at most
     std::chrono::milliseconds fallbackWait { 700 };  // of a follower's own call without a source
     std::chrono::milliseconds pollWait { 500 };      // a source holds a follower's question
     std::chrono::milliseconds pollTimeout { 900 };   // then the source has failed
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -352,10 +352,9 @@
 {
     const Instant now = steadyNow();
     const std::string &sender = message.beat.sender.name;
-    const bool wasLive = m_state.directory.isLive(sender, now);
-    m_state.directory.onBeat(message.beat, now);
+    const bool news = m_state.directory.onBeat(message.beat, now);
     const bool isLive = m_state.directory.isLive(sender, now);
-    if (wasLive != isLive)
+    if (news)
         m_state.log.line("node")
                 .field("name", sender)
                 .field("state", isLive ? "live" : "leaving")
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -30,6 +30,21 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+/// @return the shortest of the longest pauses that the service's streams may have; zero: none is set
+std::chrono::milliseconds longestPause(const ServingConfig &config, const std::string &service)
+{
+    std::chrono::milliseconds shortest { 0 };
+    for (const ServingRoute &route : config.routes) {
+        const bool serves = std::any_of(route.targets.begin(), route.targets.end(),
+                                        [&](const auto &target) { return target.service == service; });
+        if (!serves || !route.streams || route.gapObjective.count() <= 0)
+            continue;
+        shortest = shortest.count() == 0 ? route.gapObjective
+                                         : std::min(shortest, route.gapObjective);
+    }
+    return shortest;
+}
+
 ChooserSettings chooserSettings(const NodeProfile &profile)
 {
     ChooserSettings settings;
@@ -136,7 +151,7 @@
     configAppliedAt = steadyNow();
     for (const auto &[name, service] : config->services) {
         if (service.engine)
-            chooser.setKvTokens(name, service.engine->kvTokens);
+            chooser.setEngine(name, *service.engine, longestPause(*config, name));
     }
 }
 
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -192,7 +192,8 @@
                 .field("sends", m_progress.sends)
                 .field("budget", m_state.budgetOf(m_request.service).tokens());
         m_state.metrics.count("burdock_retries_total");
-        m_excluded.push_back(start.choice.id);
+        if (m_connectionBroke || !m_keptFailed)
+            m_excluded.push_back(start.choice.id); // not for a dropped connection alone
     }
 }
 
@@ -257,11 +258,15 @@
     send.resumeAfter = m_lastEvent;
     send.urgency = std::min(FirstUrgency + m_request.priority, LastUrgency);
 
-    m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), false);
+    // Whether a request arrived on a kept connection that its replica has just dropped is not certain,
+    // and only requests that may be repeated can be sent again then.
+    const bool fresh = !m_request.repeatable || m_keptFailed;
+    m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
     const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
     const auto result = co_await m_exchange->start(request, firstByteDeadline(start));
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         m_connectionBroke = !failure->timedOut && !failure->keptConnection;
+        m_keptFailed = m_keptFailed || (failure->keptConnection && !failure->timedOut);
         if (failure->bytesSent) {
             m_progress.sends++;
             m_progress.runs++;
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -95,6 +95,7 @@
     Duration m_firstByteAfter {}; // of the whole request; for the log
     Duration m_longestGap {};     // between events; for the log
     Instant m_lastEventAt;
+    bool m_keptFailed = false;    // a kept connection was found dropped: open a new one
     bool m_connectionBroke = false; // the current attempt ended with its connection
 };
 
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -13,13 +13,15 @@
 
 // ---- Events -------------------------------------------------------------------------------------
 
-void NodeDirectory::onBeat(const NodeBeat &beat, Instant now)
+bool NodeDirectory::onBeat(const NodeBeat &beat, Instant now)
 {
     if (beat.sender.name == m_self.name)
-        return;
+        return false;
     Row &row = m_nodes[beat.sender.name];
     if (beat.started < row.started)
-        return; // an earlier process of that node, delayed on its way
+        return false; // an earlier process of that node, delayed on its way
+    const bool news = row.heardAt == Instant {} || beat.started != row.started
+            || beat.leaving != row.leaving;
     row.info = beat.sender;
     row.leaving = beat.leaving;
     row.started = beat.started;
@@ -29,6 +31,7 @@
         onHint(other, now);
     if (beat.holder.term > m_holder.term)
         m_holder = beat.holder;
+    return news;
 }
 
 void NodeDirectory::onHint(const NodeInfo &node, Instant now)
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -65,7 +65,8 @@
     NodeDirectory(NodeInfo self, DirectorySettings settings, std::uint64_t seed);
 
     /// Takes a heartbeat.
-    void onBeat(const NodeBeat &beat, Instant now);
+    /// @return whether it tells of a process not heard before, or that it is about to stop
+    bool onBeat(const NodeBeat &beat, Instant now);
 
     /// Takes a node that was heard of, but not heard.
     void onHint(const NodeInfo &node, Instant now);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -38,6 +38,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<http::request<http::string_body>> message; // being written
+    Instant keptAt {};      // when it was put aside for reuse
     Instant usableUntil {}; // when kept for reuse: the server closes it at about this time
 };
 
@@ -130,6 +131,7 @@
     const Instant now = steadyNow();
     std::erase_if(connections,
                   [&](const ConnectionPtr &kept) { return now >= kept->usableUntil; });
+    connection->keptAt = now;
     if (connections.size() < MaxIdlePerEndpoint)
         connections.push_back(std::move(connection));
 }
@@ -174,6 +176,7 @@
     bool m_closed = false;
     bool m_kept = false; // the connection had served a request before
     bool m_headRead = false;
+    Duration m_idleFor {}; // the kept connection had been idle
     Instant m_idleUntil {};
     ConnectionPtr m_connection;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
@@ -184,6 +187,12 @@
 {
     if (m_connection)
         m_connection->stream.close(); // a write may still be under way
+    // The server had dropped the connection without notice: it keeps idle ones for a shorter time.
+    if (m_kept && !m_headRead && !m_cancelled && failure != beast::error::timeout) {
+        auto &limit = m_client->settings.idleLimit;
+        const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(m_idleFor);
+        limit = std::max(m_client->settings.idleLeast, std::min(limit, idle / 2));
+    }
     m_connection.reset();
     m_closed = m_use == ConnectionUse::Own;
     return { m_bytesSent, failure == beast::error::timeout, m_kept && !m_headRead,
@@ -195,8 +204,10 @@
     if (m_use == ConnectionUse::Kept)
         m_connection = m_client->takeIdle(m_endpoint);
     m_kept = m_connection != nullptr;
-    if (m_connection)
+    if (m_connection) {
+        m_idleFor = steadyNow() - m_connection->keptAt;
         co_return std::nullopt;
+    }
     if (m_closed)
         co_return CallFailure { false, false, false, toText(m_endpoint) + ": the session has ended" };
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -85,7 +85,9 @@
 struct HttpClientSettings
 {
     std::chrono::milliseconds connectTimeout { 60'000 }; // to open a connection
-    std::chrono::milliseconds idleLimit { 60'000 };      // kept for reuse; less if the server says so
+    std::chrono::milliseconds idleLimit { 60'000 };      // kept for reuse; less if the server says so,
+                                                         // or if kept connections turn out dead
+    std::chrono::milliseconds idleLeast { 50 };          // the least it is lowered to
     std::chrono::milliseconds silenceTimeout { 0 };      // unacknowledged data or probes; 0: off
 };
 
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -24,6 +24,17 @@
 {
 }
 
+void ReplicaChooser::setEngine(const std::string &service, const EngineLimits &engine,
+                               std::chrono::milliseconds longestPause)
+{
+    EngineBounds &bounds = m_engines[service];
+    bounds.kvTokens = engine.kvTokens;
+    if (longestPause.count() <= 0 || engine.tokensPerEvent <= 0)
+        return;
+    const Duration share = Duration(longestPause) / engine.tokensPerEvent;
+    bounds.prefillLimit = std::max(m_settings.leastPrefill, share - m_settings.stepReserve);
+}
+
 int ReplicaChooser::slots(const ReplicaRow &row) const
 {
     if (row.load.slots > 0)
@@ -61,7 +72,8 @@
             row.info.zone == m_settings.zone ? 0.0 : double(m_settings.zoneDistance.count());
     double disturbance = 0.0;
     if (!request.model.empty()
-        && m_table.prefillTime(row, candidate.freshTokens) > m_settings.prefillLimit)
+        && m_table.prefillTime(row, candidate.freshTokens)
+                > m_engines[request.service].prefillLimit)
         disturbance = load * double(m_settings.disturbedStream.count());
     const double failures = 1.0 + m_settings.failureWeight * row.failureShare;
     candidate.cost = (candidate.firstByteUs * failures + distance + disturbance)
@@ -74,8 +86,8 @@
     if (request.model.empty())
         return slots(row) * m_settings.plainOverSlots;
     double most = slots(row);
-    if (const auto kv = m_kvTokens.find(request.service); kv != m_kvTokens.end() && kv->second > 0)
-        most = std::min(most, m_settings.kvShare * kv->second
+    if (const int kvTokens = m_engines[request.service].kvTokens; kvTokens > 0)
+        most = std::min(most, m_settings.kvShare * kvTokens
                                 / std::max(1.0, m_profiles[request.service].meanTokens));
     return std::max(1.0, most);
 }
@@ -89,7 +101,7 @@
         return true;
     const Duration ahead = m_table.prefillAhead(row, now);
     const Duration own = m_table.prefillTime(row, candidate.freshTokens);
-    return ahead <= m_settings.prefillIdle || ahead + own <= m_settings.prefillLimit;
+    return ahead <= m_settings.prefillIdle || ahead + own <= m_engines[request.service].prefillLimit;
 }
 
 ChooserAnswer ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -17,6 +17,7 @@
 #include "base/random.h"
 #include "serving/promptmemory.h"
 #include "serving/replicatable.h"
+#include "serving/servingconfig.h"
 
 #include <map>
 #include <optional>
@@ -57,9 +58,10 @@
     double kvShare = 0.85;         // of a replica's KV cache that requests may fill
     double plainOverSlots = 1.25;  // requests at a plain replica, against its slots
     int defaultSlots = 16;         // for replicas that do not say
-    // Prompts are read between the tokens of running streams, and an event may hold two tokens: with
-    // more than this to read, two steps together exceed the longest pause that is still on time.
-    Duration prefillLimit = std::chrono::milliseconds(165);
+    // Prompts are read in the steps between the tokens of running streams, and an event waits for
+    // several tokens. With more than a step's share of the longest pause to read, pauses get too long.
+    Duration stepReserve = std::chrono::milliseconds(35); // of that share: the step itself, and errors
+    Duration leastPrefill = std::chrono::milliseconds(60); // also where the share is smaller
     Duration disturbedStream = std::chrono::milliseconds(12); // cost of a prompt beyond that limit, for
                                                               // each request that runs there
     Duration prefillIdle = std::chrono::milliseconds(12); // less ahead is nothing: about one step
@@ -80,7 +82,9 @@
     ReplicaChooser(const ReplicaTable &table, ChooserSettings settings, std::uint64_t seed);
 
     /// Takes the limits of a service's replicas, as configured.
-    void setKvTokens(const std::string &service, int kvTokens) { m_kvTokens[service] = kvTokens; }
+    /// @param longestPause between events of the service's streams; zero when it does not matter
+    void setEngine(const std::string &service, const EngineLimits &engine,
+                   std::chrono::milliseconds longestPause);
 
     /// @param request the request
     /// @param chain of its prompt
@@ -120,7 +124,12 @@
     Random m_random;
     PromptMemory m_prompts;
     std::map<std::string, ServiceProfile> m_profiles;
-    std::map<std::string, int> m_kvTokens;
+    struct EngineBounds
+    {
+        int kvTokens = 0;
+        Duration prefillLimit = std::chrono::milliseconds(165); // 400 ms pauses, two tokens an event
+    };
+    std::map<std::string, EngineBounds> m_engines; // by service
 };
 
 } // namespace burdock
--- a/src/serving/servingconfig.h
+++ b/src/serving/servingconfig.h
@@ -67,6 +67,7 @@
 {
     int slots = 64;                  // requests in a batch
     int kvTokens = 0;                // tokens of KV cache
+    int tokensPerEvent = 2;          // of a stream
     double weightsMb = 0.0;          // memory for weights and adapters together
     int adapterSlots = 0;            // adapters at once
     double loadsPerSecond = 1.0;     // weight store, over all replicas
