--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -143,13 +143,13 @@
     const Instant now = steadyNow();
     std::erase_if(m_resting, [&](const auto &entry) { return now >= entry.second; });
     std::vector<std::string> candidates;
-    for (const NodeInfo &node : m_directory.firstOfZone(m_settings.watchersPerZone, now)) {
+    for (const NodeInfo &node : m_directory.firstOfZone(m_settings.sourcesPerZone, now)) {
         if (node.name != m_self.name && !m_resting.contains(node.ip))
             candidates.push_back(node.ip);
     }
     if (candidates.empty())
         return std::nullopt;
-    return candidates[m_nextSource % candidates.size()];
+    return candidates.front();
 }
 
 void FollowedStore::confirm(ObjectKind kind, std::uint64_t revision)
@@ -272,7 +272,6 @@
                 .field("source", ip)
                 .field("age_ms", page ? std::int64_t(page->age.count()) : -1);
         m_resting[ip] = steadyNow() + m_settings.sourceRest;
-        m_nextSource++;
         co_return std::nullopt;
     }
     const Instant confirmed = steadyNow() - Duration(page->age);
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -6,9 +6,9 @@
 //   FollowSettings
 //   FollowedStore      an ObjectStore that asks other nodes first
 //
-// In each availability zone the first nodes by name watch the store with short waits, so that they
-// know at any time how old their knowledge is. The others ask them, by long polls that tell that age
-// with every answer. A follower whose sources are too old asks the store itself; so it learns of a
+// In each availability zone the first node by name watches the store with short waits, so that it
+// knows at any time how old its knowledge is. The others ask it, or the second one when it fails, by
+// long polls that tell that age with every answer. A follower whose sources are too old asks the store itself; so it learns of a
 // change in time also when its sources are cut from the store. Revisions are the store's own, which
 // makes sources interchangeable. The configuration, which can be large, is read from the store when a
 // source names a newer revision. Small fleets watch the store from every node.
@@ -80,7 +80,8 @@
 struct FollowSettings
 {
     std::size_t smallFleet = 12;      // up to here every node watches the store
-    std::size_t watchersPerZone = 2;  // so that one may fail
+    std::size_t watchersPerZone = 1;
+    std::size_t sourcesPerZone = 2;   // asked when the first fails; it follows too until then
     std::chrono::milliseconds watcherWait { 600 };   // of a watcher's calls; bounds its age
     std::chrono::milliseconds answerWay { 200 };     // of an answer from the store, at most
     std::chrono::milliseconds fallbackWait { 700 };  // of a follower's own call without a source
@@ -143,7 +144,6 @@
     Instant m_configConfirmed;               //
     std::map<std::string, Instant> m_resting; // sources that failed, by address
     std::list<boost::asio::steady_timer *> m_askers; // questions that wait for changes
-    std::size_t m_nextSource = 0;
 };
 
 } // namespace burdock
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -216,6 +216,7 @@
             .field("fresh_tokens", start.choice.freshTokens)
             .field("weighed", start.choice.weighed);
     m_firstByteSeen = false;
+    m_hasAlternative = start.choice.weighed > 1;
     m_connectionBroke = false;
     if (!m_request.model.empty())
         m_announcer.announcePrompt(start.choice.id, start.choice.freshTokens);
@@ -227,9 +228,11 @@
     co_return end;
 }
 
+/// @return whether giving up the current attempt could lead to another one
 bool RequestFlow::mayTryAnother() const
 {
-    return m_request.repeatable && m_progress.runs + 1 < m_request.attempts;
+    return m_request.repeatable && m_progress.runs + 1 < m_request.attempts
+            && m_hasAlternative && m_state.budgetOf(m_request.service).tokens() >= 1.0;
 }
 
 Instant RequestFlow::firstByteDeadline(const StartRequest &start) const
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -90,6 +90,7 @@
     Instant m_arrived;
     Instant m_sentAt;
     bool m_firstByteSeen = false; // in the current attempt
+    bool m_hasAlternative = false; // another replica could have been chosen for it
     bool m_callerLeft = false;
     bool m_givenUp = false;
     Duration m_firstByteAfter {}; // of the whole request; for the log
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 #include <utility>
 
 namespace burdock {
@@ -64,6 +65,7 @@
     double demand = 0.0;              // tokens a second
     bool wanted = false;              // a request waits for it
     int copies = 0;                   // resident or coming, not leaving
+    int ready = 0;                    // of these, resident
     int desired = 1;                  // copies that the demand needs
     std::set<std::string> holders;    // replicas of those copies
 };
@@ -76,6 +78,7 @@
     std::vector<ModelView> models;           // in the order of the configuration
     std::map<std::string, double> adapterDemand; // "model/adapter"
     std::map<std::string, double> engineLoad;    // tokens a second by replica
+    std::unordered_set<std::string> heldAdapters; // on any replica, or ordered
 
     ModelView *find(const std::string &model)
     {
@@ -437,19 +440,20 @@
         if (engine.info.service != service.name || engine.info.draining)
             continue;
         plan.engines.push_back(&engine);
-        const auto count = [&](const std::string &model) {
+        const auto count = [&](const std::string &model, bool isReady) {
             ModelView *view = plan.find(model);
             if (view == nullptr || engine.unloading.contains(model)
                 || !view->holders.insert(id).second)
                 return;
             view->copies++;
+            view->ready += isReady ? 1 : 0;
         };
         for (const ModelCopy &copy : engine.info.models)
-            count(copy.model);
+            count(copy.model, true);
         for (const auto &[model, until] : engine.loading)
-            count(model);
+            count(model, false);
         if (engine.open && engine.open->load && engine.open->adapter.empty())
-            count(engine.open->model);
+            count(engine.open->model, false);
     }
     if (plan.engines.empty())
         return;
@@ -571,7 +575,7 @@
         const double missing = view.model->memoryMb - freeMemory(*engine, *plan.limits);
         for (const ModelCopy &copy : engine->info.models) {
             const ModelView *victim = plan.find(copy.model);
-            if (victim == nullptr || victim->model->memoryMb < missing || victim->copies < 2)
+            if (victim == nullptr || victim->model->memoryMb < missing || victim->ready < 2)
                 continue;
             const auto keep = engine->keepUntil.find(copy.model);
             const bool isNew = keep != engine->keepUntil.end() && now < keep->second;
@@ -604,6 +608,7 @@
     command.model = bestVictim;
     ModelView *victim = plan.find(bestVictim);
     victim->copies--;
+    victim->ready--;
     victim->holders.erase(best->info.id);
     m_actions.emplace_back(CopyChanged { best->info.id, bestVictim, CopyChange::Leaving, {} });
     send(*best, std::move(command), "make_room", victim->demand, victim->copies + 1, now);
@@ -621,12 +626,25 @@
         if (model != nullptr)
             placeAdapter(plan, *model, want.adapter, true, now);
     }
+    for (const EngineRecord *engine : plan.engines) {
+        for (const auto *held : { &engine->info.models, &engine->reported }) {
+            for (const ModelCopy &copy : *held) {
+                for (const std::string &adapter : copy.adapters)
+                    plan.heldAdapters.insert(copyName(copy.model, adapter));
+            }
+        }
+        for (const auto &[name, at] : engine->pendingAdapters)
+            plan.heldAdapters.insert(name);
+    }
     for (const ModelView &view : plan.models) {
+        if (view.ready == 0)
+            continue;
         for (int number = 1; number <= view.model->adapters; ++number) {
             if (adapterOrdersOpen() >= m_settings.adapterOrdersAtOnce)
                 return;
             const std::string adapter = adapterName(number);
-            if (!m_noPreload.contains(copyName(view.model->name, adapter)))
+            const std::string copy = copyName(view.model->name, adapter);
+            if (!plan.heldAdapters.contains(copy) && !m_noPreload.contains(copy))
                 placeAdapter(plan, *view.model, adapter, false, now);
         }
     }
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -368,3 +368,22 @@
     world.run(10s);
     CHECK_EQUAL(0, world.orders);
 }
+
+// The only copy that served was evicted for a second one that took seconds to load.
+TEST(CopyPlacement, ACopyThatIsBeingLoadedReplacesNoOther)
+{
+    CHECK(rc::check("a model that had a copy always has one that serves", [] {
+        World world(*rc::gen::arbitrary<std::uint64_t>());
+        world.run(20s);
+        for (int second = 0; second < 30; ++second) {
+            std::vector<CopyDemand> demand;
+            for (int number = 0; number < 2; ++number)
+                demand.push_back({ "pool", "m" + std::to_string(*rc::gen::inRange(0, ModelCount)), "",
+                                   *rc::gen::inRange(1, 60) * 1'000.0 });
+            world.placement->onDemand("node-1", demand, world.now);
+            world.run(1s);
+            for (int model = 0; model < ModelCount; ++model)
+                RC_ASSERT(world.copiesOf("m" + std::to_string(model)) >= 1);
+        }
+    }));
+}
