Placement forgets replicas after their grace period and waits for a complete list

At the start, replicas list themselves within 2.5 s, and four copies of the busiest model were evicted for models that only were not listed yet.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -323,10 +323,15 @@
             .field("store_disturbed", disturbed ? "yes" : "no");
     const std::uint64_t generation = row->generation;
     m_state.replicas.onMissing(id, disturbed, now);
-    if (m_state.replicas.find(id) == nullptr) {
-        m_state.chooser.onGone(generation);
-        m_copies.placement().onReplicaGone(id);
-    }
+    if (m_state.replicas.find(id) == nullptr)
+        forgetReplica(id, generation);
+}
+
+void EdgeProgram::forgetReplica(const std::string &id, std::uint64_t generation)
+{
+    m_state.log.line("replica_gone").field("replica", id);
+    m_state.chooser.onGone(generation);
+    m_copies.placement().onReplicaGone(id);
 }
 
 // ---- Other nodes --------------------------------------------------------------------------------
@@ -418,7 +423,8 @@
     const Instant now = steadyNow();
     if (m_replicaWatch.unreachable())
         m_state.replicas.holdMissing(now);
-    m_state.replicas.tick(now);
+    for (const auto &[id, generation] : m_state.replicas.tick(now))
+        forgetReplica(id, generation);
     m_state.suspects.tick(now);
     m_state.directory.tick(now);
     m_state.waiting.tick();
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -87,6 +87,7 @@
     void takeConfig(const StoredItem &item);
     void takeReplica(const StoredItem &item, Instant now);
     void dropReplica(const std::string &id, bool disturbed, Instant now);
+    void forgetReplica(const std::string &id, std::uint64_t generation);
     boost::asio::awaitable<void> registerNode();
     boost::asio::awaitable<void> findNodes();
 
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -127,6 +127,9 @@
     if (engine.info.id != info.id || engine.info.startedMs != info.startedMs
         || engine.info.address != info.address) {
         forget(engine, info);
+        m_newReplicaAt = now;
+        if (m_firstReplicaAt == Instant {})
+            m_firstReplicaAt = now;
         return;
     }
     const bool draining = engine.info.draining || info.draining;
@@ -739,6 +742,11 @@
     if (!m_holder)
         return;
     expire(now);
+    // Models of replicas that are not listed yet would look missing.
+    const bool isSettled = now >= m_newReplicaAt + m_settings.listSettles
+            || now >= m_firstReplicaAt + m_settings.listWaitMost;
+    if (m_firstReplicaAt == Instant {} || !isSettled)
+        return;
     for (const auto &[name, service] : m_services)
         planService(service, now);
 }
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -50,6 +50,9 @@
     std::string node;                      // holder's name in orders
     double tokensPerCopy = 8'000.0;        // prompt tokens a second that one copy is to serve:
                                            // under half of a replica, which has other copies too
+    Duration listSettles = std::chrono::milliseconds(1'500); // a heartbeat after the last new replica,
+                                                             // all that start together are listed
+    Duration listWaitMost = std::chrono::seconds(5);         // for that, from the first replica on
     Duration demandFresh = std::chrono::seconds(3);  // older reports of a node are dropped
     Duration orderTimeout = std::chrono::milliseconds(600); // then an order counts as unanswered
     Duration reportTimeout = std::chrono::milliseconds(600); // then a report is asked for again
@@ -210,6 +213,8 @@
     std::map<std::string, EngineRecord> m_engines;       // by replica
     std::map<std::string, NodeDemand> m_demand;         // by node
     std::map<std::string, Want> m_wants;                // by service and copy
+    Instant m_firstReplicaAt;                           // zero: none yet
+    Instant m_newReplicaAt;                             // the last one listed for the first time
     std::map<std::string, Instant> m_noPreload;         // adapters taken out a short time ago
     std::vector<PlacingAction> m_actions;
 };
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -151,8 +151,9 @@
     row->added.erase(copy);
 }
 
-void ReplicaTable::tick(Instant now)
+std::vector<std::pair<std::string, std::uint64_t>> ReplicaTable::tick(Instant now)
 {
+    std::vector<std::pair<std::string, std::uint64_t>> dropped;
     for (auto each = m_rows.begin(); each != m_rows.end();) {
         const ReplicaRow &row = each->second;
         if (row.goneAt == Instant {} || now < row.goneAt) {
@@ -160,8 +161,10 @@
             continue;
         }
         unindex(row);
+        dropped.emplace_back(each->first, row.generation);
         each = m_rows.erase(each);
     }
+    return dropped;
 }
 
 // ---- Requests -----------------------------------------------------------------------------------
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace burdock {
@@ -139,7 +140,8 @@
     void onCopyDenied(const std::string &id, const std::string &copy, Instant now);
 
     /// Drops replicas whose grace period is over.
-    void tick(Instant now);
+    /// @return the ids and generations of those
+    std::vector<std::pair<std::string, std::uint64_t>> tick(Instant now);
 
     // ---- Requests ----
 
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -387,3 +387,28 @@
         }
     }));
 }
+
+// Four busy copies were evicted for models that were only not listed yet.
+TEST(CopyPlacement, WaitsUntilTheListIsComplete)
+{
+    CopyPlacementSettings settings;
+    settings.node = "node-1";
+    CopyPlacement placement(settings);
+    placement.onConfig(config());
+    placement.setHolder(true, 1, Start);
+    for (int number = 0; number < 4; ++number) {
+        FakeReplica replica;
+        replica.id = "r" + std::to_string(number);
+        replica.models["m" + std::to_string(number)];
+        const Instant now = Start + number * 1s;
+        placement.onReplica(replica.listing(), now);
+        for (Instant each = now; each < now + 1s; each += 100ms) {
+            placement.tick(each);
+            for (PlacingAction &action : placement.takeActions()) {
+                CHECK(!std::holds_alternative<SendCommand>(action));
+                if (std::holds_alternative<AskReport>(action))
+                    placement.onReport(replica.id, replica.report(each), each);
+            }
+        }
+    }
+}
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -36,7 +36,9 @@
     table.tick(Start + 1s);
     CHECK(table.find("r1") != nullptr);
     CHECK(table.usable(*table.find("r1"), Start + 1s));
-    table.tick(Start + 2s);
+    const auto dropped = table.tick(Start + 2s); // placement counted on its copies without this
+    CHECK_EQUAL(1, dropped.size());
+    CHECK_EQUAL(std::string("r1"), dropped.at(0).first);
     CHECK(table.find("r1") == nullptr);
 }
 
