--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -59,9 +59,13 @@
         demand.emplace_back(json::array { row.service, row.model, row.adapter,
                                           static_cast<std::int64_t>(row.tokensPerSecond) });
     const HolderClaim &holder = message.beat.holder;
-    return { static_cast<std::int64_t>(MessageType::Beat), nodeToJson(message.beat.sender),
-             message.beat.started, message.beat.leaving,
-             json::array { holder.name, holder.ip, holder.term }, others, demand };
+    return { static_cast<std::int64_t>(MessageType::Beat),
+             nodeToJson(message.beat.sender),
+             message.beat.started,
+             message.beat.leaving,
+             json::array { holder.name, holder.ip, holder.term },
+             others,
+             demand };
 }
 
 json::array toJson(const WantNote &note)
--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -205,7 +205,8 @@
     const auto *changes = std::get_if<ItemList>(&answer);
     if (changes == nullptr)
         co_return answer;
-    // What happened before the answer left is in it. Without changes it left when the wait was over.
+    // What happened before the answer left is in it. Without changes it left when the wait was
+    // over.
     const Instant now = steadyNow();
     const Instant confirmed = changes->items.empty()
             ? std::min(now, asked + Duration(wait))
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -7,11 +7,12 @@
 //   FollowedStore      an ObjectStore that asks other nodes first
 //
 // In each availability zone the first node by name watches the store with short waits, so that it
-// knows at any time how old its knowledge is. The others ask it, or the second one when it fails, by
-// long polls that tell that age with every answer. A follower whose sources are too old asks the store itself; so it learns of a
-// change in time also when its sources are cut from the store. Revisions are the store's own, which
-// makes sources interchangeable. The configuration, which can be large, is read from the store when a
-// source names a newer revision. Small fleets watch the store from every node.
+// knows at any time how old its knowledge is. The others ask it, or the second one when it fails,
+// by long polls that tell that age with every answer. A follower whose sources are too old asks the
+// store itself; so it learns of a change in time also when its sources are cut from the store.
+// Revisions are the store's own, which makes sources interchangeable. The configuration, which can
+// be large, is read from the store when a source names a newer revision. Small fleets watch the
+// store from every node.
 #pragma once
 
 #include "edge/eventlog.h"
@@ -33,12 +34,12 @@
 
 struct FeedPage
 {
-    bool historyGone = false;                // list anew
-    bool listed = false;                     // the items are all there are
-    std::uint64_t revision = 0;              // of the store, for the replicas
-    std::uint64_t configRevision = 0;        // of the newest configuration known
-    std::chrono::milliseconds age { 0 };     // since the store last confirmed both
-    std::vector<StoredItem> items;           // changes since the asked revision
+    bool historyGone = false;            // list anew
+    bool listed = false;                 // the items are all there are
+    std::uint64_t revision = 0;          // of the store, for the replicas
+    std::uint64_t configRevision = 0;    // of the newest configuration known
+    std::chrono::milliseconds age { 0 }; // since the store last confirmed both
+    std::vector<StoredItem> items;       // changes since the asked revision
 };
 
 std::string encodeFeedPage(const FeedPage &page);
@@ -67,7 +68,8 @@
         StoredItem item;
     };
 
-    static constexpr std::size_t MostChanges = 2'000; // some minutes' worth; then followers list anew
+    static constexpr std::size_t MostChanges =
+            2'000; // some minutes' worth; then followers list anew
 
     std::map<std::string, StoredItem> m_items;
     std::deque<Change> m_changes;
@@ -79,17 +81,17 @@
 
 struct FollowSettings
 {
-    std::size_t smallFleet = 12;      // up to here every node watches the store
+    std::size_t smallFleet = 12; // up to here every node watches the store
     std::size_t watchersPerZone = 1;
-    std::size_t sourcesPerZone = 2;   // asked when the first fails; it follows too until then
-    std::chrono::milliseconds watcherWait { 600 };   // of a watcher's calls; bounds its age
-    std::chrono::milliseconds answerWay { 200 };     // of an answer from the store, at most
-    std::chrono::milliseconds fallbackWait { 700 };  // of a follower's own call without a source
-    std::chrono::milliseconds pollWait { 500 };      // a source holds a follower's question
-    std::chrono::milliseconds pollTimeout { 900 };   // then the source has failed
-    std::chrono::milliseconds mostAge { 1'100 };     // with a poll and a call below the 2 s in which a
-                                                     // change must be in force
-    std::chrono::milliseconds sourceRest { 1'500 };  // a source that failed is not asked
+    std::size_t sourcesPerZone = 2; // asked when the first fails; it follows too until then
+    std::chrono::milliseconds watcherWait { 600 };  // of a watcher's calls; bounds its age
+    std::chrono::milliseconds answerWay { 200 };    // of an answer from the store, at most
+    std::chrono::milliseconds fallbackWait { 700 }; // of a follower's own call without a source
+    std::chrono::milliseconds pollWait { 500 };     // a source holds a follower's question
+    std::chrono::milliseconds pollTimeout { 900 };  // then the source has failed
+    std::chrono::milliseconds mostAge { 1'100 }; // with a poll and a call below the 2 s in which a
+                                                 // change must be in force
+    std::chrono::milliseconds sourceRest { 1'500 }; // a source that failed is not asked
 };
 
 class FollowedStore : public ObjectStore, public HttpHandler
@@ -138,10 +140,10 @@
     std::uint16_t m_feedPort;
     FollowSettings m_settings;
     ChangeCache m_cache;
-    std::uint64_t m_configRevision = 0;      // known to this node
-    std::uint64_t m_configRevisionTold = 0;  // named by a source
-    Instant m_replicasConfirmed;             // asked of the store then, by this node or its source
-    Instant m_configConfirmed;               //
+    std::uint64_t m_configRevision = 0;       // known to this node
+    std::uint64_t m_configRevisionTold = 0;   // named by a source
+    Instant m_replicasConfirmed;              // asked of the store then, by this node or its source
+    Instant m_configConfirmed;                //
     std::map<std::string, Instant> m_resting; // sources that failed, by address
     std::list<boost::asio::steady_timer *> m_askers; // questions that wait for changes
 };
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -60,8 +60,7 @@
     const auto *object = value.if_object();
     const auto *member = object == nullptr ? nullptr : object->if_contains(name);
     boost::system::error_code failure;
-    const auto number =
-            member == nullptr ? 0 : member->to_number<std::uint64_t>(failure);
+    const auto number = member == nullptr ? 0 : member->to_number<std::uint64_t>(failure);
     return failure ? 0 : number;
 }
 
@@ -165,8 +164,7 @@
     }
     const bool holder = holds();
     if (m_lease.holds(now))
-        m_state.directory.setHolder(
-                { m_state.profile.name, m_state.profile.ip, m_lease.term() });
+        m_state.directory.setHolder({ m_state.profile.name, m_state.profile.ip, m_lease.term() });
     if (holder != m_wasHolder) {
         m_wasHolder = holder;
         m_state.log.line("placement_holder")
@@ -212,8 +210,8 @@
     tickLease();
 }
 
-/// A lease that lapsed was unchanged for longer than its holder may act; one that was given back may
-/// have been used a moment ago.
+/// A lease that lapsed was unchanged for longer than its holder may act; one that was given back
+/// may have been used a moment ago.
 void CopyShell::noteGivenBack(const LeaseReadAnswer &read)
 {
     const bool byOther = read.value.holder != m_state.profile.name;
@@ -246,8 +244,8 @@
 {
     const auto endpoint = parseEndpoint(action.address);
     OrderAnswer answer = OrderAnswer::Conflict; // nothing was sent
-    // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so it
-    // is read at the last moment.
+    // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so
+    // it is read at the last moment.
     if (isOk(endpoint) && holds())
         answer = co_await m_state.ports.engines.order(valueOf(endpoint), action.command,
                                                       steadyNow() + OrderDeadline);
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -49,7 +49,7 @@
     CopyPlacement m_placement;
     bool m_wasHolder = false;
     bool m_wasGivenBack = false; // by another node, when this one read it last
-    Instant m_ordersFrom;      // on the lease's clock: the holder before has been silent long enough
+    Instant m_ordersFrom; // on the lease's clock: the holder before has been silent long enough
 };
 
 /// The clock of leases: it also counts the time for which the machine was suspended.
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// Callers ask again after this time, and some keep an answer for three times as long; a planned stop
-/// waits for those.
+/// Callers ask again after this time, and some keep an answer for three times as long; a planned
+/// stop waits for those.
 constexpr milliseconds AnswerLifetime { 1'000 };
 constexpr int KeptAnswers = 3;
 constexpr milliseconds AnswerWay { 200 }; // of an answer to its caller
--- a/src/edge/eventlog.h
+++ b/src/edge/eventlog.h
@@ -1,8 +1,8 @@
 // Structured log: one line of key=value fields for each event, to standard output.
 //
 // Lines are collected and written by flush(), which never blocks: what a slow reader does not take
-// waits in a bounded buffer, and lines beyond it or beyond the rate are counted and dropped. The next
-// line that is written says how many were lost.
+// waits in a bounded buffer, and lines beyond it or beyond the rate are counted and dropped. The
+// next line that is written says how many were lost.
 //
 //   log.line("refuse").field("request", id).field("reason", "overload").field("queued", 12);
 #pragma once
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -30,17 +30,19 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-/// @return the shortest of the longest pauses that the service's streams may have; zero: none is set
+/// @return the shortest of the longest pauses that the service's streams may have; zero: none is
+/// set
 std::chrono::milliseconds longestPause(const ServingConfig &config, const std::string &service)
 {
     std::chrono::milliseconds shortest { 0 };
     for (const ServingRoute &route : config.routes) {
-        const bool serves = std::any_of(route.targets.begin(), route.targets.end(),
-                                        [&](const auto &target) { return target.service == service; });
+        const bool serves =
+                std::any_of(route.targets.begin(), route.targets.end(),
+                            [&](const auto &target) { return target.service == service; });
         if (!serves || !route.streams || route.gapObjective.count() <= 0)
             continue;
-        shortest = shortest.count() == 0 ? route.gapObjective
-                                         : std::min(shortest, route.gapObjective);
+        shortest =
+                shortest.count() == 0 ? route.gapObjective : std::min(shortest, route.gapObjective);
     }
     return shortest;
 }
@@ -57,7 +59,7 @@
 // ---- Demand -------------------------------------------------------------------------------------
 
 void CopyDemandMeter::count(const std::string &service, const std::string &model,
-                        const std::string &adapter, int tokens)
+                            const std::string &adapter, int tokens)
 {
     const auto add = [&](const std::string &name) {
         Row &row = m_rows[service + "/" + copyName(model, name)];
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -91,9 +91,9 @@
 
     /// Writes an object if it has the expected revision.
     /// @param expectedRevision 0: create it, if there is none
-    virtual boost::asio::awaitable<StoreWriteAnswer>
-    write(ObjectKind kind, std::string name, std::uint64_t expectedRevision,
-          boost::json::value content) = 0;
+    virtual boost::asio::awaitable<StoreWriteAnswer> write(ObjectKind kind, std::string name,
+                                                           std::uint64_t expectedRevision,
+                                                           boost::json::value content) = 0;
 
     /// Removes an object, whatever its revision.
     virtual boost::asio::awaitable<WriteOutcome> remove(ObjectKind kind, std::string name) = 0;
@@ -116,23 +116,23 @@
 /// A caller's request, decoded.
 struct CallerRequest
 {
-    std::string name;                  // the caller's id of this try; replicas echo it
+    std::string name; // the caller's id of this try; replicas echo it
     std::optional<std::chrono::milliseconds> timeLeft; // the caller waits this long
-    std::string model;                 // empty: none named
-    std::string adapter;               // empty: the bare model
-    int promptTokens = 0;              //
-    int outputTokens = 0;              // at most
-    std::vector<PromptPart> prompt;    //
-    std::optional<std::uint64_t> resumeAfter; // the last event that the caller has
-    HttpRequest forward;               // what goes to the replica, but for what each send sets
+    std::string model;                                 // empty: none named
+    std::string adapter;                               // empty: the bare model
+    int promptTokens = 0;                              //
+    int outputTokens = 0;                              // at most
+    std::vector<PromptPart> prompt;                    //
+    std::optional<std::uint64_t> resumeAfter;          // the last event that the caller has
+    HttpRequest forward; // what goes to the replica, but for what each send sets
 };
 
 struct ReplicaSend
 {
-    std::string replica;                       // only this one may run it
-    std::chrono::milliseconds timeLeft;        // the replica stops work then
-    std::optional<std::uint64_t> resumeAfter;  // go on after this event
-    int urgency = 5;                           // 0 is first, 9 is last
+    std::string replica;                      // only this one may run it
+    std::chrono::milliseconds timeLeft;       // the replica stops work then
+    std::optional<std::uint64_t> resumeAfter; // go on after this event
+    int urgency = 5;                          // 0 is first, 9 is last
 };
 
 /// The head of a replica's answer, decoded.
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -137,8 +137,8 @@
     m_request.attempts = std::max(1, m_route->attempts);
     m_request.arrived = m_arrived;
     m_request.objective = m_arrived + m_route->latencyObjective;
-    const milliseconds left = std::min(m_caller.timeLeft.value_or(m_route->timeout),
-                                       m_route->timeout);
+    const milliseconds left =
+            std::min(m_caller.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_request.deadline = m_arrived + left;
     m_lastEvent = m_caller.resumeAfter;
     m_fingerprint = hashPair(hashText(m_raw.method + " " + m_raw.host + m_raw.target),
@@ -179,8 +179,8 @@
         const AttemptResult end = co_await attempt(start);
         attempted = true;
         const Instant now = m_givenUp ? m_request.deadline : steadyNow();
-        const NextStep step = nextStep(m_request, m_progress, end,
-                                       m_state.budgetOf(m_request.service), now);
+        const NextStep step =
+                nextStep(m_request, m_progress, end, m_state.budgetOf(m_request.service), now);
         if (step != NextStep::Retry) {
             co_await finish(step, end);
             co_return;
@@ -231,8 +231,8 @@
 /// @return whether giving up the current attempt could lead to another one
 bool RequestFlow::mayTryAnother() const
 {
-    return m_request.repeatable && m_progress.runs + 1 < m_request.attempts
-            && m_hasAlternative && m_state.budgetOf(m_request.service).tokens() >= 1.0;
+    return m_request.repeatable && m_progress.runs + 1 < m_request.attempts && m_hasAlternative
+            && m_state.budgetOf(m_request.service).tokens() >= 1.0;
 }
 
 Instant RequestFlow::firstByteDeadline(const StartRequest &start) const
@@ -261,8 +261,8 @@
     send.resumeAfter = m_lastEvent;
     send.urgency = std::min(FirstUrgency + m_request.priority, LastUrgency);
 
-    // Whether a request arrived on a kept connection that its replica has just dropped is not certain,
-    // and only requests that may be repeated can be sent again then.
+    // Whether a request arrived on a kept connection that its replica has just dropped is not
+    // certain, and only requests that may be repeated can be sent again then.
     const bool fresh = !m_request.repeatable || m_keptFailed;
     m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
     const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
@@ -312,7 +312,8 @@
     if (std::exchange(m_firstByteSeen, true))
         return;
     const Duration taken = steadyNow() - m_sentAt;
-    const double expected = double(std::max<Duration::rep>(1, start.choice.expectedFirstByte.count()));
+    const double expected =
+            double(std::max<Duration::rep>(1, start.choice.expectedFirstByte.count()));
     const ReplicaRow *row = m_state.replicas.find(start.choice.id);
     const double slowness = row == nullptr ? 1.0 : row->slowness;
     m_state.replicas.onFirstByte(start.choice.id, start.choice.generation,
@@ -390,8 +391,8 @@
         co_return AttemptResult::ErrorAnswer;
     }
     const int status = head.status;
-    const bool there = co_await m_reply.send(status, std::move(answer.head.headers),
-                                             std::move(answer.body));
+    const bool there =
+            co_await m_reply.send(status, std::move(answer.head.headers), std::move(answer.body));
     if (there)
         logDone("served", status, "");
     co_return there ? AttemptResult::Delivered : AttemptResult::CallerLeft;
@@ -427,7 +428,7 @@
 }
 
 asio::awaitable<AttemptResult> RequestFlow::takeStream(const HttpResponseHead &head,
-                                                    const StartRequest &start)
+                                                       const StartRequest &start)
 {
     EventStreamParser parser;
     const Instant last = m_request.deadline + AnswerSlack;
@@ -521,7 +522,8 @@
             .field("status", status)
             .field("reason", reason)
             .field("sends", m_progress.sends)
-            .field("route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name))
+            .field("route",
+                   m_route == nullptr ? std::string_view() : std::string_view(m_route->name))
             .field("first_byte_ms", m_firstByteAfter)
             .field("longest_gap_ms", m_longestGap)
             .field("taken_ms", taken);
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -1,8 +1,9 @@
 // Serves one request of a caller, from its arrival to its final answer.
 //
-// Order of things: decode, find the route, let the scheduler choose a replica, make the attempt, let
-// the rules in serving/attemptpolicy.h say what follows. Whole answers are read before the caller gets
-// a byte; streams are passed on event by event, and go on at another replica where the route allows.
+// Order of things: decode, find the route, let the scheduler choose a replica, make the attempt,
+// let the rules in serving/attemptpolicy.h say what follows. Whole answers are read before the
+// caller gets a byte; streams are passed on event by event, and go on at another replica where the
+// route allows.
 #pragma once
 
 #include "edge/nodestate.h"
@@ -57,7 +58,7 @@
     boost::asio::awaitable<AttemptResult> exchangeOnce(const StartRequest &start);
     boost::asio::awaitable<AttemptResult> takeWhole(const HttpResponseHead &head);
     boost::asio::awaitable<AttemptResult> takeStream(const HttpResponseHead &head,
-                                                  const StartRequest &start);
+                                                     const StartRequest &start);
     boost::asio::awaitable<bool> passEvents(const HttpResponseHead &head,
                                             std::vector<StreamEvent> events);
     boost::asio::awaitable<bool> beginStream(const HttpResponseHead &head);
@@ -89,14 +90,14 @@
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
     Instant m_sentAt;
-    bool m_firstByteSeen = false; // in the current attempt
+    bool m_firstByteSeen = false;  // in the current attempt
     bool m_hasAlternative = false; // another replica could have been chosen for it
     bool m_callerLeft = false;
     bool m_givenUp = false;
     Duration m_firstByteAfter {}; // of the whole request; for the log
     Duration m_longestGap {};     // between events; for the log
     Instant m_lastEventAt;
-    bool m_keptFailed = false;    // a kept connection was found dropped: open a new one
+    bool m_keptFailed = false;      // a kept connection was found dropped: open a new one
     bool m_connectionBroke = false; // the current attempt ended with its connection
 };
 
--- a/src/edge/storewatch.h
+++ b/src/edge/storewatch.h
@@ -25,15 +25,18 @@
 
 struct StoreWatchSettings
 {
-    // A call is held this long. An answer may be lost without a sign of it on the connection; within
-    // this time and the client's slack, together below the 3 s that a node has after a cut, it is asked
-    // for again.
+    // A call is held this long. An answer may be lost without a sign of it on the connection;
+    // within this time and the client's slack, together below the 3 s that a node has after a cut,
+    // it is asked for again.
     std::chrono::milliseconds wait { 2'000 };
     std::chrono::milliseconds firstPause { 100 }; // after a failure; doubles
-    std::chrono::milliseconds lastPause { 800 };  // up to this: the store's return is noticed within
-    std::chrono::milliseconds batchPause { 250 }; // after changes: those that follow come together;
-                                                  // far below the 2 s within which they must be in force
-    Duration calmAfter = std::chrono::seconds(5); // without failures the store counts as undisturbed
+    std::chrono::milliseconds lastPause { 800 }; // up to this: the store's return is noticed within
+    std::chrono::milliseconds batchPause {
+        250
+    }; // after changes: those that follow come together;
+       // far below the 2 s within which they must be in force
+    Duration calmAfter =
+            std::chrono::seconds(5); // without failures the store counts as undisturbed
 };
 
 class StoreWatch
--- a/src/edge/waitingrequests.cpp
+++ b/src/edge/waitingrequests.cpp
@@ -12,9 +12,8 @@
 {
 }
 
-asio::awaitable<SchedulingDecision> WaitingRequests::submit(ServingRequest request,
-                                                            std::vector<std::string> excluded,
-                                                            bool attempted)
+asio::awaitable<SchedulingDecision>
+WaitingRequests::submit(ServingRequest request, std::vector<std::string> excluded, bool attempted)
 {
     const std::uint64_t id = request.id;
     const auto waiter = std::make_shared<Waiter>(m_io);
--- a/src/edge/waitingrequests.h
+++ b/src/edge/waitingrequests.h
@@ -32,9 +32,8 @@
     std::function<void(const WantCopy &)> onWant;
 
     /// Hands a request to the scheduler and waits for its decision.
-    boost::asio::awaitable<SchedulingDecision> submit(ServingRequest request,
-                                                      std::vector<std::string> excluded,
-                                                      bool attempted);
+    boost::asio::awaitable<SchedulingDecision>
+    submit(ServingRequest request, std::vector<std::string> excluded, bool attempted);
 
     /// Refuses every request that waits.
     void refuseAll(const char *reason, std::chrono::milliseconds retryAfter);
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -20,8 +20,8 @@
     Row &row = m_nodes[beat.sender.name];
     if (beat.started < row.started)
         return false; // an earlier process of that node, delayed on its way
-    const bool news = row.heardAt == Instant {} || beat.started != row.started
-            || beat.leaving != row.leaving;
+    const bool news =
+            row.heardAt == Instant {} || beat.started != row.started || beat.leaving != row.leaving;
     row.info = beat.sender;
     row.leaving = beat.leaving;
     row.started = beat.started;
@@ -87,8 +87,8 @@
     };
     for (std::size_t each = 0; each < std::min(zone.size(), m_settings.zonePeers); ++each)
         add(*zone[each]);
-    if (const auto holder = m_nodes.find(m_holder.name); holder != m_nodes.end()
-        && now - holder->second.namedAt < m_settings.knownFor)
+    if (const auto holder = m_nodes.find(m_holder.name);
+        holder != m_nodes.end() && now - holder->second.namedAt < m_settings.knownFor)
         add(holder->second);
     for (std::size_t each = 0; each < m_settings.otherPeers && !others.empty(); ++each)
         add(*others[m_random.below(others.size())]);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -38,7 +38,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<http::request<http::string_body>> message; // being written
-    Instant keptAt {};      // when it was put aside for reuse
+    Instant keptAt {};                                       // when it was put aside for reuse
     Instant usableUntil {}; // when kept for reuse: the server closes it at about this time
 };
 
@@ -129,8 +129,7 @@
 {
     auto &connections = idle[endpoint];
     const Instant now = steadyNow();
-    std::erase_if(connections,
-                  [&](const ConnectionPtr &kept) { return now >= kept->usableUntil; });
+    std::erase_if(connections, [&](const ConnectionPtr &kept) { return now >= kept->usableUntil; });
     connection->keptAt = now;
     if (connections.size() < MaxIdlePerEndpoint)
         connections.push_back(std::move(connection));
@@ -209,7 +208,8 @@
         co_return std::nullopt;
     }
     if (m_closed)
-        co_return CallFailure { false, false, false, toText(m_endpoint) + ": the session has ended" };
+        co_return CallFailure { false, false, false,
+                                toText(m_endpoint) + ": the session has ended" };
 
     boost::system::error_code failure;
     const auto address = asio::ip::make_address(m_endpoint.address, failure);
@@ -260,8 +260,8 @@
 /// otherwise leave both sides waiting for each other.
 void BeastExchange::sendRequest(const HttpRequest &request)
 {
-    auto &message = m_connection->message.emplace(http::string_to_verb(request.method),
-                                                  request.target, 11);
+    auto &message =
+            m_connection->message.emplace(http::string_to_verb(request.method), request.target, 11);
     message.method_string(request.method);
     message.set(http::field::host, request.host.empty() ? toText(m_endpoint) : request.host);
     for (const HttpHeader &header : request.headers)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -28,10 +28,10 @@
 
 struct CallFailure
 {
-    bool bytesSent = false; // whether a byte of the request may have left this process
-    bool timedOut = false;  // the deadline passed
+    bool bytesSent = false;      // whether a byte of the request may have left this process
+    bool timedOut = false;       // the deadline passed
     bool keptConnection = false; // on a kept connection, before any byte of the answer
-    std::string message;    // what the operating system or the parser said
+    std::string message;         // what the operating system or the parser said
 };
 
 template <typename T>
@@ -85,10 +85,10 @@
 struct HttpClientSettings
 {
     std::chrono::milliseconds connectTimeout { 60'000 }; // to open a connection
-    std::chrono::milliseconds idleLimit { 60'000 };      // kept for reuse; less if the server says so,
-                                                         // or if kept connections turn out dead
-    std::chrono::milliseconds idleLeast { 50 };          // the least it is lowered to
-    std::chrono::milliseconds silenceTimeout { 0 };      // unacknowledged data or probes; 0: off
+    std::chrono::milliseconds idleLimit { 60'000 }; // kept for reuse; less if the server says so,
+                                                    // or if kept connections turn out dead
+    std::chrono::milliseconds idleLeast { 50 };     // the least it is lowered to
+    std::chrono::milliseconds silenceTimeout { 0 }; // unacknowledged data or probes; 0: off
 };
 
 class HttpClient
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -62,22 +62,22 @@
 struct CopyPlacement::ModelView
 {
     const EngineModel *model = nullptr;
-    double demand = 0.0;              // tokens a second
-    bool wanted = false;              // a request waits for it
-    int copies = 0;                   // resident or coming, not leaving
-    int ready = 0;                    // of these, resident
-    int desired = 1;                  // copies that the demand needs
-    std::set<std::string> holders;    // replicas of those copies
+    double demand = 0.0;           // tokens a second
+    bool wanted = false;           // a request waits for it
+    int copies = 0;                // resident or coming, not leaving
+    int ready = 0;                 // of these, resident
+    int desired = 1;               // copies that the demand needs
+    std::set<std::string> holders; // replicas of those copies
 };
 
 struct CopyPlacement::Plan
 {
     const ServingService *service = nullptr;
     const EngineLimits *limits = nullptr;
-    std::vector<EngineRecord *> engines;      // that may be ordered or hold something
-    std::vector<ModelView> models;           // in the order of the configuration
-    std::map<std::string, double> adapterDemand; // "model/adapter"
-    std::map<std::string, double> engineLoad;    // tokens a second by replica
+    std::vector<EngineRecord *> engines;          // that may be ordered or hold something
+    std::vector<ModelView> models;                // in the order of the configuration
+    std::map<std::string, double> adapterDemand;  // "model/adapter"
+    std::map<std::string, double> engineLoad;     // tokens a second by replica
     std::unordered_set<std::string> heldAdapters; // on any replica, or ordered
 
     ModelView *find(const std::string &model)
@@ -272,9 +272,8 @@
 
 const ModelCopy *CopyPlacement::copyOn(const EngineRecord &engine, const std::string &model)
 {
-    const auto found =
-            std::find_if(engine.info.models.begin(), engine.info.models.end(),
-                         [&](const ModelCopy &copy) { return copy.model == model; });
+    const auto found = std::find_if(engine.info.models.begin(), engine.info.models.end(),
+                                    [&](const ModelCopy &copy) { return copy.model == model; });
     return found == engine.info.models.end() ? nullptr : &*found;
 }
 
@@ -353,11 +352,9 @@
 
 bool CopyPlacement::takesAdapters(const EngineRecord &engine, Instant now) const
 {
-    const auto inTransit =
-            std::count_if(engine.pendingAdapters.begin(), engine.pendingAdapters.end(),
-                          [&](const auto &entry) {
-                              return now - entry.second < 2 * m_settings.adapterReady;
-                          });
+    const auto inTransit = std::count_if(
+            engine.pendingAdapters.begin(), engine.pendingAdapters.end(),
+            [&](const auto &entry) { return now - entry.second < 2 * m_settings.adapterReady; });
     return mayOrder(engine) && inTransit < m_settings.adaptersInTransit;
 }
 
@@ -394,7 +391,8 @@
             engine.trusted = false;
             engine.reportAt = now;
         }
-        if (std::erase_if(engine.loading, [&](const auto &entry) { return now >= entry.second; }) > 0) {
+        if (std::erase_if(engine.loading, [&](const auto &entry) { return now >= entry.second; })
+            > 0) {
             engine.trusted = false; // it failed, or the listing does not come through
             engine.reportAt = now;
         }
@@ -686,8 +684,8 @@
     return false;
 }
 
-/// Takes out the idle adapter that is asked for least, of the replicas that hold the model. Adapters
-/// in use stay: a replica would refuse other orders until their last request has ended.
+/// Takes out the idle adapter that is asked for least, of the replicas that hold the model.
+/// Adapters in use stay: a replica would refuse other orders until their last request has ended.
 void CopyPlacement::makeAdapterRoom(Plan &plan, const EngineModel &model, Instant now)
 {
     EngineRecord *best = nullptr;
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -8,15 +8,15 @@
 //   CopyPlacement                  the system
 //
 // One node acts, the holder of a lease; its shell calls tick() several times a second. Every model
-// gets one copy at least; models get more copies as the demand for them grows, of the memory that is
-// free, then of copies that the demand needs least. Adapters are loaded ahead of demand as far as
-// there are places; one that is asked for takes the place of an idle one.
+// gets one copy at least; models get more copies as the demand for them grows, of the memory that
+// is free, then of copies that the demand needs least. Adapters are loaded ahead of demand as far
+// as there are places; one that is asked for takes the place of an idle one.
 //
 // Orders and doubt. Each order carries the number of orders that the replica had accepted when the
 // holder knew what it holds. The replica carries it out only while that number stands. So an order
-// whose answer was lost can take effect late, but only upon the state it was decided for, and at most
-// one order takes effect upon each state. No order is sent to a replica whose number is in doubt: its
-// report is asked for first.
+// whose answer was lost can take effect late, but only upon the state it was decided for, and at
+// most one order takes effect upon each state. No order is sent to a replica whose number is in
+// doubt: its report is asked for first.
 //
 // The loads it answers: demand that moves to other models within seconds, rare models asked for at
 // once, replicas that leave or crash with the only copy of a model.
@@ -41,36 +41,37 @@
 {
     std::string service;
     std::string model;
-    std::string adapter;         // empty: all requests of the model
+    std::string adapter;          // empty: all requests of the model
     double tokensPerSecond = 0.0; // prompt tokens asked for, smoothed
 };
 
 struct CopyPlacementSettings
 {
-    std::string node;                      // holder's name in orders
-    double tokensPerCopy = 8'000.0;        // prompt tokens a second that one copy is to serve:
-                                           // under half of a replica, which has other copies too
-    Duration listSettles = std::chrono::milliseconds(1'500); // a heartbeat after the last new replica,
-                                                             // all that start together are listed
-    Duration listWaitMost = std::chrono::seconds(5);         // for that, from the first replica on
+    std::string node;               // holder's name in orders
+    double tokensPerCopy = 8'000.0; // prompt tokens a second that one copy is to serve:
+                                    // under half of a replica, which has other copies too
+    Duration listSettles =
+            std::chrono::milliseconds(1'500);        // a heartbeat after the last new replica,
+                                                     // all that start together are listed
+    Duration listWaitMost = std::chrono::seconds(5); // for that, from the first replica on
     Duration demandFresh = std::chrono::seconds(3);  // older reports of a node are dropped
-    Duration orderTimeout = std::chrono::milliseconds(600); // then an order counts as unanswered
+    Duration orderTimeout = std::chrono::milliseconds(600);  // then an order counts as unanswered
     Duration reportTimeout = std::chrono::milliseconds(600); // then a report is asked for again
-    Duration reportPause = std::chrono::milliseconds(150);   // after a conflict: the order under way
-                                                             // at the replica ends
+    Duration reportPause = std::chrono::milliseconds(150); // after a conflict: the order under way
+                                                           // at the replica ends
     Duration roomKept = std::chrono::seconds(8); // for the model that a copy made room for
-    Duration keepFor = std::chrono::seconds(6); // a new copy is not taken out for another's demand
-    Duration adapterReady = std::chrono::milliseconds(40); // from an order until it serves
-    Duration adapterPending = std::chrono::seconds(3);     // listings after it show the adapter
-    int adaptersInTransit = 4;    // that a replica takes at once
+    Duration keepFor = std::chrono::seconds(6);  // a new copy is not taken out for another's demand
+    Duration adapterReady = std::chrono::milliseconds(40);     // from an order until it serves
+    Duration adapterPending = std::chrono::seconds(3);         // listings after it show the adapter
+    int adaptersInTransit = 4;                                 // that a replica takes at once
     Duration lowerAccepted = std::chrono::milliseconds(1'500); // a report with a lower number of
                                                                // orders is right after this time
-    Duration reportPauseMost = std::chrono::seconds(4);        // between reports of a silent replica
+    Duration reportPauseMost = std::chrono::seconds(4);     // between reports of a silent replica
     Duration listingLag = std::chrono::milliseconds(2'500); // a listing shows what a report showed
     Duration wantFresh = std::chrono::milliseconds(1'500); // a request waits for the copy this long
-    double memoryMargin = 0.995; // of a replica's memory that is used
-    double adapterIdle = 25.0; // tokens a second; a request's share of the smoothed demand is above it
-                               // for some seconds
+    double memoryMargin = 0.995;                           // of a replica's memory that is used
+    double adapterIdle = 25.0; // tokens a second; a request's share of the smoothed demand is above
+                               // it for some seconds
     Duration noPreloadFor = std::chrono::seconds(10); // an adapter that gave way
     int adapterOrdersAtOnce = 6; // under way over all replicas; few enough to keep each fast
     double surplusRatio = 2.0;   // a copy moves only to demand this many times its own
@@ -116,23 +117,23 @@
 
 struct EngineRecord
 {
-    ReplicaInfo info;                     // as listed
-    std::uint64_t ordersAccepted = 0;     // by this process of the replica
-    bool trusted = false;                 // the number of orders is known, not in doubt
-    std::vector<ModelCopy> reported;      // held by the last report; the listing may lag behind it
-    Instant reportedUntil;                // a listing that comes after it shows what was reported
-    std::optional<EngineCommand> open;    // sent, no answer yet
-    Instant openUntil;                    // then it counts as unanswered
-    bool openTakesStoreLoad = false;      // it took a token of the ceiling
-    std::map<std::string, Instant> loading; // models ordered, not listed yet: given up then
-    std::set<std::string> unloading;      // models ordered out, still listed
+    ReplicaInfo info;                  // as listed
+    std::uint64_t ordersAccepted = 0;  // by this process of the replica
+    bool trusted = false;              // the number of orders is known, not in doubt
+    std::vector<ModelCopy> reported;   // held by the last report; the listing may lag behind it
+    Instant reportedUntil;             // a listing that comes after it shows what was reported
+    std::optional<EngineCommand> open; // sent, no answer yet
+    Instant openUntil;                 // then it counts as unanswered
+    bool openTakesStoreLoad = false;   // it took a token of the ceiling
+    std::map<std::string, Instant> loading;         // models ordered, not listed yet: given up then
+    std::set<std::string> unloading;                // models ordered out, still listed
     std::map<std::string, Instant> pendingAdapters; // "model/adapter" not listed yet: ordered at
-    std::map<std::string, Instant> keepUntil; // models loaded a short time ago
-    std::string roomFor;                  // a copy was taken out so that this model fits
-    Instant roomUntil;                    // others may take the room then
-    Instant reportAt;                     // next report may be asked for then
-    int reportsUnanswered = 0;            // in a row
-    Instant lastOrderAt;                  // an order was accepted
+    std::map<std::string, Instant> keepUntil;       // models loaded a short time ago
+    std::string roomFor;                            // a copy was taken out so that this model fits
+    Instant roomUntil;                              // others may take the room then
+    Instant reportAt;                               // next report may be asked for then
+    int reportsUnanswered = 0;                      // in a row
+    Instant lastOrderAt;                            // an order was accepted
 };
 
 class CopyPlacement
@@ -208,14 +209,14 @@
     CopyPlacementSettings m_settings;
     bool m_holder = false;
     std::uint64_t m_term = 0;
-    std::map<std::string, ServingService> m_services;   // those with models
-    std::map<std::string, LoadCeiling> m_ceilings;      // by service
-    std::map<std::string, EngineRecord> m_engines;       // by replica
-    std::map<std::string, NodeDemand> m_demand;         // by node
-    std::map<std::string, Want> m_wants;                // by service and copy
-    Instant m_firstReplicaAt;                           // zero: none yet
-    Instant m_newReplicaAt;                             // the last one listed for the first time
-    std::map<std::string, Instant> m_noPreload;         // adapters taken out a short time ago
+    std::map<std::string, ServingService> m_services; // those with models
+    std::map<std::string, LoadCeiling> m_ceilings;    // by service
+    std::map<std::string, EngineRecord> m_engines;    // by replica
+    std::map<std::string, NodeDemand> m_demand;       // by node
+    std::map<std::string, Want> m_wants;              // by service and copy
+    Instant m_firstReplicaAt;                         // zero: none yet
+    Instant m_newReplicaAt;                           // the last one listed for the first time
+    std::map<std::string, Instant> m_noPreload;       // adapters taken out a short time ago
     std::vector<PlacingAction> m_actions;
 };
 
--- a/src/placing/loadceiling.h
+++ b/src/placing/loadceiling.h
@@ -1,7 +1,7 @@
 // Paces loads from the weight store, so that every window of time stays below its ceiling.
 //
-// A bucket of tokens: each load takes one, and they come back at the store's rate. A new holder does
-// not know what the one before it has loaded: it starts with an empty bucket, so that the two
+// A bucket of tokens: each load takes one, and they come back at the store's rate. A new holder
+// does not know what the one before it has loaded: it starts with an empty bucket, so that the two
 // together stay below what one may do.
 #pragma once
 
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -55,8 +55,7 @@
         return false;
     if (!isCertainlyNotRun(end) && !request.repeatable)
         return false;
-    return progress.runs < request.attempts
-            && progress.sends < request.attempts + limits.rejections
+    return progress.runs < request.attempts && progress.sends < request.attempts + limits.rejections
             && progress.connectFailures < limits.connectFailures;
 }
 
--- a/src/serving/attemptpolicy.h
+++ b/src/serving/attemptpolicy.h
@@ -7,8 +7,8 @@
 //   nextStep          the rules
 //
 // The rules keep three promises: a request that must not run twice is sent again only after its
-// replica said that it has not run it; "not run" is told to a caller only when that is certain; sends
-// beyond the first draw on a budget that bounds the fleet.
+// replica said that it has not run it; "not run" is told to a caller only when that is certain;
+// sends beyond the first draw on a budget that bounds the fleet.
 #pragma once
 
 #include "decide/retrybudget.h"
--- a/src/serving/promptmemory.cpp
+++ b/src/serving/promptmemory.cpp
@@ -11,8 +11,8 @@
     std::uint64_t hash = hashText(copyName(request.model, request.adapter));
     for (std::size_t each = 0; each < request.prompt.size(); ++each) {
         const PromptPart &part = request.prompt[each];
-        hash = hashPair(hash, std::string_view(reinterpret_cast<const char *>(&part.id),
-                                               sizeof part.id));
+        hash = hashPair(hash,
+                        std::string_view(reinterpret_cast<const char *>(&part.id), sizeof part.id));
         chain.hashes.push_back(hash);
         chain.tokens.push_back(part.tokens);
         const bool shared = each + 1 < request.prompt.size();
--- a/src/serving/promptmemory.h
+++ b/src/serving/promptmemory.h
@@ -1,7 +1,7 @@
 // Which replicas are believed to keep which beginnings of prompts, from this node's own sends.
 //
-// A belief is a hint: where it is wrong, the replica computes the part again. Nodes do not tell each
-// other; so that they send prompts with the same beginning to the same replica all the same,
+// A belief is a hint: where it is wrong, the replica computes the part again. Nodes do not tell
+// each other; so that they send prompts with the same beginning to the same replica all the same,
 // homeRank() orders replicas by rendezvous hashing of the shared parts.
 #pragma once
 
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -59,8 +59,8 @@
         if (home)
             kept = std::max(kept, chain.sharedTokens);
         candidate.freshTokens = std::max(0, request.promptTokens - kept);
-        const Duration prefill = m_table.prefillAhead(row, now)
-                + m_table.prefillTime(row, candidate.freshTokens);
+        const Duration prefill =
+                m_table.prefillAhead(row, now) + m_table.prefillTime(row, candidate.freshTokens);
         candidate.firstByteUs = double(prefill.count() + m_settings.stepTime.count())
                 + load * double(m_settings.stepPerRequest.count());
     }
@@ -87,7 +87,8 @@
         return slots(row) * m_settings.plainOverSlots;
     double most = slots(row);
     if (const int kvTokens = m_engines[request.service].kvTokens; kvTokens > 0)
-        most = std::min(most, m_settings.kvShare * kvTokens
+        most = std::min(most,
+                        m_settings.kvShare * kvTokens
                                 / std::max(1.0, m_profiles[request.service].meanTokens));
     return std::max(1.0, most);
 }
@@ -101,7 +102,8 @@
         return true;
     const Duration ahead = m_table.prefillAhead(row, now);
     const Duration own = m_table.prefillTime(row, candidate.freshTokens);
-    return ahead <= m_settings.prefillIdle || ahead + own <= m_engines[request.service].prefillLimit;
+    return ahead <= m_settings.prefillIdle
+            || ahead + own <= m_engines[request.service].prefillLimit;
 }
 
 ChooserAnswer ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -6,12 +6,13 @@
 //   ServiceProfile             what was learned about a service's requests
 //   ReplicaChooser             the policy
 //
-// For model replicas the time is made of prompt tokens ahead of the request, its own tokens that the
-// replica does not keep, and the batch; for plain ones of the requests beyond the replica's slots.
-// A replica gets only so many prompts at a time that the pauses of its running streams stay short;
-// nodes tell each other of the prompts that they send. It answers two more loads: uneven ones, where many nodes see the same stale readings (a random factor
-// keeps them apart), and replicas that are slow or fail while they call themselves healthy (observed
-// slowness and failures multiply the cost).
+// For model replicas the time is made of prompt tokens ahead of the request, its own tokens that
+// the replica does not keep, and the batch; for plain ones of the requests beyond the replica's
+// slots. A replica gets only so many prompts at a time that the pauses of its running streams stay
+// short; nodes tell each other of the prompts that they send. It answers two more loads: uneven
+// ones, where many nodes see the same stale readings (a random factor keeps them apart), and
+// replicas that are slow or fail while they call themselves healthy (observed slowness and failures
+// multiply the cost).
 #pragma once
 
 #include "base/random.h"
@@ -53,17 +54,19 @@
     Duration stepTime = std::chrono::milliseconds(10);        // one step of a batch
     Duration stepPerRequest = std::chrono::microseconds(300); // each request slows the others
     Duration plainServiceTime = std::chrono::milliseconds(40); // start value; learned
-    double failureWeight = 5.0;    // a replica that fails all costs this much more
-    double spread = 0.15;          // random share added to costs
-    double kvShare = 0.85;         // of a replica's KV cache that requests may fill
-    double plainOverSlots = 1.25;  // requests at a plain replica, against its slots
-    int defaultSlots = 16;         // for replicas that do not say
+    double failureWeight = 5.0;   // a replica that fails all costs this much more
+    double spread = 0.15;         // random share added to costs
+    double kvShare = 0.85;        // of a replica's KV cache that requests may fill
+    double plainOverSlots = 1.25; // requests at a plain replica, against its slots
+    int defaultSlots = 16;        // for replicas that do not say
     // Prompts are read in the steps between the tokens of running streams, and an event waits for
-    // several tokens. With more than a step's share of the longest pause to read, pauses get too long.
-    Duration stepReserve = std::chrono::milliseconds(35); // of that share: the step itself, and errors
-    Duration leastPrefill = std::chrono::milliseconds(60); // also where the share is smaller
-    Duration disturbedStream = std::chrono::milliseconds(12); // cost of a prompt beyond that limit, for
-                                                              // each request that runs there
+    // several tokens. With more than a step's share of the longest pause to read, pauses get too
+    // long.
+    Duration stepReserve =
+            std::chrono::milliseconds(35); // of that share: the step itself, and errors
+    Duration leastPrefill = std::chrono::milliseconds(60);    // also where the share is smaller
+    Duration disturbedStream = std::chrono::milliseconds(12); // cost of a prompt beyond that limit,
+                                                              // for each request that runs there
     Duration prefillIdle = std::chrono::milliseconds(12); // less ahead is nothing: about one step
 };
 
@@ -127,7 +130,8 @@
     struct EngineBounds
     {
         int kvTokens = 0;
-        Duration prefillLimit = std::chrono::milliseconds(165); // 400 ms pauses, two tokens an event
+        Duration prefillLimit =
+                std::chrono::milliseconds(165); // 400 ms pauses, two tokens an event
     };
     std::map<std::string, EngineBounds> m_engines; // by service
 };
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -20,9 +20,9 @@
 {
     return std::any_of(info.models.begin(), info.models.end(), [&](const ModelCopy &each) {
         return each.model == copy
-                || std::any_of(each.adapters.begin(), each.adapters.end(), [&](const auto &adapter) {
-                       return copyName(each.model, adapter) == copy;
-                   });
+                || std::any_of(
+                        each.adapters.begin(), each.adapters.end(),
+                        [&](const auto &adapter) { return copyName(each.model, adapter) == copy; });
     });
 }
 
@@ -75,9 +75,8 @@
     std::erase_if(row->coming, [&](const auto &entry) { return isListed(info, entry.first); });
     // Once it is not listed any more, a copy that is listed later is a new one.
     std::erase_if(row->absent, [&](const auto &entry) { return !isListed(info, entry.first); });
-    std::erase_if(row->added, [&](const auto &entry) {
-        return now >= entry.second + m_settings.addedFor;
-    });
+    std::erase_if(row->added,
+                  [&](const auto &entry) { return now >= entry.second + m_settings.addedFor; });
 }
 
 void ReplicaTable::onMissing(const std::string &id, bool sourceDisturbed, Instant now)
@@ -226,8 +225,8 @@
     constexpr double LeastRatio = 0.25; // one odd answer must not make a replica look idle or dead
     constexpr double MostRatio = 8.0;
     row->connectFailures = 0;
-    row->slowness += m_settings.smoothing
-            * (std::clamp(ratio, LeastRatio, MostRatio) - row->slowness);
+    row->slowness +=
+            m_settings.smoothing * (std::clamp(ratio, LeastRatio, MostRatio) - row->slowness);
 }
 
 void ReplicaTable::onFinished(const std::string &id, std::uint64_t generation,
@@ -288,9 +287,8 @@
         if (now >= added->second && now < added->second + m_settings.addedFor)
             return true;
     }
-    const auto resident =
-            std::find_if(row.info.models.begin(), row.info.models.end(),
-                         [&](const ModelCopy &each) { return each.model == model; });
+    const auto resident = std::find_if(row.info.models.begin(), row.info.models.end(),
+                                       [&](const ModelCopy &each) { return each.model == model; });
     if (resident == row.info.models.end())
         return false;
     return adapter.empty() || contains(resident->adapters, adapter);
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -40,17 +40,17 @@
 
 struct ReplicaInfo
 {
-    std::string id;                         // names the process, as far as the platform knows
-    std::string service;                    // the service it belongs to
-    std::string address;                    // "IP:PORT"
-    std::string zone;                       // its availability zone
-    std::uint64_t startedMs = 0;            // Unix milliseconds; tells a restart under the same id
-    int slots = 0;                          // requests it serves at once; 0: not said
-    bool draining = false;                  // it is about to leave
+    std::string id;              // names the process, as far as the platform knows
+    std::string service;         // the service it belongs to
+    std::string address;         // "IP:PORT"
+    std::string zone;            // its availability zone
+    std::uint64_t startedMs = 0; // Unix milliseconds; tells a restart under the same id
+    int slots = 0;               // requests it serves at once; 0: not said
+    bool draining = false;       // it is about to leave
     std::chrono::milliseconds coldLeft { 0 }; // it stays slow for this long
-    std::vector<ModelCopy> models;          // resident; empty for plain services
-    std::vector<std::string> inHostMemory;  // models it can load fast
-    std::vector<std::string> onDisk;        // models it can load without the weight store
+    std::vector<ModelCopy> models;            // resident; empty for plain services
+    std::vector<std::string> inHostMemory;    // models it can load fast
+    std::vector<std::string> onDisk;          // models it can load without the weight store
 };
 
 struct LoadReading
@@ -71,22 +71,23 @@
 
 struct ReplicaRow
 {
-    ReplicaInfo info;                // as last announced
-    std::uint64_t generation = 0;    // never reused; a new one for each start of the replica
-    int inFlight = 0;                // sent from here and not finished
-    Instant prefillUntil;            // prompts sent by any node are read by then, by estimate
-    LoadReading load;                // newest reading
-    Instant loadReadAt;              // when it came
-    int changeSinceLoad = 0;         // own sends less own finishes since that reading
-    double failureShare = 0.0;       // smoothed share of failed requests
-    double slowness = 1.0;           // observed time to the first byte against the expected one
-    int connectFailures = 0;         // in a row
-    Instant avoidUntil;              // gets nothing until then
-    Instant goneAt;                  // missing from the list: dropped then; zero when listed
-    Instant coldUntil;               // slow until then
-    std::unordered_map<std::string, Instant> absent; // "model/adapter" it denied holding, until then
+    ReplicaInfo info;             // as last announced
+    std::uint64_t generation = 0; // never reused; a new one for each start of the replica
+    int inFlight = 0;             // sent from here and not finished
+    Instant prefillUntil;         // prompts sent by any node are read by then, by estimate
+    LoadReading load;             // newest reading
+    Instant loadReadAt;           // when it came
+    int changeSinceLoad = 0;      // own sends less own finishes since that reading
+    double failureShare = 0.0;    // smoothed share of failed requests
+    double slowness = 1.0;        // observed time to the first byte against the expected one
+    int connectFailures = 0;      // in a row
+    Instant avoidUntil;           // gets nothing until then
+    Instant goneAt;               // missing from the list: dropped then; zero when listed
+    Instant coldUntil;            // slow until then
+    std::unordered_map<std::string, Instant>
+            absent; // "model/adapter" it denied holding, until then
     std::unordered_map<std::string, Instant> coming; // models being loaded, expected then
-    std::unordered_map<std::string, Instant> added;  // "model/adapter" loaded after the announcement
+    std::unordered_map<std::string, Instant> added; // "model/adapter" loaded after the announcement
 };
 
 struct ReplicaTableSettings
@@ -97,11 +98,12 @@
     Duration connectAvoid = std::chrono::milliseconds(300);   // doubles with each failure in a row
     Duration connectAvoidMax = std::chrono::milliseconds(2'400); // so a recovered replica is found
     Duration loadUsable = std::chrono::milliseconds(1'000); // older readings decay to own counts
-    Duration deniedFor = std::chrono::milliseconds(700);   // a copy denied by its replica
-    Duration comingLate = std::chrono::seconds(4);  // beyond the expected time a load has failed
-    Duration leavingFor = std::chrono::seconds(15); // a copy ordered out; its last runs take their time
+    Duration deniedFor = std::chrono::milliseconds(700);    // a copy denied by its replica
+    Duration comingLate = std::chrono::seconds(4); // beyond the expected time a load has failed
+    Duration leavingFor =
+            std::chrono::seconds(15); // a copy ordered out; its last runs take their time
     Duration addedFor = std::chrono::milliseconds(3'000); // two heartbeats: the list shows it then
-    double smoothing = 0.15; // weight of the newest outcome in shares
+    double smoothing = 0.15;                              // weight of the newest outcome in shares
     double prefillTokensPerMs = 18.0; // start value, of the engines served today; slowness corrects
     double pairsMsPerMillion = 1.4;   // attention over a long prompt grows with its square
 };
@@ -130,7 +132,8 @@
     /// A model is being loaded.
     void onCopyComing(const std::string &id, const std::string &copy, Instant expectedAt);
 
-    /// @return when a replica of the service is expected to hold the copy; Instant::max() if none is
+    /// @return when a replica of the service is expected to hold the copy; Instant::max() if none
+    /// is
     Instant copyExpectedAt(const std::string &service, const std::string &copy, Instant now) const;
 
     /// A copy was ordered out; it gets nothing new, though it is listed until its last run ends.
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -99,8 +99,7 @@
     const ServingRequest &request = waiting.request;
     const Duration whole = request.deadline - request.arrived;
     const Instant latest = request.arrived
-            + Duration(static_cast<Duration::rep>(double(whole.count())
-                                                  * m_settings.placingShare));
+            + Duration(static_cast<Duration::rep>(double(whole.count()) * m_settings.placingShare));
     const Instant expected =
             m_table.copyExpectedAt(request.service, copyName(request.model, request.adapter), now);
     return expected < latest ? latest : now;
@@ -120,7 +119,8 @@
     return ahead;
 }
 
-/// @return time that the replicas need for the prompts queued before a request, all of them together
+/// @return time that the replicas need for the prompts queued before a request, all of them
+/// together
 Duration RequestScheduler::promptsAhead(const Waiting &waiting, Instant now) const
 {
     const ServingRequest &request = waiting.request;
@@ -272,8 +272,8 @@
         const double ms = 1e3 * double(aheadOf(waiting)) / rate;
         after += std::chrono::milliseconds(static_cast<std::int64_t>(ms));
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            waiting.request.deadline - now);
+    const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(waiting.request.deadline - now);
     constexpr int Thirds = 3; // callers come back within a third of the time they have left
     after = std::min({ after, m_settings.retryAfterMax, left / Thirds });
     after = std::max(after, std::chrono::milliseconds(0));
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -7,9 +7,10 @@
 //
 // Answers the heaviest loads: demand that jumps to a multiple of what the replicas can serve, and
 // demand for models that are not resident yet. A queue is ordered by priority, then by who is due
-// first; those that are late already come after those that can still be on time. A request is refused at once when the queue before it, by the prompts in it and at the rate at
-// which it moves, would start it too late to be on time; so callers learn early that they have to come back, and capacity
-// goes to requests that are still on time.
+// first; those that are late already come after those that can still be on time. A request is
+// refused at once when the queue before it, by the prompts in it and at the rate at which it moves,
+// would start it too late to be on time; so callers learn early that they have to come back, and
+// capacity goes to requests that are still on time.
 //
 //   scheduler.submit(request, {}, now);
 //   for (SchedulerAction &action : scheduler.takeActions())
@@ -40,7 +41,7 @@
 struct RefuseRequest
 {
     std::uint64_t id = 0;
-    const char *reason = "";               // for the log
+    const char *reason = "";                 // for the log
     std::chrono::milliseconds retryAfter {}; // when a new try is likely to be served
 };
 
@@ -59,15 +60,15 @@
 struct SchedulerSettings
 {
     std::size_t mostQueued = 2'000; // requests waiting at this node; bounds its memory
-    Duration unusableWait = std::chrono::milliseconds(250); // for a replica to come back; longer than
-                                                            // the first pause after a failure
+    Duration unusableWait = std::chrono::milliseconds(250); // for a replica to come back; longer
+                                                            // than the first pause after a failure
     Duration orderWait = std::chrono::milliseconds(300); // for news that a copy is being loaded
     double placingShare = 0.7; // of a request's time that it may wait for a copy to be loaded
     Duration wantRepeat = std::chrono::milliseconds(250); // WantCopy is repeated, it may get lost
     Duration rateWindow = std::chrono::milliseconds(500); // starts are counted over it
     double lateShare = 0.7; // of a request's time within which a late start is still worth it
-    std::chrono::milliseconds retryAfterMin { 250 };      // bounds of the advice to callers
-    std::chrono::milliseconds retryAfterMax { 3'000 };    //
+    std::chrono::milliseconds retryAfterMin { 250 };   // bounds of the advice to callers
+    std::chrono::milliseconds retryAfterMax { 3'000 }; //
 };
 
 class RequestScheduler
@@ -103,7 +104,7 @@
         PromptChain chain;
         std::vector<std::string> excluded;
         bool attempted = false;
-        Instant since;   // in the queue
+        Instant since;    // in the queue
         Instant giveUpAt; // refused then
         NoReplica cause = NoReplica::Full;
     };
@@ -131,7 +132,7 @@
     SchedulerSettings m_settings;
     std::map<std::string, Queue> m_queues; // by service
     std::unordered_map<std::uint64_t, std::string> m_where;
-    std::unordered_map<std::string, Rate> m_rates;  // by copy, or service for plain ones
+    std::unordered_map<std::string, Rate> m_rates;    // by copy, or service for plain ones
     std::unordered_map<std::string, Instant> m_wants; // by copy: not repeated before
     Instant m_windowEnd;
     std::vector<SchedulerAction> m_actions;
--- a/src/serving/servingconfig.h
+++ b/src/serving/servingconfig.h
@@ -45,9 +45,9 @@
     std::chrono::milliseconds latencyObjective { 1'000 }; // to the first byte; earns full credit
     std::chrono::milliseconds gapObjective { 0 };         // longest pause between events; 0: none
     int priority = 0;                                     // 0 is the most urgent
-    int attempts = 1;                                     // replicas that one request may be sent to
-    bool hasModels = false;                               // requests name a model
-    std::vector<ServiceShare> targets;                    // one, or a split
+    int attempts = 1;                  // replicas that one request may be sent to
+    bool hasModels = false;            // requests name a model
+    std::vector<ServiceShare> targets; // one, or a split
 };
 
 // ---- Services -----------------------------------------------------------------------------------
@@ -88,8 +88,8 @@
 
 struct CallerLimits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;           // larger ones get 431 or 413
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;       // larger ones get 413
+    std::size_t maxHeaderBytes = 16 * 1024;            // larger ones get 431 or 413
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;        // larger ones get 413
     std::chrono::milliseconds headerTimeout { 3'000 }; // to send a request
     std::chrono::milliseconds idleTimeout { 15'000 };  // between requests of a connection
 };
--- a/src/serving/suspects.h
+++ b/src/serving/suspects.h
@@ -1,8 +1,8 @@
 // Requests that may crash the replicas that run them.
 //
 // A replica that is lost takes all its requests with it, so one loss accuses nobody. A request that
-// was lost with several replicas, and never served in between, is refused for a while, on every node:
-// nodes tell each other of their losses.
+// was lost with several replicas, and never served in between, is refused for a while, on every
+// node: nodes tell each other of their losses.
 #pragma once
 
 #include "base/instant.h"
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -143,10 +143,9 @@
                                                   { "Request-Urgency", "0" },
                                                   { "Connection", "keep-alive" },
                                                   { "X-Other", "kept" } }));
-    const HttpRequest sent =
-            dialect.encode(valueOf(decoded), { "i-1", 900ms, std::nullopt, 4 });
-    for (const char *name : { "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Connection",
-                              "Request-Urgency" })
+    const HttpRequest sent = dialect.encode(valueOf(decoded), { "i-1", 900ms, std::nullopt, 4 });
+    for (const char *name :
+         { "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Connection", "Request-Urgency" })
         CHECK(!hasHeader(sent, name));
     CHECK(hasHeader(sent, "X-Other"));
     CHECK_EQUAL(std::string("i-1"), *headerValue(sent.headers, "Expect-Instance"));
@@ -188,9 +187,8 @@
     CHECK(!read(503, { { "Attempt-Id", "q1" } }).notRun);
     CHECK(read(421, { { "Instance-Id", "i-2" } }).otherReplica);
     CHECK(read(421, { { "Instance-Id", "i-1" } }).copyAbsent);
-    const auto loaded = read(200, { { "Attempt-Id", "q1" },
-                                    { "Server-Seal", "s" },
-                                    { "Instance-Load", "3,1,8" } });
+    const auto loaded = read(
+            200, { { "Attempt-Id", "q1" }, { "Server-Seal", "s" }, { "Instance-Load", "3,1,8" } });
     CHECK_EQUAL(3, loaded.load->running);
     CHECK_EQUAL(8, loaded.load->slots);
 }
@@ -213,9 +211,7 @@
     CHECK(!headerValue(dialect.ownHeaders("q1", 0ms), "Retry-After").has_value());
 }
 
-TEST_GROUP(HostSettings)
-{
-};
+TEST_GROUP(HostSettings) {};
 
 TEST(HostSettings, ReadsWhatIsThereAndIgnoresTheRest)
 {
--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -8,9 +8,7 @@
 using namespace burdock;
 using namespace std::chrono_literals;
 
-TEST_GROUP(PeerMessages)
-{
-};
+TEST_GROUP(PeerMessages) {};
 
 TEST(PeerMessages, ABeatArrivesAsItWasSent)
 {
@@ -33,33 +31,33 @@
 
 TEST(PeerMessages, NotesArriveAsTheyWereSent)
 {
-    const auto copy = std::get<CopyNote>(
-            *decodePeerMessage(encodePeerMessage(CopyNote { "r", "m/a", CopyChange::Coming, 40ms })));
+    const auto copy = std::get<CopyNote>(*decodePeerMessage(
+            encodePeerMessage(CopyNote { "r", "m/a", CopyChange::Coming, 40ms })));
     CHECK(copy.change == CopyChange::Coming);
     CHECK(copy.usableIn == 40ms);
     const auto loss = std::get<LossNote>(
             *decodePeerMessage(encodePeerMessage(LossNote { 0xffff'ffff'ffff'fffe, "r" })));
     CHECK_EQUAL(0xffff'ffff'ffff'fffe, loss.fingerprint);
-    const auto prompt = std::get<PromptNote>(
-            *decodePeerMessage(encodePeerMessage(PromptNote { "r", 1'800 })));
+    const auto prompt =
+            std::get<PromptNote>(*decodePeerMessage(encodePeerMessage(PromptNote { "r", 1'800 })));
     CHECK_EQUAL(1'800, prompt.freshTokens);
 }
 
 TEST(PeerMessages, WhatIsNoMessageIsNothing)
 {
-    for (const char *text : { "", "[]", "{}", "[9]", "[1]", "[3,\"r\",\"c\",7,1]", "[5,\"r\",\"x\"]",
-                              "[1,[\"n\"],0,true,[],[],[]]" })
+    for (const char *text : { "", "[]", "{}", "[9]", "[1]", "[3,\"r\",\"c\",7,1]",
+                              "[5,\"r\",\"x\"]", "[1,[\"n\"],0,true,[],[],[]]" })
         CHECK(!decodePeerMessage(text).has_value());
-    CHECK(rc::check("arbitrary bytes", [] {
-        decodePeerMessage(*rc::gen::arbitrary<std::string>());
-    }));
+    CHECK(rc::check("arbitrary bytes",
+                    [] { decodePeerMessage(*rc::gen::arbitrary<std::string>()); }));
 }
 
 TEST(PeerMessages, ABeatWithManyModelsStaysADatagram)
 {
     BeatMessage message;
     for (int number = 0; number < 500; ++number)
-        message.demand.push_back({ "service", "model-" + std::to_string(number), "", number * 1.0 });
+        message.demand.push_back(
+                { "service", "model-" + std::to_string(number), "", number * 1.0 });
     CHECK(encodePeerMessage(message).size() < 1'800);
     const auto beat = std::get<BeatMessage>(*decodePeerMessage(encodePeerMessage(message)));
     CHECK_EQUAL(std::string("model-499"), beat.demand.at(0).model); // the largest are kept
--- a/tests/net/test_httpclient.cpp
+++ b/tests/net/test_httpclient.cpp
@@ -76,7 +76,7 @@
     asio::io_context io { 1 };
 
     /// Makes calls one after the other.
-    std::vector<CallResult<HttpResponse>> call(HttpClient &client, const Endpoint &endpoint,
+    std::vector<CallResult<HttpResponse>> call(HttpClient & client, const Endpoint &endpoint,
                                                int count, const std::string &body = "")
     {
         std::vector<CallResult<HttpResponse>> results;
@@ -113,8 +113,9 @@
 // Bytes beyond an answer would be taken for the answer to the next request.
 TEST(HttpClient, DropsAConnectionWithBytesBeyondTheAnswer)
 {
-    ScriptedServer server(io, { Plain + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother\r\nClose-Now",
-                                Plain });
+    ScriptedServer server(
+            io,
+            { Plain + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother\r\nClose-Now", Plain });
     HttpClient client(io);
     const auto results = call(client, server.endpoint(), 2);
     CHECK_EQUAL(2, results.size());
@@ -125,9 +126,10 @@
 
 TEST(HttpClient, GivesUpAKeptConnectionBeforeTheServerDoes)
 {
-    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\n"
-                                "okClose-Now",
-                                Plain });
+    ScriptedServer server(io,
+                          { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\n"
+                            "okClose-Now",
+                            Plain });
     server.answers[0].resize(server.answers[0].size() - 9); // stays open, yet is not used again
     HttpClient client(io);
     asio::co_spawn(
@@ -161,7 +163,8 @@
 
 TEST(HttpClient, ATruncatedAnswerIsNone)
 {
-    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\nX: Close-Now\r\nContent-Length: 50\r\n\r\nhalf" });
+    ScriptedServer server(io,
+                          { "HTTP/1.1 200 OK\r\nX: Close-Now\r\nContent-Length: 50\r\n\r\nhalf" });
     HttpClient client(io);
     const auto results = call(client, server.endpoint(), 1);
     CHECK(!served(results[0]));
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -222,9 +222,10 @@
 
     int copiesOf(const std::string &model) const
     {
-        return static_cast<int>(std::count_if(
-                replicas.begin(), replicas.end(),
-                [&](const FakeReplica &replica) { return replica.models.contains(model); }));
+        return static_cast<int>(
+                std::count_if(replicas.begin(), replicas.end(), [&](const FakeReplica &replica) {
+                    return replica.models.contains(model);
+                }));
     }
 
     Random random;
@@ -239,9 +240,7 @@
 
 } // namespace
 
-TEST_GROUP(CopyPlacement)
-{
-};
+TEST_GROUP(CopyPlacement) {};
 
 TEST(CopyPlacement, EveryModelGetsACopy)
 {
@@ -274,8 +273,9 @@
     bool held = false;
     for (const FakeReplica &replica : world.replicas) {
         const auto model = replica.models.find("m0");
-        held = held || (model != replica.models.end()
-                        && std::count(model->second.begin(), model->second.end(), "a6") > 0);
+        held = held
+                || (model != replica.models.end()
+                    && std::count(model->second.begin(), model->second.end(), "a6") > 0);
     }
     CHECK(held);
 }
@@ -333,9 +333,9 @@
         }
         constexpr double Most = 2.0 * 5.0 * 1.1 + 3.0;
         for (const Instant first : world.loads) {
-            const auto count = std::count_if(
-                    world.loads.begin(), world.loads.end(),
-                    [&](Instant each) { return each >= first && each < first + 5s; });
+            const auto count =
+                    std::count_if(world.loads.begin(), world.loads.end(),
+                                  [&](Instant each) { return each >= first && each < first + 5s; });
             RC_ASSERT(double(count) <= Most);
         }
     }));
@@ -349,8 +349,8 @@
         for (int second = 0; second < 40; ++second) {
             const auto model = "m" + std::to_string(*rc::gen::inRange(0, ModelCount));
             world.placement->onDemand("node-1", { { "pool", model, "", 30'000.0 } }, world.now);
-            world.placement->onWant("pool", "m0",
-                                    "a" + std::to_string(*rc::gen::inRange(1, 7)), world.now);
+            world.placement->onWant("pool", "m0", "a" + std::to_string(*rc::gen::inRange(1, 7)),
+                                    world.now);
             if (second % 13 == 12) { // another holder goes on, without the memory of the first
                 world.placement->setHolder(false, 0, world.now);
                 world.placement->setHolder(true, static_cast<std::uint64_t>(second), world.now);
@@ -378,8 +378,8 @@
         for (int second = 0; second < 30; ++second) {
             std::vector<CopyDemand> demand;
             for (int number = 0; number < 2; ++number)
-                demand.push_back({ "pool", "m" + std::to_string(*rc::gen::inRange(0, ModelCount)), "",
-                                   *rc::gen::inRange(1, 60) * 1'000.0 });
+                demand.push_back({ "pool", "m" + std::to_string(*rc::gen::inRange(0, ModelCount)),
+                                   "", *rc::gen::inRange(1, 60) * 1'000.0 });
             world.placement->onDemand("node-1", demand, world.now);
             world.run(1s);
             for (int model = 0; model < ModelCount; ++model)
--- a/tests/serving/test_attemptpolicy.cpp
+++ b/tests/serving/test_attemptpolicy.cpp
@@ -69,9 +69,7 @@
 
 } // namespace
 
-TEST_GROUP(AttemptPolicy)
-{
-};
+TEST_GROUP(AttemptPolicy) {};
 
 TEST(AttemptPolicy, SaysNotRunOnlyWhenThatIsCertain)
 {
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -136,8 +136,8 @@
     }
     CHECK(starts >= 80); // what the replica can read in 10 s, less one in ten
     CHECK(refusals > 300);
-    CHECK(lateStarts * 5 <= starts);       // four of five on time
-    CHECK(lateRefusals * 10 <= refusals);  // nine of ten at once
+    CHECK(lateStarts * 5 <= starts);      // four of five on time
+    CHECK(lateRefusals * 10 <= refusals); // nine of ten at once
 }
 
 TEST(RequestScheduler, WaitsForACopyThatIsBeingLoaded)
