--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -80,6 +80,17 @@
     std::map<std::string, double> engineLoad;     // tokens a second by replica
     std::unordered_set<std::string> heldAdapters; // on any replica, or ordered
 
+    /// Counts a copy, once for each replica.
+    void count(const EngineRecord &engine, const std::string &model, bool isReady)
+    {
+        ModelView *view = find(model);
+        if (view == nullptr || engine.unloading.contains(model)
+            || !view->holders.insert(engine.info.id).second)
+            return;
+        view->copies++;
+        view->ready += isReady ? 1 : 0;
+    }
+
     ModelView *find(const std::string &model)
     {
         const auto found = std::find_if(models.begin(), models.end(), [&](const ModelView &view) {
@@ -441,20 +452,12 @@
         if (engine.info.service != service.name || engine.info.draining)
             continue;
         plan.engines.push_back(&engine);
-        const auto count = [&](const std::string &model, bool isReady) {
-            ModelView *view = plan.find(model);
-            if (view == nullptr || engine.unloading.contains(model)
-                || !view->holders.insert(id).second)
-                return;
-            view->copies++;
-            view->ready += isReady ? 1 : 0;
-        };
         for (const ModelCopy &copy : engine.info.models)
-            count(copy.model, true);
+            plan.count(engine, copy.model, true);
         for (const auto &[model, until] : engine.loading)
-            count(model, false);
+            plan.count(engine, model, false);
         if (engine.open && engine.open->load && engine.open->adapter.empty())
-            count(engine.open->model, false);
+            plan.count(engine, engine.open->model, false);
     }
     if (plan.engines.empty())
         return;
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -195,7 +195,7 @@
     {
         now += 100ms;
         for (auto &[at, command] : late) {
-            if (now >= at && command.replica != "")
+            if (now >= at)
                 find(command.replica).order(command, now);
         }
         std::erase_if(late, [&](const auto &entry) { return now >= entry.first; });
@@ -376,10 +376,11 @@
         World world(*rc::gen::arbitrary<std::uint64_t>());
         world.run(20s);
         for (int second = 0; second < 30; ++second) {
-            std::vector<CopyDemand> demand;
-            for (int number = 0; number < 2; ++number)
-                demand.push_back({ "pool", "m" + std::to_string(*rc::gen::inRange(0, ModelCount)),
-                                   "", *rc::gen::inRange(1, 60) * 1'000.0 });
+            const auto some = [] {
+                return CopyDemand { "pool", "m" + std::to_string(*rc::gen::inRange(0, ModelCount)),
+                                    "", *rc::gen::inRange(1, 60) * 1'000.0 };
+            };
+            const std::vector<CopyDemand> demand { some(), some() };
             world.placement->onDemand("node-1", demand, world.now);
             world.run(1s);
             for (int model = 0; model < ModelCount; ++model)
