--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -268,6 +268,7 @@
     const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
     const auto result = co_await m_exchange->start(request, firstByteDeadline(start));
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        m_failure = failure->message;
         m_connectionBroke = !failure->timedOut && !failure->keptConnection;
         m_keptFailed = m_keptFailed || (failure->keptConnection && !failure->timedOut);
         if (failure->bytesSent) {
@@ -372,6 +373,7 @@
     while (true) {
         auto part = co_await m_exchange->readPart(last);
         if (const auto *failure = std::get_if<CallFailure>(&part)) {
+            m_failure = failure->message;
             m_connectionBroke = !failure->timedOut;
             co_return endOf(*failure);
         }
@@ -439,6 +441,7 @@
         const bool canResume = m_request.resumable && mayTryAnother();
         auto part = co_await m_exchange->readPart(canResume ? std::min(before, last) : last);
         if (const auto *failure = std::get_if<CallFailure>(&part)) {
+            m_failure = failure->message;
             m_connectionBroke = !failure->timedOut;
             if (m_exchange)
                 m_exchange->cancel();
@@ -521,9 +524,12 @@
             .field("outcome", outcome)
             .field("status", status)
             .field("reason", reason)
+            .field("failure", m_failure)
+            .field("route", m_route == nullptr ? std::string_view() : m_route->name)
+            .field("copy", copyName(m_request.model, m_request.adapter))
+            .field("queued", std::int64_t(m_state.scheduler.queued()))
+            .field("config", m_state.config->version)
             .field("sends", m_progress.sends)
-            .field("route",
-                   m_route == nullptr ? std::string_view() : std::string_view(m_route->name))
             .field("first_byte_ms", m_firstByteAfter)
             .field("longest_gap_ms", m_longestGap)
             .field("taken_ms", taken);
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -90,6 +90,7 @@
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
     Instant m_sentAt;
+    std::string m_failure;         // what ended the last attempt, as the connection told it
     bool m_firstByteSeen = false;  // in the current attempt
     bool m_hasAlternative = false; // another replica could have been chosen for it
     bool m_callerLeft = false;
