A replica's "not run" no longer speaks for an earlier attempt

Cause, found reading the code: the body of a "not run" answer was read by the function that passes answers on.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -283,7 +283,7 @@
     if (answer.load)
         m_state.replicas.onLoad(start.choice.id, *answer.load, steadyNow());
     if (answer.notRun) {
-        co_await takeWhole(head); // so that the connection can be used again
+        co_await readBody(); // so that the connection can be used again
         if (answer.otherReplica)
             co_return AttemptResult::OtherReplica;
         co_return answer.copyAbsent ? AttemptResult::CopyAbsent : AttemptResult::NotRun;
@@ -366,28 +366,35 @@
 
 // ---- Whole answers ------------------------------------------------------------------------------
 
-asio::awaitable<AttemptResult> RequestFlow::takeWhole(const HttpResponseHead &head)
+asio::awaitable<std::optional<std::string>> RequestFlow::readBody()
 {
-    StoredAnswer answer { head, {} };
+    std::string body;
     const Instant last = m_request.deadline + AnswerSlack;
     while (true) {
         auto part = co_await m_exchange->readPart(last);
         if (const auto *failure = std::get_if<CallFailure>(&part)) {
             m_failure = failure->message;
             m_connectionBroke = !failure->timedOut;
-            co_return endOf(*failure);
+            co_return std::nullopt;
         }
         const auto &text = std::get<std::string>(part);
         if (text.empty())
-            break;
-        if (answer.body.size() + text.size() > MostAnswerBytes) {
+            co_return body;
+        if (body.size() + text.size() > MostAnswerBytes) {
+            m_failure = "the answer is longer than this node buffers";
             m_exchange->cancel();
-            co_return AttemptResult::Lost;
+            co_return std::nullopt;
         }
-        answer.body += text;
+        body += text;
     }
-    if (m_progress.runs == 0)
-        co_return AttemptResult::NotRun; // the caller of this function knows more
+}
+
+asio::awaitable<AttemptResult> RequestFlow::takeWhole(const HttpResponseHead &head)
+{
+    auto body = co_await readBody();
+    if (!body)
+        co_return steadyNow() >= m_request.deadline ? AttemptResult::TimedOut : AttemptResult::Lost;
+    StoredAnswer answer { head, std::move(*body) };
     if (head.status >= LeastErrorStatus) {
         m_errorAnswer = std::move(answer);
         co_return AttemptResult::ErrorAnswer;
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -56,6 +56,8 @@
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<AttemptResult> attempt(const StartRequest &start);
     boost::asio::awaitable<AttemptResult> exchangeOnce(const StartRequest &start);
+    /// @return the rest of the replica's answer; nothing when it does not come whole
+    boost::asio::awaitable<std::optional<std::string>> readBody();
     boost::asio::awaitable<AttemptResult> takeWhole(const HttpResponseHead &head);
     boost::asio::awaitable<AttemptResult> takeStream(const HttpResponseHead &head,
                                                      const StartRequest &start);
--- /dev/null
+++ b/tests/adapter/test_requestflow.cpp
@@ -0,0 +1,281 @@
+// One request through RequestFlow, with the platform's dialect, against replicas that misbehave.
+#include "edge/requestflow.h"
+#include "platform/requestdialect.h"
+#include "platform/storedecoder.h"
+#include "support/scriptedserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// A store and engines that are never asked.
+struct NoStore : public ObjectStore
+{
+    asio::awaitable<ListAnswer> list(ObjectKind) override { co_return StoreUnavailable {}; }
+    asio::awaitable<WatchAnswer> watch(ObjectKind, std::uint64_t,
+                                       std::chrono::milliseconds) override
+    {
+        co_return StoreUnavailable {};
+    }
+    asio::awaitable<ReadAnswer> read(ObjectKind, std::string) override
+    {
+        co_return StoreUnavailable {};
+    }
+    asio::awaitable<StoreWriteAnswer> write(ObjectKind, std::string, std::uint64_t,
+                                            boost::json::value) override
+    {
+        co_return StoreWriteAnswer {};
+    }
+    asio::awaitable<WriteOutcome> remove(ObjectKind, std::string) override
+    {
+        co_return WriteOutcome::Unknown;
+    }
+};
+
+struct NoEngines : public EngineControl
+{
+    asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant) override
+    {
+        co_return OrderAnswer::Unanswered;
+    }
+    asio::awaitable<std::optional<EngineReport>> report(Endpoint, std::string, Instant) override
+    {
+        co_return std::nullopt;
+    }
+};
+
+struct NoNodes : public NodeAnnouncer
+{
+    void announcePrompt(const std::string &, int) override { }
+    void announceLoss(std::uint64_t, const std::string &) override { }
+};
+
+/// What the caller gets.
+struct Caller : public HttpReply
+{
+    asio::awaitable<bool> send(int answered, std::vector<HttpHeader> sent,
+                               std::string text) override
+    {
+        answers++;
+        status = answered;
+        headers = std::move(sent);
+        body = std::move(text);
+        ended = true;
+        co_return true;
+    }
+    asio::awaitable<bool> begin(int answered, std::vector<HttpHeader> sent) override
+    {
+        answers++;
+        status = answered;
+        headers = std::move(sent);
+        co_return true;
+    }
+    asio::awaitable<bool> write(std::string_view part) override
+    {
+        body += part;
+        co_return true;
+    }
+    asio::awaitable<bool> finish() override
+    {
+        ended = true;
+        co_return true;
+    }
+    void onCallerLeft(std::function<void()>) override { }
+    bool callerLeft() const override { return false; }
+    bool begun() const override { return status != 0; }
+
+    int answers = 0;
+    int status = 0;
+    bool ended = false;
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+ServingRoute route(const char *prefix, bool streams, bool repeatable)
+{
+    ServingRoute made;
+    made.name = prefix;
+    made.host = "h.example";
+    made.pathPrefix = prefix;
+    made.streams = streams;
+    made.repeatable = repeatable;
+    made.resumable = streams && repeatable;
+    made.timeout = 2s;
+    made.latencyObjective = 500ms;
+    made.attempts = 2;
+    made.targets = { { "s", 1.0 } };
+    return made;
+}
+
+const std::string Head = "Attempt-Id: q1\r\nServer-Seal: x\r\n";
+const std::string Good = "HTTP/1.1 200 OK\r\n" + Head + "Content-Length: 4\r\n\r\ngood";
+const std::string Lost = "Close-Now"; // no answer at all
+const std::string NotRun = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string Elsewhere =
+        "HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
+
+std::string events(const std::string &text, bool whole)
+{
+    const std::string length = std::to_string(text.size() + (whole ? 0 : 100));
+    return "HTTP/1.1 200 OK\r\n" + Head + (whole ? "" : "X: Close-Now\r\n")
+            + "Content-Type: text/event-stream\r\nContent-Length: " + length + "\r\n\r\n" + text;
+}
+
+} // namespace
+
+TEST_GROUP(RequestFlow)
+{
+    asio::io_context io { 1 };
+    NoStore store;
+    NoEngines engines;
+    NoNodes nodes;
+    StoreDecoder decoder;
+    PlatformDialect dialect;
+    std::unique_ptr<NodeState> state;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    Caller caller;
+
+    void setup() override
+    {
+        NodeProfile profile;
+        profile.name = "n1";
+        state = std::make_unique<NodeState>(io, profile,
+                                            PlatformPorts { store, decoder, dialect, engines });
+        ServingConfig config;
+        config.version = 1;
+        config.services["s"] = { "s", 0, std::nullopt };
+        config.routes = { route("/repeat/", false, true), route("/once/", false, false),
+                          route("/stream/", true, true), route("/stream-once/", true, false) };
+        state->applyConfig(config);
+    }
+
+    /// Plays a request; each replica answers by its script, all replicas one after the other.
+    void play(const char *path, const std::vector<std::string> &scripts)
+    {
+        for (const std::string &script : scripts)
+            servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { script }));
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.host = "h.example";
+        request.headers = { { "Attempt-Id", "q1" }, { "Deadline-Ms", "2000" } };
+        std::size_t next = 0;
+        const auto offer = [&] {
+            // One replica at a time, so that the order of the scripts is the order of the attempts.
+            if (next > 0)
+                state->replicas.onMissing("r" + std::to_string(next - 1), false, steadyNow());
+            ReplicaInfo info;
+            info.id = "r" + std::to_string(next);
+            info.service = "s";
+            info.address = toText(servers[next]->endpoint());
+            info.startedMs = 1;
+            info.slots = 4;
+            state->replicas.onAnnounced(info, steadyNow());
+            next++;
+        };
+        offer();
+        RequestFlow flow(*state, nodes, request, caller);
+        asio::co_spawn(io, flow.run(), asio::detached);
+        const Instant end = steadyNow() + 3s;
+        while (!caller.ended && steadyNow() < end) {
+            io.run_for(5ms);
+            if (next < servers.size() && servers[next - 1]->next > 0)
+                offer();
+            state->waiting.tick();
+            if (caller.begun() && next == servers.size() && state->flows.empty())
+                break;
+        }
+        io.run_for(20ms);
+    }
+};
+
+TEST(RequestFlow, PassesAnAnswerOnUnchanged)
+{
+    play("/repeat/a", { Good });
+    CHECK_EQUAL(200, caller.status);
+    CHECK_EQUAL(std::string("good"), caller.body);
+    CHECK_EQUAL(std::string("x"), *headerValue(caller.headers, "Server-Seal"));
+}
+
+TEST(RequestFlow, RepeatsWhatMayBeRepeated)
+{
+    play("/repeat/a", { Lost, Good });
+    CHECK_EQUAL(200, caller.status);
+}
+
+TEST(RequestFlow, ALostRequestThatMustNotRunTwiceIsNotSentAgain)
+{
+    play("/once/a", { Lost, Good });
+    CHECK_EQUAL(502, caller.status);
+    CHECK_EQUAL(0, servers[1]->next);
+}
+
+TEST(RequestFlow, WhatAReplicaDidNotRunIsSentToAnother)
+{
+    play("/once/a", { NotRun, Good });
+    CHECK_EQUAL(200, caller.status);
+}
+
+// The second replica's own "not run" was passed on, though the first may have run the request.
+TEST(RequestFlow, NotRunOfOneReplicaSaysNothingOfAnother)
+{
+    play("/repeat/a", { Lost, Elsewhere });
+    CHECK_EQUAL(502, caller.status);
+    CHECK_EQUAL(1, caller.answers);
+}
+
+TEST(RequestFlow, NeitherDoesARefusalAfterIt)
+{
+    play("/repeat/a", { Lost, NotRun });
+    CHECK(caller.status == 502 || caller.status == 504);
+    CHECK_EQUAL(1, caller.answers);
+}
+
+TEST(RequestFlow, RefusesWithTheTimeToComeBackWhenNothingRan)
+{
+    play("/once/a", { NotRun });
+    CHECK_EQUAL(503, caller.status);
+    CHECK(headerValue(caller.headers, "Retry-After").has_value());
+}
+
+TEST(RequestFlow, AStreamGoesOnWhereItBrokeOff)
+{
+    play("/stream/a",
+         { events("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", false),
+           events("id: 2\ndata: b\n\nid: 3\ndata: c\n\n", true) });
+    CHECK_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"), caller.body);
+    CHECK(caller.ended);
+}
+
+TEST(RequestFlow, AStreamThatCannotGoOnHasNoEnd)
+{
+    play("/stream-once/a", { events("id: 1\ndata: a\n\n", false) });
+    CHECK_EQUAL(std::string("id: 1\ndata: a\n\n"), caller.body);
+    CHECK(!caller.ended);
+}
+
+TEST(RequestFlow, AnAnswerOfAnotherRequestIsNotTaken)
+{
+    play("/once/a",
+         { "HTTP/1.1 200 OK\r\nAttempt-Id: q2\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\n"
+           "other" });
+    CHECK_EQUAL(502, caller.status);
+}
+
+TEST(RequestFlow, ASuccessWithoutProofOfItsReplicaIsNotTaken)
+{
+    play("/once/a", { "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 5\r\n\r\nbogus" });
+    CHECK_EQUAL(502, caller.status);
+}
+
+TEST(RequestFlow, UnknownRoutesAndAMissingConfiguration)
+{
+    play("/nowhere/a", { Good });
+    CHECK_EQUAL(404, caller.status);
+}
--- a/tests/net/test_httpclient.cpp
+++ b/tests/net/test_httpclient.cpp
@@ -1,13 +1,6 @@
 // The HTTP client against servers that misbehave, on loopback.
-#include "net/coroutines.h"
 #include "net/httpclient.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
+#include "support/scriptedserver.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -17,56 +10,9 @@
 using namespace burdock;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
-using Tcp = asio::ip::tcp;
 
 namespace {
 
-/// Answers each request head with the next text; an empty text closes the connection.
-struct ScriptedServer
-{
-    ScriptedServer(asio::io_context &context, std::vector<std::string> texts)
-        : io(context)
-        , acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-        , answers(std::move(texts))
-    {
-        asio::co_spawn(io, accept(), asio::detached);
-    }
-
-    Endpoint endpoint() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
-
-    asio::awaitable<void> accept()
-    {
-        while (next < answers.size()) {
-            Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
-            connections++;
-            co_await serve(socket);
-        }
-    }
-
-    asio::awaitable<void> serve(Tcp::socket &socket)
-    {
-        asio::streambuf buffer;
-        while (next < answers.size()) {
-            boost::system::error_code failure;
-            const auto bytes =
-                    co_await asio::async_read_until(socket, buffer, "\r\n\r\n", withError(failure));
-            if (failure)
-                co_return;
-            buffer.consume(bytes);
-            const std::string text = answers[next++];
-            co_await asio::async_write(socket, asio::buffer(text), withError(failure));
-            if (failure || text.find("Close-Now") != std::string::npos)
-                co_return;
-        }
-    }
-
-    asio::io_context &io;
-    Tcp::acceptor acceptor;
-    std::vector<std::string> answers;
-    std::size_t next = 0;
-    int connections = 0;
-};
-
 const std::string Plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
--- /dev/null
+++ b/tests/support/scriptedserver.h
@@ -0,0 +1,69 @@
+// A server on loopback that answers by script, for tests of clients and of what uses them.
+#pragma once
+
+#include "net/coroutines.h"
+#include "net/endpoint.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+#include <vector>
+
+namespace burdock {
+
+/// Answers each request head with the next text; an empty text closes the connection.
+struct ScriptedServer
+{
+    ScriptedServer(boost::asio::io_context &context, std::vector<std::string> texts)
+        : io(context)
+        , acceptor(context,
+                   boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , answers(std::move(texts))
+    {
+        boost::asio::co_spawn(io, accept(), boost::asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
+
+    boost::asio::awaitable<void> accept()
+    {
+        while (next < answers.size()) {
+            boost::asio::ip::tcp::socket socket =
+                    co_await acceptor.async_accept(boost::asio::use_awaitable);
+            connections++;
+            co_await serve(socket);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket &socket)
+    {
+        boost::asio::streambuf buffer;
+        while (next < answers.size()) {
+            boost::system::error_code failure;
+            const auto bytes = co_await boost::asio::async_read_until(socket, buffer, "\r\n\r\n",
+                                                                      withError(failure));
+            if (failure)
+                co_return;
+            buffer.consume(bytes);
+            const std::string text = answers[next++];
+            co_await boost::asio::async_write(socket, boost::asio::buffer(text),
+                                              withError(failure));
+            if (failure || text.find("Close-Now") != std::string::npos)
+                co_return;
+        }
+    }
+
+    boost::asio::io_context &io;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::vector<std::string> answers;
+    std::size_t next = 0;
+    int connections = 0;
+};
+
+} // namespace burdock
