--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -18,6 +18,9 @@
 /// Nodes that watch the lease closely, to take it over; all others hear of the holder.
 constexpr std::size_t Candidates = 2;
 
+/// After its start a node first hears who else is there; before, every node would be a candidate.
+constexpr std::chrono::milliseconds CandidateAfter { 800 };
+
 /// A node's processes take over from each other: orders of one node are those of one holder.
 constexpr std::uint64_t NodeIncarnation = 1;
 
@@ -107,6 +110,7 @@
     , m_link(link)
     , m_lease(leaseSettings(state.profile.bounds), state.profile.name, NodeIncarnation)
     , m_placement(placementSettings(state.profile.name))
+    , m_candidateFrom(steadyNow() + CandidateAfter)
 {
 }
 
@@ -146,7 +150,7 @@
 void CopyShell::tickLease()
 {
     const Instant now = leaseNow();
-    if (!m_state.leaving) {
+    if (!m_state.leaving && steadyNow() >= m_candidateFrom) {
         const auto live = m_state.directory.liveNames(steadyNow());
         const auto rank = std::find(live.begin(), live.end(), m_state.profile.name) - live.begin();
         m_lease.setCandidate(static_cast<std::size_t>(rank) < Candidates || m_lease.owns(), now);
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -47,6 +47,7 @@
     BeatLink &m_link;
     Lease m_lease;
     CopyPlacement m_placement;
+    Instant m_candidateFrom;
     bool m_wasHolder = false;
     bool m_wasGivenBack = false; // by another node, when this one read it last
     Instant m_ordersFrom; // on the lease's clock: the holder before has been silent long enough
