--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -364,13 +364,6 @@
                 .field("name", sender)
                 .field("state", isLive ? "live" : "leaving")
                 .field("zone", message.beat.sender.zone);
-    // A node that starts learns at once whom to follow, in place of watching the store meanwhile.
-    if (news && !message.beat.leaving && !m_state.leaving) {
-        BeatMessage welcome = ownBeat();
-        welcome.beat.others =
-                m_state.directory.nodesToWelcome(message.beat.sender.zone, steadyNow());
-        m_link.send(welcome, { message.beat.sender.ip });
-    }
     m_copies.onDemand(sender, message.demand);
 }
 
@@ -395,16 +388,6 @@
     return demand;
 }
 
-BeatMessage EdgeProgram::ownBeat() const
-{
-    BeatMessage message;
-    message.beat.sender = { m_state.profile.name, m_state.profile.ip, m_state.profile.zone };
-    message.beat.started = m_state.started;
-    message.beat.leaving = m_state.leaving;
-    message.beat.holder = m_state.directory.holder();
-    return message;
-}
-
 void EdgeProgram::sendBeat()
 {
     const Instant now = steadyNow();
@@ -412,7 +395,11 @@
     m_lastDemand = now;
     m_copies.onDemand(m_state.profile.name, demandNow());
 
-    BeatMessage message = ownBeat();
+    BeatMessage message;
+    message.beat.sender = { m_state.profile.name, m_state.profile.ip, m_state.profile.zone };
+    message.beat.started = m_state.started;
+    message.beat.leaving = m_state.leaving;
+    message.beat.holder = m_state.directory.holder();
     message.beat.others = m_state.directory.nodesToTell(now);
     message.demand = demandNow();
     std::vector<std::string> targets = m_state.directory.beatTargets(now);
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -92,7 +92,6 @@
     boost::asio::awaitable<void> findNodes();
 
     void tick();
-    BeatMessage ownBeat() const;
     void sendBeat();
     std::vector<CopyDemand> demandNow() const;
     void awaitSignal();
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -108,17 +108,6 @@
     return told;
 }
 
-std::vector<NodeInfo> NodeDirectory::nodesToWelcome(const std::string &zone, Instant now) const
-{
-    std::vector<NodeInfo> named;
-    for (const auto &[name, row] : m_nodes) {
-        const bool isKnown = !row.leaving && now - row.namedAt < m_settings.neighbourFor;
-        if (isKnown && row.info.zone == zone && named.size() < m_settings.othersWelcome)
-            named.push_back(row.info);
-    }
-    return named;
-}
-
 std::vector<std::string> NodeDirectory::liveNames(Instant now) const
 {
     std::vector<std::string> names { m_self.name };
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -50,12 +50,11 @@
 {
     Duration liveFor = std::chrono::milliseconds(1'700); // three heartbeats and their way
     Duration knownFor = std::chrono::minutes(10);        // then a silent node is forgotten
-    std::size_t zonePeers = 10;     // nodes of the own zone that get every heartbeat
-    std::size_t otherPeers = 2;     // others, drawn anew each time
-    std::size_t othersWelcome = 24; // named to a node heard for the first time; a datagram's worth
-    std::size_t othersTold = 6;     // nodes named in a heartbeat
-    std::size_t smallFleet = 128;   // up to here all nodes are neighbours; a note for each prompt
-                                    // costs each of them some microseconds
+    std::size_t zonePeers = 10;   // nodes of the own zone that get every heartbeat
+    std::size_t otherPeers = 2;   // others, drawn anew each time
+    std::size_t othersTold = 6;   // nodes named in a heartbeat
+    std::size_t smallFleet = 128; // up to here all nodes are neighbours; a note for each prompt
+                                  // costs each of them some microseconds
     Duration neighbourFor = std::chrono::seconds(5); // named by somebody within it
     std::size_t addressesMost = 16;                  // in one answer to a caller
     std::size_t addressesLeast = 2;                  // with fewer in the zone, others are added
@@ -90,9 +89,6 @@
     /// @return nodes to name in the next heartbeat
     std::vector<NodeInfo> nodesToTell(Instant now);
 
-    /// @return nodes of an availability zone to name to one of it that was heard for the first time
-    std::vector<NodeInfo> nodesToWelcome(const std::string &zone, Instant now) const;
-
     /// @return this node and the live ones, by name
     std::vector<std::string> liveNames(Instant now) const;
 
--- a/tests/fleet/test_nodedirectory.cpp
+++ b/tests/fleet/test_nodedirectory.cpp
@@ -113,15 +113,3 @@
     CHECK(contains(directory.beatTargets(Start), "10.0.0.9"));
     CHECK(!directory.isLive("9", Start)); // it has not been heard itself
 }
-
-// Nodes of another zone than the seeds' learned of each other only by chance, and watched the store
-// until then.
-TEST(NodeDirectory, ANewNodeIsToldItsWholeZone)
-{
-    for (int number = 2; number <= 40; ++number)
-        directory.onBeat(beat(std::to_string(number), number % 2 == 0 ? "a" : "b"), Start);
-    CHECK(directory.onBeat(beat("99", "b"), Start)); // news
-    CHECK(!directory.onBeat(beat("99", "b"), Start));
-    const auto named = directory.nodesToWelcome("b", Start);
-    CHECK_EQUAL(20, named.size());
-}
