--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -62,7 +62,7 @@
     std::size_t mostQueued = 2'000; // requests waiting at this node; bounds its memory
     Duration unusableWait = std::chrono::milliseconds(250); // for a replica to come back; longer
                                                             // than the first pause after a failure
-    Duration orderWait = std::chrono::milliseconds(300); // for news that a copy is being loaded
+    Duration orderWait = std::chrono::milliseconds(300);    // for news that a copy is being loaded
     double placingShare = 0.7; // of a request's time that it may wait for a copy to be loaded
     Duration wantRepeat = std::chrono::milliseconds(250); // WantCopy is repeated, it may get lost
     Duration rateWindow = std::chrono::milliseconds(500); // starts are counted over it
