Test: no coroutine outlives its scripted server

Under the address sanitizer net.httpclient failed: the test destroyed a server whose accept coroutine had not run yet. A bound and closed acceptor gives the free port now; the check is the same.

--- a/tests/net/test_httpclient.cpp
+++ b/tests/net/test_httpclient.cpp
@@ -119,10 +119,11 @@
 
 TEST(HttpClient, WithoutAListenerNothingWasSent)
 {
-    Endpoint nobody;
+    Endpoint nobody { "127.0.0.1", 0 };
     {
-        ScriptedServer server(io, {});
-        nobody = server.endpoint();
+        const asio::ip::tcp::acceptor bound(
+                io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        nobody.port = bound.local_endpoint().port();
     }
     HttpClient client(io);
     const auto results = call(client, nobody, 1);
