--- a/bench/bench_placement.cpp
+++ b/bench/bench_placement.cpp
@@ -166,13 +166,13 @@
             if (const auto *write = std::get_if<LeaseWrite>(&action)) {
                 m_lease = write->value;
                 m_placement.onLeaseWritten(
-                        { write->callId, PlacementWriteStatus::Done, ++m_version }, m_now);
+                        { write->callId, WriteOutcome::Done, ++m_version }, m_now);
             }
             if (const auto *readJournal = std::get_if<JournalRead>(&action))
                 m_placement.onJournalRead({ readJournal->callId, true, 0, JournalValue {} }, m_now);
             if (const auto *writeJournal = std::get_if<JournalWrite>(&action))
                 m_placement.onJournalWritten(
-                        { writeJournal->callId, PlacementWriteStatus::Done, ++m_version }, m_now);
+                        { writeJournal->callId, WriteOutcome::Done, ++m_version }, m_now);
         }
     }
 
--- /dev/null
+++ b/src/base/text.h
@@ -0,0 +1,38 @@
+// Small helpers for names and for text in log lines.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdock {
+
+/// @return whether the list holds the name
+inline bool contains(const std::vector<std::string> &names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// Appends a text in quotes; what would end it or the line is escaped or replaced.
+inline void appendQuoted(std::string &line, std::string_view value)
+{
+    line += '"';
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\')
+            line += '\\';
+        line += letter == '\n' || letter == '\r' ? ' ' : letter;
+    }
+    line += '"';
+}
+
+/// Appends the value of a key=value field, in quotes when it needs them.
+inline void appendLogValue(std::string &line, std::string_view value)
+{
+    if (value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos)
+        appendQuoted(line, value);
+    else
+        line += value;
+}
+
+} // namespace burdock
--- a/src/control/placementshell.cpp
+++ b/src/control/placementshell.cpp
@@ -16,21 +16,6 @@
 
 constexpr std::chrono::milliseconds EngineTimeout { 2'000 };
 
-PlacementWriteStatus writeStatus(WriteOutcome outcome)
-{
-    switch (outcome) {
-    case WriteOutcome::Done:
-        return PlacementWriteStatus::Done;
-    case WriteOutcome::Conflict:
-        return PlacementWriteStatus::Conflict;
-    case WriteOutcome::Unavailable:
-        return PlacementWriteStatus::Unavailable;
-    case WriteOutcome::Unknown:
-        return PlacementWriteStatus::Unknown;
-    }
-    return PlacementWriteStatus::Unknown;
-}
-
 /// Fills a read answer: the object, its absence, or neither.
 template <typename Answer, typename Value>
 Answer readAnswer(std::uint64_t callId, const Result<StoredObject> &object,
@@ -153,8 +138,7 @@
 {
     const auto answer =
             co_await m_objects.write(m_leaseKey, leaseToJson(write.value), write.expectedVersion);
-    m_placement.onLeaseWritten({ write.callId, writeStatus(answer.outcome), answer.version },
-                               steadyNow());
+    m_placement.onLeaseWritten({ write.callId, answer.outcome, answer.version }, steadyNow());
     carryOut();
 }
 
@@ -171,8 +155,7 @@
 {
     const auto answer = co_await m_objects.write(m_journalKey, journalToJson(write.value),
                                                  write.expectedVersion);
-    m_placement.onJournalWritten({ write.callId, writeStatus(answer.outcome), answer.version },
-                                 steadyNow());
+    m_placement.onJournalWritten({ write.callId, answer.outcome, answer.version }, steadyNow());
     carryOut();
 }
 
--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -44,14 +44,14 @@
         return;
     m_call = Call::None;
     switch (answer.status) {
-    case PlacementWriteStatus::Done:
+    case WriteOutcome::Done:
         adopt(answer.version, m_pending, now);
         break;
-    case PlacementWriteStatus::Unavailable:
+    case WriteOutcome::Unavailable:
         afterFailure(now);
         break;
-    case PlacementWriteStatus::Conflict:
-    case PlacementWriteStatus::Unknown:
+    case WriteOutcome::Conflict:
+    case WriteOutcome::Unknown:
         // A write without an answer may still take effect. Reading back tells, and the next write
         // is conditional on what was read, so at most one of the two takes effect.
         m_known = false;
--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -76,9 +76,9 @@
 
 struct LeaseWriteAnswer
 {
-    std::uint64_t callId = 0;                                    // of the write
-    PlacementWriteStatus status = PlacementWriteStatus::Unknown; // what became of it
-    std::uint64_t version = 0;                                   // new version, when Done
+    std::uint64_t callId = 0;                    // of the write
+    WriteOutcome status = WriteOutcome::Unknown; // what became of it
+    std::uint64_t version = 0;                   // new version, when Done
 };
 
 enum class LeaseEvent {
--- a/src/decide/orderjournal.cpp
+++ b/src/decide/orderjournal.cpp
@@ -104,14 +104,14 @@
         return;
     m_call = Call::None;
     switch (answer.status) {
-    case PlacementWriteStatus::Done:
+    case WriteOutcome::Done:
         confirm(answer.version);
         break;
-    case PlacementWriteStatus::Unavailable:
+    case WriteOutcome::Unavailable:
         m_nextCallAt = now + m_settings.retryInterval;
         break;
-    case PlacementWriteStatus::Conflict:
-    case PlacementWriteStatus::Unknown:
+    case WriteOutcome::Conflict:
+    case WriteOutcome::Unknown:
         m_known = false;
         m_nextCallAt = now;
         tick(now);
--- a/src/decide/orderjournal.h
+++ b/src/decide/orderjournal.h
@@ -56,9 +56,9 @@
 
 struct JournalWriteAnswer
 {
-    std::uint64_t callId = 0;                                    // of the write
-    PlacementWriteStatus status = PlacementWriteStatus::Unknown; // what became of it
-    std::uint64_t version = 0;                                   // new version, when Done
+    std::uint64_t callId = 0;                    // of the write
+    WriteOutcome status = WriteOutcome::Unknown; // what became of it
+    std::uint64_t version = 0;                   // new version, when Done
 };
 
 enum class JournalState {
--- a/src/decide/placementtypes.h
+++ b/src/decide/placementtypes.h
@@ -8,13 +8,13 @@
 //   EngineRow, EngineMembership, OpenOrder  the tables
 //   ModelDemand, DemandReport               requests offered
 //   PlacementVm                             one line of the VM list
-//   PlacementWriteStatus                    answer of a conditional write
 //
 // Words used throughout: a *copy* is one model version resident on one engine; an order is *open*
 // until its effect can no longer change without a further order.
 #pragma once
 
 #include "base/instant.h"
+#include "decide/writeoutcome.h"
 
 #include <cstdint>
 #include <set>
@@ -127,13 +127,6 @@
     std::vector<RetiredEngine> retired; // oldest first
 };
 
-enum class PlacementWriteStatus {
-    Done,        // took effect
-    Conflict,    // the object has another version; had no effect
-    Unavailable, // had no effect
-    Unknown,     // may have taken effect, or may do so later
-};
-
 // ---- Engine table -------------------------------------------------------------------------------
 
 enum class EngineMembership {
--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -104,10 +104,12 @@
         page.historyGone = true;
         return page;
     }
-    for (const Change &change : m_changes) {
-        if (change.revision > since)
-            page.items.push_back(change.item);
-    }
+    const auto first = std::upper_bound(m_changes.begin(), m_changes.end(), since,
+                                        [](std::uint64_t revision, const Change &change) {
+                                            return revision < change.revision;
+                                        });
+    for (auto change = first; change != m_changes.end(); ++change)
+        page.items.push_back(change->item);
     page.revision = std::max(since, m_revision);
     return page;
 }
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -72,7 +72,7 @@
             2'000; // some minutes' worth; then followers list anew
 
     std::map<std::string, StoredItem> m_items;
-    std::deque<Change> m_changes;
+    std::deque<Change> m_changes; // by revision
     std::uint64_t m_revision = 0;
     std::uint64_t m_oldest = 0; // changes after it are kept
 };
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -80,21 +80,6 @@
     return lease;
 }
 
-PlacementWriteStatus statusOf(WriteOutcome outcome)
-{
-    switch (outcome) {
-    case WriteOutcome::Done:
-        return PlacementWriteStatus::Done;
-    case WriteOutcome::Conflict:
-        return PlacementWriteStatus::Conflict;
-    case WriteOutcome::Unavailable:
-        return PlacementWriteStatus::Unavailable;
-    case WriteOutcome::Unknown:
-        break;
-    }
-    return PlacementWriteStatus::Unknown;
-}
-
 } // namespace
 
 Instant leaseNow()
@@ -195,6 +180,9 @@
         read.available = true;
         read.version = item->revision;
         read.value = leaseFromJson(item->content);
+        // Taken over like one that was given back: the next write gives it a readable value.
+        if (read.version != 0 && read.value.term == 0)
+            m_state.log.line("lease_unreadable").field("revision", read.version);
     }
     noteGivenBack(read);
     m_lease.onRead(read, leaseNow());
@@ -210,7 +198,7 @@
                 .field("term", action.value.term)
                 .field("expected_revision", action.expectedVersion)
                 .field("failure", answer.message);
-    m_lease.onWritten({ action.callId, statusOf(answer.outcome), answer.revision }, leaseNow());
+    m_lease.onWritten({ action.callId, answer.outcome, answer.revision }, leaseNow());
     tickLease();
 }
 
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -210,17 +210,21 @@
 {
     const NodeProfile &profile = m_state.profile;
     const boost::json::value content { { "ip", profile.ip }, { "zone", profile.zone } };
+    const StoreWriteAnswer answer =
+            co_await m_state.ports.store.write(ObjectKind::Nodes, profile.name, 0, content);
     // A conflict means that an earlier process of this node has written it.
-    co_await m_state.ports.store.write(ObjectKind::Nodes, profile.name, 0, content);
+    if (answer.outcome != WriteOutcome::Done && answer.outcome != WriteOutcome::Conflict)
+        m_state.log.line("register_failed").field("failure", answer.message);
 }
 
 asio::awaitable<void> EdgeProgram::findNodes()
 {
     const ListAnswer answer = co_await m_state.ports.store.list(ObjectKind::Nodes);
-    const auto *list = std::get_if<ItemList>(&answer);
-    if (list == nullptr)
+    if (const auto *failure = std::get_if<StoreUnavailable>(&answer)) {
+        m_state.log.line("find_nodes_failed").field("failure", failure->message);
         co_return;
-    for (const StoredItem &item : list->items) {
+    }
+    for (const StoredItem &item : std::get<ItemList>(answer).items) {
         const auto *content = item.content.if_object();
         const auto *ip = content == nullptr ? nullptr : content->if_contains("ip");
         const auto *zone = content == nullptr ? nullptr : content->if_contains("zone");
@@ -489,10 +493,7 @@
     if (now >= m_giveUpAt && m_giveUpAt != Instant {}) {
         m_giveUpAt = {};
         m_state.log.line("stop_giving_up").field("in_progress", m_callers.requestsInProgress());
-        m_state.waiting.refuseAll("node_stopping", RetryAtOnce);
-        const std::set<RequestFlow *> flows = m_state.flows;
-        for (RequestFlow *flow : flows)
-            flow->giveUp();
+        giveUpAll(m_state, "node_stopping", RetryAtOnce);
     }
     const bool idle = m_state.refusing && m_callers.requestsInProgress() == 0;
     if ((idle && now >= m_refuseAt + EndMarginIdle) || now >= m_endBy)
--- a/src/edge/eventlog.cpp
+++ b/src/edge/eventlog.cpp
@@ -1,5 +1,8 @@
 #include "edge/eventlog.h"
 
+#include "base/text.h"
+#include "base/wallclock.h"
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -9,21 +12,6 @@
 
 namespace burdock {
 
-namespace {
-
-bool needsQuotes(std::string_view value)
-{
-    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
-}
-
-std::int64_t unixMilliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
-} // namespace
-
 // ---- Line ---------------------------------------------------------------------------------------
 
 LogLine::LogLine(EventLog *log, std::string_view event)
@@ -31,7 +19,7 @@
 {
     if (m_log == nullptr)
         return;
-    m_text = "ts=" + std::to_string(unixMilliseconds()) + " event=";
+    m_text = "ts=" + std::to_string(unixTime().count()) + " event=";
     m_text += event;
 }
 
@@ -48,17 +36,7 @@
     m_text += ' ';
     m_text += name;
     m_text += '=';
-    if (!needsQuotes(value)) {
-        m_text += value;
-        return *this;
-    }
-    m_text += '"';
-    for (const char letter : value) {
-        if (letter == '"' || letter == '\\')
-            m_text += '\\';
-        m_text += letter == '\n' || letter == '\r' ? ' ' : letter;
-    }
-    m_text += '"';
+    appendLogValue(m_text, value);
     return *this;
 }
 
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -1,6 +1,7 @@
 #include "edge/nodestate.h"
 
 #include "base/hashing.h"
+#include "base/wallclock.h"
 
 #include <unistd.h>
 
@@ -23,13 +24,6 @@
 constexpr double NodeBudgetLeast = 1.0;
 constexpr double NodeBudgetMost = 6.0;
 
-std::uint64_t unixMilliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 /// @return the shortest of the longest pauses that the service's streams may have; zero: none is
 /// set
 std::chrono::milliseconds longestPause(const ServingConfig &config, const std::string &service)
@@ -96,7 +90,7 @@
     : io(context)
     , profile(std::move(nodeProfile))
     , ports(platform)
-    , started(unixMilliseconds())
+    , started(static_cast<std::uint64_t>(unixTime().count()))
     , log(STDOUT_FILENO, profile.name)
     , replicasHttp(io, { ReplicaConnectTimeout, ReplicaIdleLimit, ReplicaSilence })
     , config(std::make_shared<ServingConfig>())
@@ -150,7 +144,6 @@
             .field("services", std::int64_t(next.services.size()));
     config = std::make_shared<const ServingConfig>(std::move(next));
     routes = std::make_unique<RouteTable>(config);
-    configAppliedAt = steadyNow();
     for (const auto &[name, service] : config->services) {
         if (service.engine)
             chooser.setEngine(name, *service.engine, longestPause(*config, name));
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -92,9 +92,8 @@
     NodeDirectory directory;
     Random random;
     std::set<RequestFlow *> flows; // requests under way
-    Instant configAppliedAt;
-    bool leaving = false;  // a stop was asked for
-    bool refusing = false; // new requests are refused, since the stop goes on
+    bool leaving = false;          // a stop was asked for
+    bool refusing = false;         // new requests are refused, since the stop goes on
     std::uint64_t lastRequestId = 0;
 
 private:
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -70,6 +70,14 @@
         m_exchange->cancel();
 }
 
+void giveUpAll(NodeState &state, const char *reason, milliseconds retryAfter)
+{
+    state.waiting.refuseAll(reason, retryAfter);
+    const std::set<RequestFlow *> flows = state.flows;
+    for (RequestFlow *flow : flows)
+        flow->giveUp();
+}
+
 // ---- Arrival ------------------------------------------------------------------------------------
 
 asio::awaitable<void> RequestFlow::run()
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -104,4 +104,9 @@
     bool m_connectionBroke = false; // the current attempt ended with its connection
 };
 
+/// The process ends: every request that has not begun to be answered gets its final answer, those
+/// that wait for a replica a refusal.
+/// @param reason of the refusals
+void giveUpAll(NodeState &state, const char *reason, std::chrono::milliseconds retryAfter);
+
 } // namespace burdock
--- a/src/net/decisionlog.cpp
+++ b/src/net/decisionlog.cpp
@@ -1,31 +1,13 @@
 #include "net/decisionlog.h"
 
+#include "base/text.h"
+
 #include <glog/logging.h>
 
 #include <cctype>
 
 namespace burdock {
 
-namespace {
-
-bool needsQuotes(std::string_view value)
-{
-    return value.empty() || value.find_first_of(" \"=\n\t") != std::string_view::npos;
-}
-
-void appendQuoted(std::string &text, std::string_view value)
-{
-    text += '"';
-    for (const char letter : value) {
-        if (letter == '"' || letter == '\\')
-            text += '\\';
-        text += letter == '\n' ? ' ' : letter;
-    }
-    text += '"';
-}
-
-} // namespace
-
 void startLogging(const char *program)
 {
     FLAGS_logtostderr = true;
@@ -44,10 +26,7 @@
     m_text += ' ';
     m_text += name;
     m_text += '=';
-    if (needsQuotes(value))
-        appendQuoted(m_text, value);
-    else
-        m_text += value;
+    appendLogValue(m_text, value);
     return *this;
 }
 
--- a/src/node/fleetshell.cpp
+++ b/src/node/fleetshell.cpp
@@ -1,5 +1,6 @@
 #include "node/fleetshell.h"
 
+#include "base/wallclock.h"
 #include "net/coroutines.h"
 #include "node/configjson.h"
 #include "peer.pb.h"
@@ -46,9 +47,7 @@
 
 std::uint64_t newIncarnation()
 {
-    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch());
-    return static_cast<std::uint64_t>(sinceEpoch.count()) << RefutationBits;
+    return static_cast<std::uint64_t>(unixTime().count()) << RefutationBits;
 }
 
 FleetShell::FleetShell(asio::io_context &io, PeerLink &link, ObjectClient &objects,
--- a/src/node/ordershell.cpp
+++ b/src/node/ordershell.cpp
@@ -1,5 +1,6 @@
 #include "node/ordershell.h"
 
+#include "base/wallclock.h"
 #include "net/coroutines.h"
 #include "peer.pb.h"
 #include "peer/ledgerwire.h"
@@ -55,8 +56,7 @@
 
 std::chrono::seconds wallClock()
 {
-    return std::chrono::duration_cast<std::chrono::seconds>(
-            std::chrono::system_clock::now().time_since_epoch());
+    return std::chrono::duration_cast<std::chrono::seconds>(unixTime());
 }
 
 } // namespace
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -4,7 +4,6 @@
 //   CopyDemand                     what callers ask for, as nodes report it
 //   CopyPlacementSettings
 //   SendCommand, AskReport, CopyChanged, PlacingAction
-//   EngineRecord                    what is known of one replica
 //   CopyPlacement                  the system
 //
 // One node acts, the holder of a lease; its shell calls tick() several times a second. Every model
@@ -22,7 +21,7 @@
 // once, replicas that leave or crash with the only copy of a model.
 #pragma once
 
-#include "placing/enginetypes.h"
+#include "placing/enginerecord.h"
 #include "placing/loadceiling.h"
 #include "serving/servingconfig.h"
 
@@ -113,28 +112,7 @@
 
 using PlacingAction = std::variant<SendCommand, AskReport, CopyChanged>;
 
-// ---- State --------------------------------------------------------------------------------------
-
-struct EngineRecord
-{
-    ReplicaInfo info;                  // as listed
-    std::uint64_t ordersAccepted = 0;  // by this process of the replica
-    bool trusted = false;              // the number of orders is known, not in doubt
-    std::vector<ModelCopy> reported;   // held by the last report; the listing may lag behind it
-    Instant reportedUntil;             // a listing that comes after it shows what was reported
-    std::optional<EngineCommand> open; // sent, no answer yet
-    Instant openUntil;                 // then it counts as unanswered
-    bool openTakesStoreLoad = false;   // it took a token of the ceiling
-    std::map<std::string, Instant> loading;         // models ordered, not listed yet: given up then
-    std::set<std::string> unloading;                // models ordered out, still listed
-    std::map<std::string, Instant> pendingAdapters; // "model/adapter" not listed yet: ordered at
-    std::map<std::string, Instant> keepUntil;       // models loaded a short time ago
-    std::string roomFor;                            // a copy was taken out so that this model fits
-    Instant roomUntil;                              // others may take the room then
-    Instant reportAt;                               // next report may be asked for then
-    int reportsUnanswered = 0;                      // in a row
-    Instant lastOrderAt;                            // an order was accepted
-};
+// ---- System -------------------------------------------------------------------------------------
 
 class CopyPlacement
 {
@@ -161,8 +139,6 @@
 
     std::vector<PlacingAction> takeActions();
 
-    const std::map<std::string, EngineRecord> &engines() const { return m_engines; }
-
 private:
     struct ModelView; // one model over all replicas of its service, for one plan
     struct Plan;
@@ -193,18 +169,9 @@
     void makeAdapterRoom(Plan &plan, const EngineModel &model, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
-    bool mayOrder(const EngineRecord &engine) const;
     int adapterOrdersOpen() const;
     int storeLoadsUnderWay(const std::string &service) const;
-    double freeMemory(const EngineRecord &engine, const EngineLimits &limits) const;
     bool takesAdapters(const EngineRecord &engine, Instant now) const;
-    static int adaptersOn(const EngineRecord &engine);
-    static Duration loadTime(const EngineRecord &engine, const EngineModel *model);
-    void forget(EngineRecord &engine, const ReplicaInfo &info);
-    static const ModelCopy *copyOn(const EngineRecord &engine, const std::string &model);
-    static bool hasAdapter(const EngineRecord &engine, const std::string &model,
-                           const std::string &adapter);
-    static bool loadsFromStore(const EngineRecord &engine, const std::string &model);
 
     CopyPlacementSettings m_settings;
     bool m_holder = false;
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -1,5 +1,7 @@
 #include "serving/replicachooser.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,11 +11,6 @@
 
 constexpr double ProfileSmoothing = 0.05; // weight of the newest request in a service's profile
 
-bool contains(const std::vector<std::string> &names, const std::string &name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 } // namespace
 
 ReplicaChooser::ReplicaChooser(const ReplicaTable &table, ChooserSettings settings,
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -1,5 +1,7 @@
 #include "serving/replicatable.h"
 
+#include "base/text.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -10,15 +12,16 @@
 
 const std::vector<std::string> NoReplicas;
 
-bool contains(const std::vector<std::string> &names, const std::string &name)
+} // namespace
+
+std::string copyName(const std::string &model, const std::string &adapter)
 {
-    return std::find(names.begin(), names.end(), name) != names.end();
+    return adapter.empty() ? model : model + "/" + adapter;
 }
 
-/// @param copy "model" or "model/adapter"
-bool isListed(const ReplicaInfo &info, const std::string &copy)
+bool holdsCopy(const std::vector<ModelCopy> &copies, const std::string &copy)
 {
-    return std::any_of(info.models.begin(), info.models.end(), [&](const ModelCopy &each) {
+    return std::any_of(copies.begin(), copies.end(), [&](const ModelCopy &each) {
         return each.model == copy
                 || std::any_of(
                         each.adapters.begin(), each.adapters.end(),
@@ -26,13 +29,6 @@
     });
 }
 
-} // namespace
-
-std::string copyName(const std::string &model, const std::string &adapter)
-{
-    return adapter.empty() ? model : model + "/" + adapter;
-}
-
 ReplicaTable::ReplicaTable(ReplicaTableSettings settings)
     : m_settings(settings)
 {
@@ -72,9 +68,11 @@
     row->info.draining = info.draining || wasDraining; // a drain is never taken back
     row->goneAt = {};
     row->coldUntil = now + info.coldLeft;
-    std::erase_if(row->coming, [&](const auto &entry) { return isListed(info, entry.first); });
+    std::erase_if(row->coming,
+                  [&](const auto &entry) { return holdsCopy(info.models, entry.first); });
     // Once it is not listed any more, a copy that is listed later is a new one.
-    std::erase_if(row->absent, [&](const auto &entry) { return !isListed(info, entry.first); });
+    std::erase_if(row->absent,
+                  [&](const auto &entry) { return !holdsCopy(info.models, entry.first); });
     std::erase_if(row->added,
                   [&](const auto &entry) { return now >= entry.second + m_settings.addedFor; });
 }
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -210,4 +210,8 @@
 /// @return the text that names a copy: "model" or "model/adapter"
 std::string copyName(const std::string &model, const std::string &adapter);
 
+/// @param copy "model" or "model/adapter"
+/// @return whether it is among the copies
+bool holdsCopy(const std::vector<ModelCopy> &copies, const std::string &copy);
+
 } // namespace burdock
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -35,12 +35,6 @@
     return std::exchange(m_actions, {});
 }
 
-std::size_t RequestScheduler::queuedFor(const std::string &service) const
-{
-    const auto queue = m_queues.find(service);
-    return queue == m_queues.end() ? 0 : queue->second.size();
-}
-
 // ---- Arrival ------------------------------------------------------------------------------------
 
 void RequestScheduler::submit(const ServingRequest &request, std::vector<std::string> excluded,
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -95,7 +95,6 @@
     std::vector<SchedulerAction> takeActions();
 
     std::size_t queued() const { return m_where.size(); }
-    std::size_t queuedFor(const std::string &service) const;
 
 private:
     struct Waiting
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -155,16 +155,22 @@
         state->applyConfig(config);
     }
 
-    /// Plays a request; each replica answers by its script, all replicas one after the other.
-    void play(const char *path, const std::vector<std::string> &scripts)
+    static HttpRequest callerRequest(const char *path)
     {
-        for (const std::string &script : scripts)
-            servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { script }));
         HttpRequest request;
         request.method = "POST";
         request.target = path;
         request.host = "h.example";
         request.headers = { { "Attempt-Id", "q1" }, { "Deadline-Ms", "2000" } };
+        return request;
+    }
+
+    /// Plays a request; each replica answers by its script, all replicas one after the other.
+    void play(const char *path, const std::vector<std::string> &scripts)
+    {
+        for (const std::string &script : scripts)
+            servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { script }));
+        const HttpRequest request = callerRequest(path);
         std::size_t next = 0;
         const auto offer = [&] {
             // One replica at a time, so that the order of the scripts is the order of the attempts.
@@ -274,6 +280,41 @@
     CHECK_EQUAL(502, caller.status);
 }
 
+// A process that ended with such requests open left their callers without any answer.
+TEST(RequestFlow, AStoppingNodeAnswersWhatItStillHolds)
+{
+    servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { NoAnswer, NoAnswer }));
+    ReplicaInfo info;
+    info.id = "r0";
+    info.service = "s";
+    info.address = toText(servers[0]->endpoint());
+    info.startedMs = 1;
+    info.slots = 1;
+    state->replicas.onAnnounced(info, steadyNow());
+    const HttpRequest request = callerRequest("/once/a");
+    // One runs, one waits at the replica, and one here.
+    Caller running;
+    Caller sent;
+    Caller queued;
+    RequestFlow first(*state, nodes, request, running);
+    RequestFlow second(*state, nodes, request, sent);
+    RequestFlow third(*state, nodes, request, queued);
+    for (RequestFlow *flow : { &first, &second, &third })
+        asio::co_spawn(io, flow->run(), asio::detached);
+    io.run_for(50ms);
+    CHECK(!running.ended && !sent.ended && !queued.ended);
+    CHECK_EQUAL(1, state->scheduler.queued());
+
+    giveUpAll(*state, "node_stopping", 50ms);
+    io.run_for(50ms);
+    CHECK_EQUAL(502, running.status); // it may have run
+    CHECK_EQUAL(502, sent.status);
+    CHECK_EQUAL(503, queued.status); // it has not
+    CHECK(headerValue(queued.headers, "Retry-After").has_value());
+    CHECK_EQUAL(1, running.answers);
+    CHECK_EQUAL(1, queued.answers);
+}
+
 TEST(RequestFlow, UnknownRoutesAndAMissingConfiguration)
 {
     play("/nowhere/a", { Good });
--- a/tests/decide/test_lease.cpp
+++ b/tests/decide/test_lease.cpp
@@ -19,13 +19,13 @@
     std::uint64_t version = 0;
     LeaseValue value;
 
-    PlacementWriteStatus write(const LeaseWrite &write)
+    WriteOutcome write(const LeaseWrite &write)
     {
         if (write.expectedVersion != version)
-            return PlacementWriteStatus::Conflict;
+            return WriteOutcome::Conflict;
         ++version;
         value = write.value;
-        return PlacementWriteStatus::Done;
+        return WriteOutcome::Done;
     }
 };
 
@@ -36,7 +36,7 @@
         if (const auto *read = std::get_if<LeaseRead>(&action))
             lease.onRead({ read->callId, true, object.version, object.value }, now);
         if (const auto *write = std::get_if<LeaseWrite>(&action)) {
-            const PlacementWriteStatus status = object.write(*write);
+            const WriteOutcome status = object.write(*write);
             lease.onWritten({ write->callId, status, object.version }, now);
         }
     }
@@ -107,7 +107,7 @@
     const LeaseAction action = lease.takeActions().at(0);
     const auto &write = std::get<LeaseWrite>(action);
     object.write(write);
-    lease.onWritten({ write.callId, PlacementWriteStatus::Unknown, 0 }, now + 50ms);
+    lease.onWritten({ write.callId, WriteOutcome::Unknown, 0 }, now + 50ms);
     CHECK(!lease.holds(now + 50ms));
     lease.tick(now + 50ms);
     serve(lease, object, now + 60ms);
@@ -207,7 +207,7 @@
             return;
         }
         const auto &write = std::get<LeaseWrite>(call.action);
-        const PlacementWriteStatus status = object.write(write);
+        const WriteOutcome status = object.write(write);
         if (heard)
             lease.onWritten({ write.callId, status, object.version }, now);
     }
--- a/tests/decide/test_placement.cpp
+++ b/tests/decide/test_placement.cpp
@@ -27,15 +27,14 @@
             placement.onLeaseRead({ read->callId, true, leaseVersion, lease }, now);
         if (const auto *write = std::get_if<LeaseWrite>(&action)) {
             lease = write->value;
-            placement.onLeaseWritten({ write->callId, PlacementWriteStatus::Done, ++leaseVersion },
-                                     now);
+            placement.onLeaseWritten({ write->callId, WriteOutcome::Done, ++leaseVersion }, now);
         }
         if (const auto *readJournal = std::get_if<JournalRead>(&action))
             placement.onJournalRead({ readJournal->callId, true, journalVersion, journal }, now);
         if (const auto *writeJournal = std::get_if<JournalWrite>(&action)) {
             journal = writeJournal->value;
             placement.onJournalWritten(
-                    { writeJournal->callId, PlacementWriteStatus::Done, ++journalVersion }, now);
+                    { writeJournal->callId, WriteOutcome::Done, ++journalVersion }, now);
         }
         if (const auto *order = std::get_if<SendEngineOrder>(&action))
             orders.push_back(order->order);
--- a/tests/support/placementworld.h
+++ b/tests/support/placementworld.h
@@ -425,7 +425,7 @@
     void callLease(Node &node, const LeaseAction &action);
     void callJournal(Node &node, const JournalAction &action);
     template <typename Write, typename Value>
-    PlacementWriteStatus writeObject(const Write &write, std::uint64_t &version, Value &value);
+    WriteOutcome writeObject(const Write &write, std::uint64_t &version, Value &value);
     void sendOrder(Node &node, const EngineOrder &order);
     void arriveOrder(const EngineOrder &order, Instant sentAt, std::uint64_t catalogRevision);
     void askEngines(Node &node);
--- a/tests/support/placementworldnodes.h
+++ b/tests/support/placementworldnodes.h
@@ -164,16 +164,15 @@
 }
 
 template <typename Write, typename Value>
-PlacementWriteStatus PlacementWorld::writeObject(const Write &write, std::uint64_t &version,
-                                                 Value &value)
+WriteOutcome PlacementWorld::writeObject(const Write &write, std::uint64_t &version, Value &value)
 {
     if (m_now < m_storeDownUntil)
-        return PlacementWriteStatus::Unavailable;
+        return WriteOutcome::Unavailable;
     if (write.expectedVersion != version && !m_options.ablations.blindWrites)
-        return PlacementWriteStatus::Conflict;
+        return WriteOutcome::Conflict;
     ++version;
     value = write.value;
-    return PlacementWriteStatus::Done;
+    return WriteOutcome::Done;
 }
 
 inline void PlacementWorld::callLease(Node &node, const LeaseAction &action)
@@ -193,7 +192,7 @@
     const bool renews = write.value.term == m_lease.term;
     send(node, renews ? WorldStep::LeaseRenew : WorldStep::LeaseTake, "",
          [this, &node, write](const Fate &fate) {
-             const PlacementWriteStatus status = writeObject(write, m_leaseVersion, m_lease);
+             const WriteOutcome status = writeObject(write, m_leaseVersion, m_lease);
              const LeaseWriteAnswer answer { write.callId, status, m_leaseVersion };
              if (fate.answerLost)
                  return;
@@ -229,7 +228,7 @@
     const bool opens = write.value.term != m_journal.term;
     send(node, opens ? WorldStep::JournalOpen : WorldStep::JournalOrders, "",
          [this, &node, write](const Fate &fate) {
-             const PlacementWriteStatus status = writeObject(write, m_journalVersion, m_journal);
+             const WriteOutcome status = writeObject(write, m_journalVersion, m_journal);
              const JournalWriteAnswer answer { write.callId, status, m_journalVersion };
              if (fate.answerLost)
                  return;
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -17,7 +17,11 @@
 
 namespace burdock {
 
-/// Answers each request head with the next text; an empty text closes the connection.
+/// In a script: the request is read and never answered.
+const std::string NoAnswer;
+
+/// Answers each request head with the next text; with "Close-Now" in it, the connection is closed
+/// after it.
 struct ScriptedServer
 {
     ScriptedServer(boost::asio::io_context &context, std::vector<std::string> texts)
@@ -52,6 +56,8 @@
                 co_return;
             buffer.consume(bytes);
             const std::string text = answers[next++];
+            if (text == NoAnswer)
+                continue;
             co_await boost::asio::async_write(socket, boost::asio::buffer(text),
                                               withError(failure));
             if (failure || text.find("Close-Now") != std::string::npos)
