Ingress nodes: as many nodes take callers as their traffic needs; followers leave the store alone

Every node took callers: a replica's load was known from answers many seconds old, each prompt was told to 83 nodes, the demand went with every heartbeat to nodes that have no use for it, and nodes that knew few others took themselves for candidates of the lease. Change: the configuration's own revision is compared; callers get as many nodes of their zone as the traffic needs (25 requests a second each, at least 3), prompts and copies are told to those; heartbeats go through a few hubs of each zone and between the ingress nodes of zones, demand to the holder alone; a node that is heard for the first time is told the hubs of its zone; the first watch waits until the fleet is known; nodes that do not reach the store are not asked for it.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -65,7 +65,9 @@
              message.beat.leaving,
              json::array { holder.name, holder.ip, holder.term },
              others,
-             demand };
+             demand,
+             message.beat.requestsPerSecond,
+             message.beat.storeReached };
 }
 
 json::array toJson(const WantNote &note)
@@ -105,6 +107,8 @@
         message.demand.push_back({ textAt(fields, 0), textAt(fields, 1), textAt(fields, 2),
                                    fields.at(3).to_number<double>() });
     }
+    message.beat.requestsPerSecond = list.at(7).to_number<double>();
+    message.beat.storeReached = list.at(8).as_bool();
     return message;
 }
 
--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -20,6 +20,8 @@
 constexpr int StatusNotFound = 404;
 /// A follower's configuration question looks this often whether a source has named a newer one.
 constexpr milliseconds ConfigGlance { 40 };
+/// During the start a node looks this often whether it is one of those that watch.
+constexpr milliseconds StartGlance { 100 };
 
 milliseconds elapsed(Instant since)
 {
@@ -127,6 +129,7 @@
     , m_self(std::move(self))
     , m_feedPort(feedPort)
     , m_settings(settings)
+    , m_started(steadyNow())
 {
 }
 
@@ -154,10 +157,11 @@
     return candidates.front();
 }
 
-void FollowedStore::confirm(ObjectKind kind, std::uint64_t revision)
+/// The revision of the objects themselves: the store's own grows with every change of any object.
+void FollowedStore::noteConfig(const std::vector<StoredItem> &items)
 {
-    if (kind == ObjectKind::Configuration)
-        m_configRevision = std::max(m_configRevision, revision);
+    for (const StoredItem &item : items)
+        m_configRevision = std::max(m_configRevision, item.revision);
 }
 
 milliseconds FollowedStore::age() const
@@ -178,7 +182,7 @@
             wakeAskers();
         } else if (kind == ObjectKind::Configuration) {
             m_configConfirmed = asked;
-            confirm(kind, list->revision);
+            noteConfig(list->items);
         }
     }
     co_return answer;
@@ -218,16 +222,30 @@
         m_replicasConfirmed = confirmed;
     } else if (kind == ObjectKind::Configuration) {
         m_configConfirmed = confirmed;
-        confirm(kind, changes->revision);
+        noteConfig(changes->items);
     }
     if (!changes->items.empty())
         wakeAskers();
     co_return answer;
 }
 
+asio::awaitable<void> FollowedStore::awaitStart()
+{
+    while (true) {
+        const bool isSmall = m_directory.known() <= m_settings.smallFleet;
+        const milliseconds after =
+                isSmall || watches() ? m_settings.watchAfter : m_settings.followAfter;
+        const milliseconds left = after - elapsed(m_started);
+        if (left.count() <= 0)
+            co_return;
+        co_await sleepFor(std::min(left, StartGlance));
+    }
+}
+
 asio::awaitable<WatchAnswer> FollowedStore::watch(ObjectKind kind, std::uint64_t revision,
                                                   milliseconds wait)
 {
+    co_await awaitStart();
     const bool followed = kind == ObjectKind::Replicas || kind == ObjectKind::Configuration;
     const bool isSmall = m_directory.known() <= m_settings.smallFleet;
     if (!followed || isSmall)
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -6,7 +6,7 @@
 //   FollowSettings
 //   FollowedStore      an ObjectStore that asks other nodes first
 //
-// In each availability zone the first node by name watches the store with short waits, so that it
+// In each availability zone the first node by rank watches the store with short waits, so that it
 // knows at any time how old its knowledge is. The others ask it, or the second one when it fails,
 // by long polls that tell that age with every answer. A follower whose sources are too old asks the
 // store itself; so it learns of a change in time also when its sources are cut from the store.
@@ -92,6 +92,10 @@
     std::chrono::milliseconds mostAge { 1'100 }; // with a poll and a call below the 2 s in which a
                                                  // change must be in force
     std::chrono::milliseconds sourceRest { 1'500 }; // a source that failed is not asked
+    // After the start a node waits before its first watch, which then brings what was missed: by
+    // then it has heard how many others there are.
+    std::chrono::milliseconds watchAfter { 1'200 };
+    std::chrono::milliseconds followAfter { 2'200 }; // its source has watched once
 };
 
 class FollowedStore : public ObjectStore, public HttpHandler
@@ -126,9 +130,10 @@
     boost::asio::awaitable<WatchAnswer> followConfig(std::uint64_t revision, Instant until);
     boost::asio::awaitable<std::optional<FeedPage>> ask(const std::string &ip,
                                                         std::uint64_t revision);
+    boost::asio::awaitable<void> awaitStart();
     std::optional<std::string> source();
     std::chrono::milliseconds age() const;
-    void confirm(ObjectKind kind, std::uint64_t revision);
+    void noteConfig(const std::vector<StoredItem> &items);
     void wakeAskers();
 
     boost::asio::io_context &m_io;
@@ -140,7 +145,8 @@
     std::uint16_t m_feedPort;
     FollowSettings m_settings;
     ChangeCache m_cache;
-    std::uint64_t m_configRevision = 0;       // known to this node
+    Instant m_started;
+    std::uint64_t m_configRevision = 0;       // of the newest that this node has seen
     std::uint64_t m_configRevisionTold = 0;   // named by a source
     Instant m_replicasConfirmed;              // asked of the store then, by this node or its source
     Instant m_configConfirmed;                //
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -1,5 +1,7 @@
 #include "edge/copyshell.h"
 
+#include "base/text.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -19,7 +21,7 @@
 constexpr std::size_t Candidates = 2;
 
 /// After its start a node first hears who else is there; before, every node would be a candidate.
-constexpr std::chrono::milliseconds CandidateAfter { 800 };
+constexpr std::chrono::milliseconds CandidateAfter { 2'000 };
 
 /// A node's processes take over from each other: orders of one node are those of one holder.
 constexpr std::uint64_t NodeIncarnation = 1;
@@ -136,9 +138,8 @@
 {
     const Instant now = leaseNow();
     if (!m_state.leaving && steadyNow() >= m_candidateFrom) {
-        const auto live = m_state.directory.liveNames(steadyNow());
-        const auto rank = std::find(live.begin(), live.end(), m_state.profile.name) - live.begin();
-        m_lease.setCandidate(static_cast<std::size_t>(rank) < Candidates || m_lease.owns(), now);
+        const auto first = m_state.directory.firstNames(Candidates, steadyNow());
+        m_lease.setCandidate(contains(first, m_state.profile.name) || m_lease.owns(), now);
     }
     m_lease.tick(now);
     for (const LeaseAction &action : m_lease.takeActions())
@@ -226,7 +227,7 @@
             const CopyNote note { change.replica, change.copy, change.change,
                                   std::chrono::duration_cast<std::chrono::milliseconds>(
                                           change.usableIn) };
-            m_link.send(note, m_state.directory.liveAddresses(steadyNow()));
+            m_link.send(note, m_state.directory.ingressAddresses(steadyNow()));
             m_state.takeCopyChange(change);
         }
     }
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <set>
 
@@ -363,17 +364,24 @@
     const std::string &sender = message.beat.sender.name;
     const bool news = m_state.directory.onBeat(message.beat, now);
     const bool isLive = m_state.directory.isLive(sender, now);
-    if (news)
+    if (news) {
         m_state.log.line("node")
                 .field("name", sender)
                 .field("state", isLive ? "live" : "leaving")
                 .field("zone", message.beat.sender.zone);
+        if (isLive) {
+            BeatMessage welcome = ownBeat();
+            welcome.beat.others = m_state.directory.nodesToWelcome(message.beat.sender.zone, now);
+            m_link.send(welcome, { message.beat.sender.ip });
+        }
+    }
     m_copies.onDemand(sender, message.demand);
 }
 
 void EdgeProgram::announcePrompt(const std::string &replica, int freshTokens)
 {
-    m_link.send(PromptNote { replica, freshTokens }, m_state.directory.neighbours(steadyNow()));
+    m_link.send(PromptNote { replica, freshTokens },
+                m_state.directory.ingressAddresses(steadyNow()));
 }
 
 void EdgeProgram::announceLoss(std::uint64_t fingerprint, const std::string &replica)
@@ -381,7 +389,7 @@
     m_state.log.line("request_lost_replica")
             .field("fingerprint", fingerprint)
             .field("replica", replica);
-    m_link.send(LossNote { fingerprint, replica }, m_state.directory.liveAddresses(steadyNow()));
+    m_link.send(LossNote { fingerprint, replica }, m_state.directory.ingressAddresses(steadyNow()));
 }
 
 std::vector<CopyDemand> EdgeProgram::demandNow() const
@@ -392,32 +400,59 @@
     return demand;
 }
 
+/// @return a heartbeat without the names of others
+BeatMessage EdgeProgram::ownBeat() const
+{
+    BeatMessage message;
+    message.beat.sender = { m_state.profile.name, m_state.profile.ip, m_state.profile.zone };
+    message.beat.started = m_state.started;
+    message.beat.leaving = m_state.leaving;
+    message.beat.holder = m_state.directory.holder();
+    message.beat.requestsPerSecond = m_requestRate;
+    message.beat.storeReached = !m_replicaWatch.disturbed(steadyNow());
+    return message;
+}
+
 void EdgeProgram::sendBeat()
 {
     const Instant now = steadyNow();
     m_state.demand.update(now - m_lastDemand);
+    measureRequests(now - m_lastDemand);
     m_lastDemand = now;
     m_copies.onDemand(m_state.profile.name, demandNow());
 
-    BeatMessage message;
-    message.beat.sender = { m_state.profile.name, m_state.profile.ip, m_state.profile.zone };
-    message.beat.started = m_state.started;
-    message.beat.leaving = m_state.leaving;
-    message.beat.holder = m_state.directory.holder();
-    message.beat.others = m_state.directory.nodesToTell(now);
-    message.demand = demandNow();
-    std::vector<std::string> targets = m_state.directory.beatTargets(now);
-    if (m_state.directory.liveNames(now).size() < 2) {
+    m_state.directory.setOwn(m_requestRate, !m_replicaWatch.disturbed(now), now);
+    BeatTargets targets = m_state.directory.beatTargets(m_state.leaving, now);
+    BeatMessage message = ownBeat();
+    if (m_state.directory.isAlone(now)) {
         for (const std::string &seed : m_state.profile.seeds) {
             if (seed != m_state.profile.ip)
-                targets.push_back(seed);
+                targets.far.push_back(seed);
         }
         if (now >= m_nextFind && !m_state.leaving) {
             m_nextFind = now + FindInterval;
             asio::co_spawn(m_state.io, findNodes(), asio::detached);
         }
     }
-    m_link.send(message, targets);
+    message.beat.others = m_state.directory.nodesToTell(true, now);
+    m_link.send(message, targets.far);
+    message.beat.others = m_state.directory.nodesToTell(false, now);
+    m_link.send(message, targets.near);
+    message.demand = demandNow();
+    const HolderClaim &holder = message.beat.holder;
+    if (!message.demand.empty() && !holder.ip.empty() && holder.name != m_state.profile.name) {
+        message.beat.others.clear();
+        m_link.send(message, { holder.ip });
+    }
+}
+
+void EdgeProgram::measureRequests(Duration elapsed)
+{
+    constexpr double TimeConstant = 2.0; // seconds; a burst lasts some seconds
+    const double seconds = std::max(0.001, double(elapsed.count()) / 1e6);
+    const double perSecond = double(m_state.lastRequestId - m_requestsMeasured) / seconds;
+    m_requestRate += (1.0 - std::exp(-seconds / TimeConstant)) * (perSecond - m_requestRate);
+    m_requestsMeasured = m_state.lastRequestId;
 }
 
 // ---- Time ---------------------------------------------------------------------------------------
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -92,7 +92,9 @@
     boost::asio::awaitable<void> findNodes();
 
     void tick();
+    BeatMessage ownBeat() const;
     void sendBeat();
+    void measureRequests(Duration elapsed);
     std::vector<CopyDemand> demandNow() const;
     void awaitSignal();
     void beginStop();
@@ -120,6 +122,8 @@
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
     Instant m_lastDemand;
+    double m_requestRate = 0.0;           // of callers, a second, smoothed
+    std::uint64_t m_requestsMeasured = 0; // counted in it
     Instant m_nextFind;
     Instant m_refuseAt; // stopping: callers have moved on by then
     Instant m_giveUpAt; // stopping: what has not begun to be answered gets its final answer
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -3,13 +3,19 @@
 // Index
 //   NodeInfo, HolderClaim     what nodes tell of themselves and of the placement's holder
 //   NodeBeat                  one heartbeat
+//   BeatTargets               who gets the next one
 //   DirectorySettings
 //   NodeDirectory             the table
 //
-// A node sends its heartbeat to the nodes of its availability zone, to the holder of the placement
-// and to a few others, so that messages a node do not grow with the fleet. Heartbeats carry a few
-// other nodes each, which is how nodes find each other from any one of them. There is no agreement
-// here: a wrong belief costs a caller one more connection.
+// Every node can serve callers, but in each availability zone only as many are given out as its
+// traffic needs: the ingress nodes, the first ones by a hash of the name. Fewer nodes see more of
+// the traffic each: they know the replicas' load from newer answers, reuse connections, and tell
+// each other of every prompt, which all nodes of a large fleet could not.
+//
+// The ingress nodes and a few spare ones are the hubs of their zone: they send heartbeats to all
+// its nodes, the others only to them. Between zones the ingress nodes hear each other. Heartbeats
+// carry a few other nodes each, which is how nodes find each other from any one of them. There is
+// no agreement here: a wrong belief costs a caller one more connection.
 #pragma once
 
 #include "base/instant.h"
@@ -17,6 +23,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,21 +50,38 @@
     std::uint64_t started = 0; // Unix milliseconds; tells a restart
     bool leaving = false;      // it is about to stop
     HolderClaim holder;
-    std::vector<NodeInfo> others; // some nodes that the sender hears
+    std::vector<NodeInfo> others;   // some nodes that the sender hears
+    double requestsPerSecond = 0.0; // of callers, smoothed
+    bool storeReached = true;       // its calls to the store have not failed lately
+};
+
+struct BeatTargets
+{
+    std::vector<std::string> near; // IP addresses in the own availability zone
+    std::vector<std::string> far;  // in others
 };
 
 struct DirectorySettings
 {
     Duration liveFor = std::chrono::milliseconds(1'700); // three heartbeats and their way
-    Duration knownFor = std::chrono::minutes(10);        // then a silent node is forgotten
-    std::size_t zonePeers = 10;   // nodes of the own zone that get every heartbeat
-    std::size_t otherPeers = 2;   // others, drawn anew each time
-    std::size_t othersTold = 6;   // nodes named in a heartbeat
-    std::size_t smallFleet = 128; // up to here all nodes are neighbours; a note for each prompt
-                                  // costs each of them some microseconds
+    Duration slowLiveFor =
+            std::chrono::milliseconds(2'700);        // the same where every second one is sent
+    std::size_t smallZone = 12;                      // nodes; up to here each heartbeat goes to all
+    Duration knownFor = std::chrono::minutes(10);    // then a silent node is forgotten
     Duration neighbourFor = std::chrono::seconds(5); // named by somebody within it
-    std::size_t addressesMost = 16;                  // in one answer to a caller
-    std::size_t addressesLeast = 2;                  // with fewer in the zone, others are added
+    std::size_t ingressLeast = 3;                    // of a zone; the loss of one leaves two
+    std::size_t ingressAtFirst = 8;                  // until traffic is seen
+    double requestsPerIngress = 25.0; // a second; about a sixth of the smallest VM's processor, so
+                                      // that a burst fits
+    Duration ingressHeld = std::chrono::seconds(6); // after less traffic: moving callers costs
+                                                    // connections
+    std::size_t spareHubs = 2;      // they are known to all when an ingress node fails
+    std::size_t nearPeers = 64;     // in one heartbeat of a hub
+    std::size_t farPeers = 32;      // in one heartbeat of an ingress node
+    std::size_t othersTold = 6;     // nodes named in a heartbeat
+    std::size_t othersToldFar = 2;  // to other zones, where bytes are dear
+    std::size_t addressesMost = 16; // in one answer to a caller
+    std::size_t addressesLeast = 2; // with fewer in the zone, others are added
 };
 
 class NodeDirectory
@@ -80,25 +104,40 @@
 
     const HolderClaim &holder() const { return m_holder; }
 
+    /// Sets what this node's own heartbeats say of it.
+    /// @param requestsPerSecond of callers, smoothed
+    void setOwn(double requestsPerSecond, bool storeReached, Instant now);
+
     /// @return whether a node was heard a short time ago and is not leaving
     bool isLive(const std::string &name, Instant now) const;
 
-    /// @return addresses that get the next heartbeat
-    std::vector<std::string> beatTargets(Instant now);
+    /// @param urgent it goes to all that would get one of the next few
+    /// @return addresses that get the next heartbeat; call it once for each
+    BeatTargets beatTargets(bool urgent, Instant now);
 
+    /// @param far for another availability zone
     /// @return nodes to name in the next heartbeat
-    std::vector<NodeInfo> nodesToTell(Instant now);
+    std::vector<NodeInfo> nodesToTell(bool far, Instant now);
+
+    /// @return nodes to name in an answer to a node that was not heard before: the hubs of its zone
+    std::vector<NodeInfo> nodesToWelcome(const std::string &zone, Instant now) const;
 
-    /// @return this node and the live ones, by name
-    std::vector<std::string> liveNames(Instant now) const;
+    /// @return whether no other node is live
+    bool isAlone(Instant now) const;
 
-    /// @return the first nodes of the own availability zone by name, this one included; those that
-    ///         anybody named a short time ago, since not every node hears every other
+    /// @return the first nodes of all zones by rank that reach the store, as far as this one knows;
+    ///         those that anybody named a short time ago, since not every node hears every other
+    std::vector<std::string> firstNames(std::size_t count, Instant now) const;
+
+    /// @return the first nodes of the own availability zone by rank, this one included; those that
+    ///         do not reach the store come only when there are no others
     std::vector<NodeInfo> firstOfZone(std::size_t count, Instant now) const;
 
-    /// @return addresses of the nodes that send to the same replicas as this one: those of the
-    ///         availability zone, or all nodes of a small fleet
-    std::vector<std::string> neighbours(Instant now) const;
+    /// @return addresses of the other nodes that take callers, or will when asked
+    std::vector<std::string> ingressAddresses(Instant now) const;
+
+    /// @return how many nodes of an availability zone should take callers
+    std::size_t ingressWanted(const std::string &zone, Instant now) const;
 
     /// @return live nodes' addresses
     std::vector<std::string> liveAddresses(Instant now) const;
@@ -114,17 +153,33 @@
     struct Row
     {
         NodeInfo info;
+        std::uint64_t rank = 0; // the lowest of a zone are its ingress nodes
         std::uint64_t started = 0;
         bool leaving = false;
+        double requestsPerSecond = 0.0;
+        bool storeReached = true;
         Instant heardAt; // zero: never
         Instant namedAt; // last time anybody named it
     };
+    struct Held
+    {
+        std::size_t count = 0;
+        Instant until;
+    };
 
     bool isLive(const Row &row, Instant now) const;
-
-    NodeInfo m_self;
+    bool isNamed(const Row &row, Instant now) const;
+    std::size_t ingressByTraffic(const std::string &zone, Instant now) const;
+    std::vector<const Row *> byRank(const std::string &zone, bool onlyLive, Instant now) const;
+    std::vector<const Row *> hubs(const std::string &zone, Instant now) const;
+    static void sortByRank(std::vector<const Row *> &rows);
+    std::set<std::string> zones() const;
+
+    Row m_self; // always live
     DirectorySettings m_settings;
     Random m_random;
+    std::map<std::string, Held> m_ingress; // by zone
+    std::uint64_t m_beats = 0;
     std::map<std::string, Row> m_nodes;
     HolderClaim m_holder;
 };
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -58,7 +58,9 @@
     auto &choice = std::get<ReplicaChoice>(answer);
     m_table.onSent(choice.id, choice.freshTokens, now);
     m_chooser.onSent(waiting.request, waiting.chain, choice);
-    m_rates[rateKey(waiting.request)].starts++;
+    if (const auto rate = m_rates.find(rateKey(waiting.request));
+        rate != m_rates.end() && rate->second.waiting > 0)
+        rate->second.starts++;
     m_actions.emplace_back(
             StartRequest { waiting.request.id, std::move(choice), now - waiting.since });
     return true;
@@ -155,7 +157,9 @@
 double RequestScheduler::startsPerSecond(const ServingRequest &request) const
 {
     const auto rate = m_rates.find(rateKey(request));
-    return rate == m_rates.end() ? 0.0 : rate->second.perSecond;
+    if (rate == m_rates.end() || rate->second.smoothedBacklog < m_settings.leastBacklog)
+        return 0.0;
+    return rate->second.smoothedStarts / rate->second.smoothedBacklog;
 }
 
 void RequestScheduler::enqueue(Waiting waiting, Instant now)
@@ -177,17 +181,28 @@
         return goesBefore(waiting.request, other.request);
     });
     m_where[waiting.request.id] = waiting.request.service;
+    m_rates[rateKey(waiting.request)].waiting++;
     queue.insert(place, std::move(waiting));
 }
 
+/// Takes a request out of its queue.
+RequestScheduler::Queue::iterator RequestScheduler::dequeue(Queue &queue, Queue::iterator place)
+{
+    m_where.erase(place->request.id);
+    m_rates[rateKey(place->request)].waiting--;
+    return queue.erase(place);
+}
+
 void RequestScheduler::cancel(std::uint64_t id)
 {
     const auto where = m_where.find(id);
     if (where == m_where.end())
         return;
-    m_queues[where->second].remove_if(
-            [&](const Waiting &waiting) { return waiting.request.id == id; });
-    m_where.erase(where);
+    Queue &queue = m_queues[where->second];
+    const auto place = std::find_if(queue.begin(), queue.end(), [&](const Waiting &waiting) {
+        return waiting.request.id == id;
+    });
+    dequeue(queue, place);
 }
 
 // ---- Time ---------------------------------------------------------------------------------------
@@ -220,25 +235,36 @@
             ++each;
             continue;
         }
-        m_where.erase(each->request.id);
-        each = queue.erase(each);
+        each = dequeue(queue, each);
     }
 }
 
-void RequestScheduler::tick(Instant now)
+void RequestScheduler::measureRates(Instant now)
 {
-    if (now >= m_windowEnd) {
-        const double seconds = double(m_settings.rateWindow.count()) / 1e6;
-        for (auto each = m_rates.begin(); each != m_rates.end();) {
-            Rate &rate = each->second;
-            rate.perSecond = 0.5 * rate.perSecond + 0.5 * rate.starts / seconds;
-            const bool idle = rate.starts == 0 && rate.perSecond < 0.05;
-            rate.starts = 0;
-            each = idle ? m_rates.erase(each) : std::next(each);
-        }
-        std::erase_if(m_wants, [&](const auto &entry) { return now >= entry.second; });
-        m_windowEnd = now + m_settings.rateWindow;
+    for (auto &[key, rate] : m_rates) {
+        if (rate.waiting > 0 && m_tickedAt != Instant {})
+            rate.backlogged += now - m_tickedAt;
     }
+    m_tickedAt = now;
+    if (now < m_windowEnd)
+        return;
+    m_windowEnd = now + m_settings.rateWindow;
+    constexpr double NewestWeight = 0.5;
+    constexpr double Forgotten = 0.01; // seconds of a window
+    for (auto each = m_rates.begin(); each != m_rates.end();) {
+        Rate &rate = each->second;
+        const double backlogged = double(std::exchange(rate.backlogged, Duration {}).count()) / 1e6;
+        rate.smoothedStarts += NewestWeight * (std::exchange(rate.starts, 0) - rate.smoothedStarts);
+        rate.smoothedBacklog += NewestWeight * (backlogged - rate.smoothedBacklog);
+        const bool isIdle = rate.waiting == 0 && rate.smoothedBacklog < Forgotten;
+        each = isIdle ? m_rates.erase(each) : std::next(each);
+    }
+}
+
+void RequestScheduler::tick(Instant now)
+{
+    measureRates(now);
+    std::erase_if(m_wants, [&](const auto &entry) { return now >= entry.second; });
     pump(now);
     for (auto &[service, queue] : m_queues) {
         for (auto each = queue.begin(); each != queue.end();) {
@@ -250,8 +276,7 @@
             }
             static constexpr const char *Reasons[] = { "not_resident", "no_replica", "overload" };
             refuse(*each, Reasons[static_cast<std::size_t>(each->cause)], now);
-            m_where.erase(each->request.id);
-            each = queue.erase(each);
+            each = dequeue(queue, each);
         }
     }
 }
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -66,7 +66,8 @@
     double placingShare = 0.7; // of a request's time that it may wait for a copy to be loaded
     Duration wantRepeat = std::chrono::milliseconds(250); // WantCopy is repeated, it may get lost
     Duration rateWindow = std::chrono::milliseconds(500); // starts are counted over it
-    double lateShare = 0.7; // of a request's time within which a late start is still worth it
+    double leastBacklog = 0.1; // seconds of a window, smoothed; with less a rate is not known
+    double lateShare = 0.7;    // of a request's time within which a late start is still worth it
     std::chrono::milliseconds retryAfterMin { 250 };   // bounds of the advice to callers
     std::chrono::milliseconds retryAfterMax { 3'000 }; //
 };
@@ -108,12 +109,19 @@
         NoReplica cause = NoReplica::Full;
     };
     using Queue = std::list<Waiting>; // most urgent first
+    /// How fast the replicas take requests of one copy from this node while some wait here. Without
+    /// a backlog, starts say how many were asked for, not how many could be served.
     struct Rate
     {
-        int starts = 0;         // in the window
-        double perSecond = 0.0; // smoothed; 0: not known
+        int waiting = 0;              // in the queue
+        int starts = 0;               // in the window, while some waited
+        Duration backlogged {};       // of the window
+        double smoothedStarts = 0.0;  // of a window
+        double smoothedBacklog = 0.0; // seconds of a window
     };
 
+    Queue::iterator dequeue(Queue &queue, Queue::iterator place);
+    void measureRates(Instant now);
     void pumpQueue(Queue &queue, std::unordered_set<std::string> &stuck, bool late, Instant now);
     bool tryStart(Waiting &waiting, Instant now);
     void enqueue(Waiting waiting, Instant now);
@@ -133,6 +141,7 @@
     std::unordered_map<std::uint64_t, std::string> m_where;
     std::unordered_map<std::string, Rate> m_rates;    // by copy, or service for plain ones
     std::unordered_map<std::string, Instant> m_wants; // by copy: not repeated before
+    Instant m_tickedAt;
     Instant m_windowEnd;
     std::vector<SchedulerAction> m_actions;
 };
--- /dev/null
+++ b/tests/edge/test_changefeed.cpp
@@ -0,0 +1,154 @@
+// Followers of the store ask a neighbour; the store itself hears of them only when that fails.
+#include "edge/changefeed.h"
+#include "edge/storewatch.h"
+#include "net/coroutines.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <unistd.h>
+
+#include <map>
+#include <memory>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t ConfigRevision = 5;
+
+/// A store in which something changes all the time, but not the configuration.
+struct BusyStore : public ObjectStore
+{
+    asio::awaitable<ListAnswer> list(ObjectKind kind) override
+    {
+        lists[kind]++;
+        co_return ItemList { { { "main", ConfigRevision, false, {} } }, ++revision };
+    }
+    asio::awaitable<WatchAnswer> watch(ObjectKind kind, std::uint64_t,
+                                       std::chrono::milliseconds wait) override
+    {
+        watches[kind]++;
+        co_await sleepFor(wait);
+        co_return ItemList { {}, ++revision };
+    }
+    asio::awaitable<ReadAnswer> read(ObjectKind, std::string) override
+    {
+        co_return StoreUnavailable {};
+    }
+    asio::awaitable<StoreWriteAnswer> write(ObjectKind, std::string, std::uint64_t,
+                                            boost::json::value) override
+    {
+        co_return StoreWriteAnswer {};
+    }
+    asio::awaitable<WriteOutcome> remove(ObjectKind, std::string) override
+    {
+        co_return WriteOutcome::Unknown;
+    }
+
+    std::uint64_t revision = 100;
+    std::map<ObjectKind, int> lists;
+    std::map<ObjectKind, int> watches;
+};
+
+struct Nobody : public StoreListener
+{
+    void onList(ObjectKind, const std::vector<StoredItem> &) override { }
+    void onChanges(ObjectKind, const std::vector<StoredItem> &) override { }
+};
+
+/// A node of a zone of 14, all of which it has heard.
+struct Member
+{
+    Member(asio::io_context &io, EventLog &log, int number, std::uint16_t feedPort)
+        : directory(infoOf(number), {}, number)
+        , http(io, { 250ms, 30'000ms, 2'000ms })
+        , followed(io, store, http, directory, log, infoOf(number), feedPort, quickStart())
+        , configWatch(io, followed, log, nobody, ObjectKind::Configuration)
+        , replicaWatch(io, followed, log, nobody, ObjectKind::Replicas)
+    {
+        hearAll();
+    }
+
+    static NodeInfo infoOf(int number)
+    {
+        return { "n" + std::to_string(number), "127.0.0.1", "z" };
+    }
+
+    static FollowSettings quickStart()
+    {
+        FollowSettings settings;
+        settings.watchAfter = 0ms;
+        settings.followAfter = 100ms;
+        return settings;
+    }
+
+    void hearAll()
+    {
+        for (int number = 0; number < 14; ++number) {
+            NodeBeat beat;
+            beat.sender = infoOf(number);
+            beat.started = 1;
+            directory.onBeat(beat, steadyNow());
+        }
+    }
+
+    void start()
+    {
+        configWatch.start();
+        replicaWatch.start();
+    }
+
+    BusyStore store;
+    Nobody nobody;
+    NodeDirectory directory;
+    HttpClient http;
+    FollowedStore followed;
+    StoreWatch configWatch;
+    StoreWatch replicaWatch;
+};
+
+std::uint16_t freePort(asio::io_context &io)
+{
+    const asio::ip::tcp::acceptor bound(
+            io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return bound.local_endpoint().port();
+}
+
+} // namespace
+
+TEST_GROUP(ChangeFeed)
+{
+    asio::io_context io { 1 };
+    EventLog log { STDERR_FILENO, "n" };
+};
+
+// Its neighbour named the store's revision as that of the configuration, so each follower asked the
+// store for a newer one again and again.
+TEST(ChangeFeed, AFollowerLeavesTheStoreAlone)
+{
+    int first = 0;
+    while (!Member(io, log, first, 1).followed.watches())
+        first++;
+    auto source = std::make_unique<Member>(io, log, first, 1);
+    HttpServer feed(io, {}, source->followed);
+    const std::uint16_t port = freePort(io);
+    auto listening = feed.listen({ "127.0.0.1", port });
+    CHECK(isOk(listening));
+    auto follower = std::make_unique<Member>(io, log, first == 0 ? 1 : 0, port);
+    source->start();
+    follower->start();
+    const Instant end = steadyNow() + 3s;
+    while (steadyNow() < end) {
+        io.run_for(50ms);
+        source->hearAll();
+        follower->hearAll();
+    }
+    CHECK(source->store.watches[ObjectKind::Configuration] >= 3);
+    CHECK_EQUAL(1, follower->store.lists[ObjectKind::Configuration]);
+    CHECK_EQUAL(0, follower->store.watches[ObjectKind::Configuration]);
+    CHECK_EQUAL(0, follower->store.watches[ObjectKind::Replicas]);
+}
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -140,6 +140,33 @@
     CHECK(lateRefusals * 10 <= refusals); // nine of ten at once
 }
 
+// One of many nodes starts few requests of a model. It took that for all that could be served and
+// refused whatever had to wait, if only for some milliseconds.
+TEST(RequestScheduler, FewStartsAreNoOverload)
+{
+    table.onAnnounced(engine("r1", { { "m1", {} } }), Start);
+    std::uint64_t id = 0;
+    int starts = 0;
+    int refusals = 0;
+    for (Instant now = Start; now < Start + 20s; now += 10ms) {
+        if ((now - Start) % 2s == 0ms) {
+            table.onPrompt("r1", 1'800, now); // another node was a little faster
+            scheduler.submit(modelRequest(++id, 1'800, now), {}, false, now);
+        }
+        scheduler.tick(now);
+        for (SchedulerAction &action : scheduler.takeActions()) {
+            if (const auto *start = std::get_if<StartRequest>(&action)) {
+                starts++;
+                table.onFinished(start->choice.id, start->choice.generation, ReplicaOutcome::Served,
+                                 now);
+            }
+            refusals += std::holds_alternative<RefuseRequest>(action) ? 1 : 0;
+        }
+    }
+    CHECK_EQUAL(0, refusals);
+    CHECK_EQUAL(10, starts);
+}
+
 TEST(RequestScheduler, WaitsForACopyThatIsBeingLoaded)
 {
     table.onAnnounced(engine("r1", {}), Start);
