Prompts are limited over the time of an event, claimed before they are sent; adapters in demand come first

The limit looked at one moment only, so a long prompt had others in the steps before and after it, and nodes that waited for one replica started at once when it became free (754 of 11,404 sends beyond the limit). Adapters: idle ones were loaded by number until all places were taken, and what was just loaded could not give way until it was listed. The check of two prompts for each replica is replaced by that of the longest event. No test shows that replicas are kept free of models.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -88,7 +88,8 @@
 
 json::array toJson(const PromptNote &note)
 {
-    return { static_cast<std::int64_t>(MessageType::Prompt), note.replica, note.freshTokens };
+    return { static_cast<std::int64_t>(MessageType::Prompt), note.replica, note.freshTokens,
+             note.ticket, note.withdrawn };
 }
 
 BeatMessage beatFromJson(const json::array &list)
@@ -133,7 +134,8 @@
     case MessageType::Loss:
         return LossNote { list.at(1).to_number<std::uint64_t>(), textAt(list, 2) };
     case MessageType::Prompt:
-        return PromptNote { textAt(list, 1), list.at(2).to_number<int>() };
+        return PromptNote { textAt(list, 1), list.at(2).to_number<int>(),
+                            list.at(3).to_number<std::uint64_t>(), list.at(4).as_bool() };
     }
     throw std::invalid_argument("unknown type of message");
 }
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -48,11 +48,13 @@
     std::string replica;
 };
 
-/// The sender gave a replica a prompt to read.
+/// The sender is about to give a replica a prompt to read, or takes that back.
 struct PromptNote
 {
     std::string replica;
     int freshTokens = 0;
+    std::uint64_t ticket = 0; // see serving/promptclaims.h
+    bool withdrawn = false;
 };
 
 using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, LossNote, PromptNote>;
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -351,7 +351,12 @@
     } else if (const auto *copy = std::get_if<CopyNote>(&message)) {
         m_state.takeCopyChange({ copy->replica, copy->copy, copy->change, copy->usableIn });
     } else if (const auto *prompt = std::get_if<PromptNote>(&message)) {
-        m_state.replicas.onPrompt(prompt->replica, prompt->freshTokens, now);
+        if (prompt->withdrawn) {
+            m_state.replicas.onPromptWithdrawn(prompt->replica, prompt->freshTokens, now);
+        } else {
+            m_state.replicas.onPrompt(prompt->replica, prompt->freshTokens, now);
+            m_state.claims.onClaim(prompt->replica, prompt->ticket, now);
+        }
     } else {
         const auto &loss = std::get<LossNote>(message);
         m_state.suspects.onLost(loss.fingerprint, loss.replica, now);
@@ -375,13 +380,16 @@
             m_link.send(welcome, { message.beat.sender.ip });
         }
     }
-    m_copies.onDemand(sender, message.demand);
+    // Most heartbeats carry none; what a node asked for before lapses by itself.
+    if (!message.demand.empty())
+        m_copies.onDemand(sender, message.demand);
 }
 
-void EdgeProgram::announcePrompt(const std::string &replica, int freshTokens)
+bool EdgeProgram::announcePrompt(const PromptNote &note)
 {
-    m_link.send(PromptNote { replica, freshTokens },
-                m_state.directory.ingressAddresses(steadyNow()));
+    const auto others = m_state.directory.ingressAddresses(steadyNow());
+    m_link.send(note, others);
+    return !others.empty();
 }
 
 void EdgeProgram::announceLoss(std::uint64_t fingerprint, const std::string &replica)
@@ -465,6 +473,7 @@
     for (const auto &[id, generation] : m_state.replicas.tick(now))
         forgetReplica(id, generation);
     m_state.suspects.tick(now);
+    m_state.claims.tick(now);
     m_state.directory.tick(now);
     m_state.waiting.tick();
     m_copies.tick();
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -81,7 +81,7 @@
     void onBeat(const BeatMessage &message);
     void onList(ObjectKind kind, const std::vector<StoredItem> &items) override;
     void onChanges(ObjectKind kind, const std::vector<StoredItem> &items) override;
-    void announcePrompt(const std::string &replica, int freshTokens) override;
+    bool announcePrompt(const PromptNote &note) override;
     void announceLoss(std::uint64_t fingerprint, const std::string &replica) override;
 
     void takeConfig(const StoredItem &item);
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -10,6 +10,7 @@
 #include "net/httpclient.h"
 #include "net/metrics.h"
 #include "placing/copyplacement.h"
+#include "serving/promptclaims.h"
 #include "serving/replicachooser.h"
 #include "serving/scheduler.h"
 #include "serving/servingconfig.h"
@@ -88,6 +89,7 @@
     RequestScheduler scheduler;
     WaitingRequests waiting;
     SuspectRequests suspects;
+    PromptClaims claims;
     CopyDemandMeter demand;
     NodeDirectory directory;
     Random random;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -1,6 +1,7 @@
 #include "edge/requestflow.h"
 
 #include "base/hashing.h"
+#include "net/coroutines.h"
 
 #include <algorithm>
 
@@ -184,6 +185,18 @@
             co_return;
         }
         const auto &start = std::get<StartRequest>(decision);
+        if (!m_request.model.empty() && !co_await claimPrompt(start)) {
+            if (m_callerLeft) {
+                logDone("caller_left", 0, "while_queued");
+                co_return;
+            }
+            if (m_givenUp) {
+                co_await finish(m_progress.runs > 0 ? NextStep::Fail : NextStep::Refuse,
+                                AttemptResult::NotRun);
+                co_return;
+            }
+            continue;
+        }
         const AttemptResult end = co_await attempt(start);
         attempted = true;
         const Instant now = m_givenUp ? m_request.deadline : steadyNow();
@@ -205,6 +218,31 @@
     }
 }
 
+asio::awaitable<bool> RequestFlow::claimPrompt(const StartRequest &start)
+{
+    const std::string &replica = start.choice.id;
+    PromptNote note { replica, start.choice.freshTokens,
+                      makeTicket(m_request.priority,
+                                 static_cast<std::uint32_t>(m_state.random.engine()())) };
+    const Instant claimedAt = steadyNow();
+    if (!m_announcer.announcePrompt(note))
+        co_return true;
+    co_await sleepFor(ClaimWait);
+    const Instant now = steadyNow();
+    const ReplicaRow *row = m_state.replicas.find(replica);
+    const bool isCrowded = row != nullptr && m_state.chooser.isCrowded(*row, now);
+    const bool isBeaten = isCrowded && m_state.claims.isBeaten(replica, note.ticket, claimedAt);
+    if (!isBeaten && !m_callerLeft && !m_givenUp)
+        co_return true;
+    note.withdrawn = true;
+    m_announcer.announcePrompt(note);
+    m_state.replicas.onPromptWithdrawn(replica, note.freshTokens, now);
+    m_state.replicas.onFinished(replica, start.choice.generation, ReplicaOutcome::Cancelled, now);
+    m_state.metrics.count("burdock_prompts_withdrawn_total");
+    m_state.log.line("withdraw").field("request", m_caller.name).field("replica", replica);
+    co_return false;
+}
+
 asio::awaitable<AttemptResult> RequestFlow::attempt(const StartRequest &start)
 {
     const ReplicaRow *row = m_state.replicas.find(start.choice.id);
@@ -226,8 +264,6 @@
     m_firstByteSeen = false;
     m_hasAlternative = start.choice.weighed > 1;
     m_connectionBroke = false;
-    if (!m_request.model.empty())
-        m_announcer.announcePrompt(start.choice.id, start.choice.freshTokens);
     AttemptResult end = co_await exchangeOnce(start);
     m_exchange.reset();
     if (m_callerLeft && end != AttemptResult::Delivered)
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -6,6 +6,7 @@
 // route allows.
 #pragma once
 
+#include "edge/beatlink.h"
 #include "edge/nodestate.h"
 #include "net/eventstream.h"
 #include "net/httpserver.h"
@@ -19,8 +20,9 @@
 public:
     virtual ~NodeAnnouncer() = default;
 
-    /// A replica was sent a prompt to read.
-    virtual void announcePrompt(const std::string &replica, int freshTokens) = 0;
+    /// A replica is about to be sent a prompt to read.
+    /// @return whether there is another node that could do the same
+    virtual bool announcePrompt(const PromptNote &note) = 0;
 
     /// A replica was lost while it ran a request.
     virtual void announceLoss(std::uint64_t fingerprint, const std::string &replica) = 0;
@@ -54,6 +56,8 @@
     bool findRoute();
     void buildRequest();
     boost::asio::awaitable<void> serve();
+    /// @return false: it was taken back, since another node's goes before or nobody needs it now
+    boost::asio::awaitable<bool> claimPrompt(const StartRequest &start);
     boost::asio::awaitable<AttemptResult> attempt(const StartRequest &start);
     boost::asio::awaitable<AttemptResult> exchangeOnce(const StartRequest &start);
     /// @return the rest of the replica's answer; nothing when it does not come whole
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -11,8 +11,9 @@
 
 /// Larger zones and far ones get every second heartbeat only.
 constexpr std::uint64_t SlowBeats = 2;
-/// A node with less traffic takes none by design; what comes was sent by an old answer.
-constexpr double TrafficLeast = 0.2; // requests a second
+/// A node with less traffic is not one that callers are sent to; what comes was sent by an old
+/// answer.
+constexpr double TrafficLeast = 1.0; // requests a second
 
 void addAddress(std::vector<std::string> &addresses, const std::string &ip)
 {
@@ -166,16 +167,17 @@
 {
     std::vector<const Row *> rows;
     for (const std::string &zone : zones()) {
-        for (const Row *row : byRank(zone, false, now)) {
-            if (row->storeReached || !isLive(*row, now))
-                rows.push_back(row);
-        }
+        const auto ofZone = byRank(zone, false, now);
+        rows.insert(rows.end(), ofZone.begin(), ofZone.end());
     }
     sortByRank(rows);
     std::vector<std::string> names;
-    for (const Row *row : rows) {
-        if (names.size() < count)
-            names.push_back(row->info.name);
+    // In an outage nobody reaches the store, and the lease is to be taken when it ends.
+    for (const bool reached : { true, false }) {
+        for (const Row *row : rows) {
+            if (row->storeReached == reached && names.size() < count)
+                names.push_back(row->info.name);
+        }
     }
     return names;
 }
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -70,7 +70,7 @@
     Duration knownFor = std::chrono::minutes(10);    // then a silent node is forgotten
     Duration neighbourFor = std::chrono::seconds(5); // named by somebody within it
     std::size_t ingressLeast = 3;                    // of a zone; the loss of one leaves two
-    std::size_t ingressAtFirst = 8;                  // until traffic is seen
+    std::size_t ingressAtFirst = 4;                  // until traffic is seen
     double requestsPerIngress = 25.0; // a second; about a sixth of the smallest VM's processor, so
                                       // that a burst fits
     Duration ingressHeld = std::chrono::seconds(6); // after less traffic: moving callers costs
@@ -125,8 +125,9 @@
     /// @return whether no other node is live
     bool isAlone(Instant now) const;
 
-    /// @return the first nodes of all zones by rank that reach the store, as far as this one knows;
-    ///         those that anybody named a short time ago, since not every node hears every other
+    /// @return the first nodes of all zones by rank; those that anybody named a short time ago,
+    /// since
+    ///         not every node hears every other. Those that do not reach the store come last.
     std::vector<std::string> firstNames(std::size_t count, Instant now) const;
 
     /// @return the first nodes of the own availability zone by rank, this one included; those that
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -163,9 +163,14 @@
     bool placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
     bool makeRoom(Plan &plan, const ModelView &view, Instant now);
     bool isKeptForOther(const EngineRecord &engine, const std::string &model, Instant now) const;
+    void findHeldAdapters(Plan &plan) const;
+    void keepFreeForAdapters(Plan &plan) const;
     void placeAdapters(Plan &plan, Instant now);
+    void preloadAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter, bool wanted,
                       Instant now);
+    std::vector<std::pair<std::string, std::string>> settledAdapters(const EngineRecord &engine,
+                                                                     Instant now) const;
     void makeAdapterRoom(Plan &plan, const EngineModel &model, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -39,6 +39,7 @@
     std::map<std::string, double> adapterDemand;  // "model/adapter"
     std::map<std::string, double> engineLoad;     // tokens a second by replica
     std::unordered_set<std::string> heldAdapters; // on any replica, or ordered
+    std::set<std::string> keptFree; // replicas that have to take adapters, and no model
 
     /// Counts a copy, once for each replica.
     void count(const EngineRecord &engine, const std::string &model, bool isReady)
@@ -113,10 +114,47 @@
         for (const std::string &holder : view.holders)
             plan.engineLoad[holder] += view.demand / view.copies;
     }
+    findHeldAdapters(plan);
+    keepFreeForAdapters(plan);
     placeModels(plan, now);
     placeAdapters(plan, now);
 }
 
+void CopyPlacement::findHeldAdapters(Plan &plan) const
+{
+    for (const EngineRecord *engine : plan.engines) {
+        for (const auto *held : { &engine->info.models, &engine->reported }) {
+            for (const ModelCopy &copy : *held) {
+                for (const std::string &adapter : copy.adapters)
+                    plan.heldAdapters.insert(copyName(copy.model, adapter));
+            }
+        }
+        for (const auto &[name, at] : engine->pendingAdapters)
+            plan.heldAdapters.insert(name);
+    }
+}
+
+/// A load of a model makes its replica refuse all other orders for seconds: not where requests wait
+/// for an adapter that no other replica could take.
+void CopyPlacement::keepFreeForAdapters(Plan &plan) const
+{
+    for (const auto &[key, want] : m_wants) {
+        if (want.service != plan.service->name || want.adapter.empty()
+            || plan.heldAdapters.contains(copyName(want.model, want.adapter)))
+            continue;
+        const EngineRecord *only = nullptr;
+        int holders = 0;
+        for (const EngineRecord *engine : plan.engines) {
+            if (copyOn(*engine, want.model) == nullptr || !mayOrder(*engine))
+                continue;
+            only = engine;
+            holders++;
+        }
+        if (holders == 1)
+            plan.keptFree.insert(only->info.id);
+    }
+}
+
 void CopyPlacement::placeModels(Plan &plan, Instant now)
 {
     std::vector<ModelView *> order;
@@ -157,7 +195,7 @@
     bool bestFromStore = true;
     for (EngineRecord *engine : plan.engines) {
         const std::string &id = engine->info.id;
-        if (!mayOrder(*engine) || view.holders.contains(id)
+        if (!mayOrder(*engine) || view.holders.contains(id) || plan.keptFree.contains(id)
             || isKeptForOther(*engine, view.model->name, now)
             || freeMemory(*engine, *plan.limits, m_settings.memoryMargin) < view.model->memoryMb)
             continue;
@@ -220,6 +258,7 @@
     }
     for (EngineRecord *engine : plan.engines) {
         if (!mayOrder(*engine) || view.holders.contains(engine->info.id)
+            || plan.keptFree.contains(engine->info.id)
             || isKeptForOther(*engine, view.model->name, now))
             continue;
         const double missing =
@@ -277,30 +316,41 @@
         if (model != nullptr)
             placeAdapter(plan, *model, want.adapter, true, now);
     }
-    for (const EngineRecord *engine : plan.engines) {
-        for (const auto *held : { &engine->info.models, &engine->reported }) {
-            for (const ModelCopy &copy : *held) {
-                for (const std::string &adapter : copy.adapters)
-                    plan.heldAdapters.insert(copyName(copy.model, adapter));
-            }
-        }
-        for (const auto &[name, at] : engine->pendingAdapters)
-            plan.heldAdapters.insert(name);
-    }
+    preloadAdapters(plan, now);
+}
+
+/// Loads adapters that nobody waits for, those that are asked for most first.
+void CopyPlacement::preloadAdapters(Plan &plan, Instant now)
+{
+    struct Missing
+    {
+        const EngineModel *model = nullptr;
+        std::string adapter;
+        double demand = 0.0;
+    };
+    std::vector<Missing> missing;
     for (const ModelView &view : plan.models) {
-        if (view.ready == 0)
-            continue;
-        for (int number = 1; number <= view.model->adapters; ++number) {
-            if (adapterOrdersOpen() >= m_settings.adapterOrdersAtOnce)
-                return;
+        for (int number = 1; view.ready > 0 && number <= view.model->adapters; ++number) {
             const std::string adapter = adapterName(number);
             const std::string copy = copyName(view.model->name, adapter);
-            if (!plan.heldAdapters.contains(copy) && !m_noPreload.contains(copy))
-                placeAdapter(plan, *view.model, adapter, false, now);
+            if (plan.heldAdapters.contains(copy) || m_noPreload.contains(copy))
+                continue;
+            const auto demand = plan.adapterDemand.find(copy);
+            missing.push_back({ view.model, adapter,
+                                demand == plan.adapterDemand.end() ? 0.0 : demand->second });
         }
     }
+    std::stable_sort(missing.begin(), missing.end(), [](const Missing &left, const Missing &right) {
+        return left.demand > right.demand;
+    });
+    for (const Missing &each : missing) {
+        if (adapterOrdersOpen() >= m_settings.adapterOrdersAtOnce)
+            return;
+        placeAdapter(plan, *each.model, each.adapter, false, now);
+    }
 }
 
+/// @param wanted a request waits for it: an idle one gives way
 bool CopyPlacement::placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter,
                                  bool wanted, Instant now)
 {
@@ -334,6 +384,23 @@
     return false;
 }
 
+/// @return model and adapter of those that are loaded, listed or not
+std::vector<std::pair<std::string, std::string>>
+CopyPlacement::settledAdapters(const EngineRecord &engine, Instant now) const
+{
+    std::vector<std::pair<std::string, std::string>> settled;
+    for (const ModelCopy &copy : engine.info.models) {
+        for (const std::string &adapter : copy.adapters)
+            settled.emplace_back(copy.model, adapter);
+    }
+    for (const auto &[name, orderedAt] : engine.pendingAdapters) {
+        const auto slash = name.find('/');
+        if (now - orderedAt >= 2 * m_settings.adapterReady && slash != std::string::npos)
+            settled.emplace_back(name.substr(0, slash), name.substr(slash + 1));
+    }
+    return settled;
+}
+
 /// Takes out the idle adapter that is asked for least, of the replicas that hold the model.
 /// Adapters in use stay: a replica would refuse other orders until their last request has ended.
 void CopyPlacement::makeAdapterRoom(Plan &plan, const EngineModel &model, Instant now)
@@ -345,16 +412,14 @@
     for (EngineRecord *engine : plan.engines) {
         if (copyOn(*engine, model.name) == nullptr || !takesAdapters(*engine, now))
             continue;
-        for (const ModelCopy &copy : engine->info.models) {
-            for (const std::string &each : copy.adapters) {
-                const double demand = plan.adapterDemand[copyName(copy.model, each)];
-                if (demand >= least)
-                    continue;
-                best = engine;
-                victimModel = copy.model;
-                victim = each;
-                least = demand;
-            }
+        for (const auto &[heldModel, held] : settledAdapters(*engine, now)) {
+            const double demand = plan.adapterDemand[copyName(heldModel, held)];
+            if (demand >= least)
+                continue;
+            best = engine;
+            victimModel = heldModel;
+            victim = held;
+            least = demand;
         }
     }
     if (best == nullptr)
--- /dev/null
+++ b/src/serving/promptclaims.cpp
@@ -0,0 +1,44 @@
+#include "serving/promptclaims.h"
+
+#include <algorithm>
+
+namespace burdock {
+
+namespace {
+
+constexpr Duration Remembered = 4 * ClaimWait;
+
+} // namespace
+
+std::uint64_t makeTicket(int priority, std::uint32_t drawn)
+{
+    constexpr int DrawnBits = 32;
+    return static_cast<std::uint64_t>(std::max(0, priority)) << DrawnBits | drawn;
+}
+
+void PromptClaims::onClaim(const std::string &replica, std::uint64_t ticket, Instant now)
+{
+    auto &claims = m_claims[replica];
+    std::erase_if(claims, [&](const Claim &claim) { return now - claim.heardAt > Remembered; });
+    claims.push_back({ ticket, now });
+}
+
+bool PromptClaims::isBeaten(const std::string &replica, std::uint64_t ticket,
+                            Instant claimedAt) const
+{
+    const auto found = m_claims.find(replica);
+    return found != m_claims.end()
+            && std::any_of(found->second.begin(), found->second.end(), [&](const Claim &claim) {
+                   return claim.heardAt >= claimedAt && claim.ticket < ticket;
+               });
+}
+
+void PromptClaims::tick(Instant now)
+{
+    std::erase_if(m_claims, [&](const auto &entry) {
+        return std::all_of(entry.second.begin(), entry.second.end(),
+                           [&](const Claim &claim) { return now - claim.heardAt > Remembered; });
+    });
+}
+
+} // namespace burdock
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -28,8 +28,16 @@
     bounds.kvTokens = engine.kvTokens;
     if (longestPause.count() <= 0 || engine.tokensPerEvent <= 0)
         return;
-    const Duration share = Duration(longestPause) / engine.tokensPerEvent;
-    bounds.prefillLimit = std::max(m_settings.leastPrefill, share - m_settings.stepReserve);
+    const Duration steps = engine.tokensPerEvent * m_settings.stepTime;
+    bounds.prefillLimit = std::max(m_settings.leastPrefill,
+                                   Duration(longestPause) - steps - m_settings.pauseReserve);
+    bounds.eventTime = bounds.prefillLimit + steps;
+}
+
+bool ReplicaChooser::isCrowded(const ReplicaRow &row, Instant now)
+{
+    const EngineBounds &bounds = m_engines[row.info.service];
+    return m_table.recentPrefill(row, bounds.eventTime, now) > bounds.prefillLimit;
 }
 
 int ReplicaChooser::slots(const ReplicaRow &row) const
@@ -97,10 +105,10 @@
         return false;
     if (request.model.empty())
         return true;
-    const Duration ahead = m_table.prefillAhead(row, now);
+    const EngineBounds &bounds = m_engines[request.service];
+    const Duration recent = m_table.recentPrefill(row, bounds.eventTime, now);
     const Duration own = m_table.prefillTime(row, candidate.freshTokens);
-    return ahead <= m_settings.prefillIdle
-            || ahead + own <= m_engines[request.service].prefillLimit;
+    return recent <= m_settings.prefillIdle || recent + own <= bounds.prefillLimit;
 }
 
 ChooserAnswer ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -8,11 +8,11 @@
 //
 // For model replicas the time is made of prompt tokens ahead of the request, its own tokens that
 // the replica does not keep, and the batch; for plain ones of the requests beyond the replica's
-// slots. A replica gets only so many prompts at a time that the pauses of its running streams stay
-// short; nodes tell each other of the prompts that they send. It answers two more loads: uneven
-// ones, where many nodes see the same stale readings (a random factor keeps them apart), and
-// replicas that are slow or fail while they call themselves healthy (observed slowness and failures
-// multiply the cost).
+// slots. A replica gets only so many prompts within the longest pause of its running streams that
+// they are read in less time; nodes tell each other of the prompts that they send. It answers two
+// more loads: uneven ones, where many nodes see the same stale readings (a random factor keeps them
+// apart), and replicas that are slow or fail while they call themselves healthy (observed slowness
+// and failures multiply the cost).
 #pragma once
 
 #include "base/random.h"
@@ -59,14 +59,13 @@
     double kvShare = 0.85;        // of a replica's KV cache that requests may fill
     double plainOverSlots = 1.25; // requests at a plain replica, against its slots
     int defaultSlots = 16;        // for replicas that do not say
-    // Prompts are read in the steps between the tokens of running streams, and an event waits for
-    // several tokens. With more than a step's share of the longest pause to read, pauses get too
-    // long.
-    Duration stepReserve =
-            std::chrono::milliseconds(35); // of that share: the step itself, and errors
-    Duration leastPrefill = std::chrono::milliseconds(60);    // also where the share is smaller
-    Duration disturbedStream = std::chrono::milliseconds(12); // cost of a prompt beyond that limit,
-                                                              // for each request that runs there
+    // A step reads all prompts that came since the last one, whole, and an event waits for several
+    // steps: a stream pauses for as long as all prompts take that come in the time of an event.
+    Duration pauseReserve = std::chrono::milliseconds(60);    // of the longest pause: errors
+    Duration leastPrefill = std::chrono::milliseconds(60);    // also where pauses are shorter
+    Duration disturbedStream = std::chrono::milliseconds(60); // cost of a prompt that is longer
+                                                              // than pauses may be, for each
+                                                              // request that runs there
     Duration prefillIdle = std::chrono::milliseconds(12); // less ahead is nothing: about one step
 };
 
@@ -105,6 +104,9 @@
     /// Forgets a replica's process.
     void onGone(std::uint64_t generation) { m_prompts.onGone(generation); }
 
+    /// @return whether the prompts given to a replica lately make its streams pause for too long
+    bool isCrowded(const ReplicaRow &row, Instant now);
+
     const ServiceProfile &profile(const std::string &service) { return m_profiles[service]; }
 
 private:
@@ -130,8 +132,9 @@
     struct EngineBounds
     {
         int kvTokens = 0;
-        Duration prefillLimit =
-                std::chrono::milliseconds(165); // 400 ms pauses, two tokens an event
+        Duration eventTime = std::chrono::milliseconds(336);    // of an event that bears the limit
+        Duration prefillLimit = std::chrono::milliseconds(316); // prompts in that time, with two
+                                                                // tokens an event
     };
     std::map<std::string, EngineBounds> m_engines; // by service
 };
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -187,7 +187,25 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr || freshTokens <= 0)
         return;
-    row->prefillUntil = std::max(row->prefillUntil, now) + prefillTime(*row, freshTokens);
+    const Duration work = prefillTime(*row, freshTokens);
+    row->prefillUntil = std::max(row->prefillUntil, now) + work;
+    std::erase_if(row->prompts, [&](const PromptWork &prompt) {
+        return now - prompt.at > m_settings.promptsKept;
+    });
+    row->prompts.push_back({ now, work });
+}
+
+void ReplicaTable::onPromptWithdrawn(const std::string &id, int freshTokens, Instant now)
+{
+    ReplicaRow *row = findRow(id);
+    if (row == nullptr)
+        return;
+    const Duration work = prefillTime(*row, freshTokens);
+    row->prefillUntil = std::max(now, row->prefillUntil - work);
+    const auto prompt = std::find_if(row->prompts.rbegin(), row->prompts.rend(),
+                                     [&](const PromptWork &each) { return each.work == work; });
+    if (prompt != row->prompts.rend())
+        row->prompts.erase(std::next(prompt).base());
 }
 
 Duration ReplicaTable::prefillTime(const ReplicaRow &row, int freshTokens) const
@@ -205,6 +223,18 @@
     return std::max(Duration::zero(), row.prefillUntil - now);
 }
 
+Duration ReplicaTable::recentPrefill(const ReplicaRow &row, Duration span, Instant now) const
+{
+    if (now >= row.prefillUntil + m_settings.stepPause)
+        return {};
+    Duration work {};
+    for (const PromptWork &prompt : row.prompts) {
+        if (now - prompt.at <= span)
+            work += prompt.work;
+    }
+    return std::max(work, prefillAhead(row, now));
+}
+
 void ReplicaTable::onLoad(const std::string &id, const LoadReading &reading, Instant now)
 {
     ReplicaRow *row = findRow(id);
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -69,21 +69,29 @@
 
 // ---- Rows ---------------------------------------------------------------------------------------
 
+/// A prompt that some node gave a replica.
+struct PromptWork
+{
+    Instant at;       // when it was told
+    Duration work {}; // time to read it, by estimate
+};
+
 struct ReplicaRow
 {
-    ReplicaInfo info;             // as last announced
-    std::uint64_t generation = 0; // never reused; a new one for each start of the replica
-    int inFlight = 0;             // sent from here and not finished
-    Instant prefillUntil;         // prompts sent by any node are read by then, by estimate
-    LoadReading load;             // newest reading
-    Instant loadReadAt;           // when it came
-    int changeSinceLoad = 0;      // own sends less own finishes since that reading
-    double failureShare = 0.0;    // smoothed share of failed requests
-    double slowness = 1.0;        // observed time to the first byte against the expected one
-    int connectFailures = 0;      // in a row
-    Instant avoidUntil;           // gets nothing until then
-    Instant goneAt;               // missing from the list: dropped then; zero when listed
-    Instant coldUntil;            // slow until then
+    ReplicaInfo info;                // as last announced
+    std::uint64_t generation = 0;    // never reused; a new one for each start of the replica
+    int inFlight = 0;                // sent from here and not finished
+    Instant prefillUntil;            // prompts sent by any node are read by then, by estimate
+    std::vector<PromptWork> prompts; // those of the last moments, oldest first
+    LoadReading load;                // newest reading
+    Instant loadReadAt;              // when it came
+    int changeSinceLoad = 0;         // own sends less own finishes since that reading
+    double failureShare = 0.0;       // smoothed share of failed requests
+    double slowness = 1.0;           // observed time to the first byte against the expected one
+    int connectFailures = 0;         // in a row
+    Instant avoidUntil;              // gets nothing until then
+    Instant goneAt;                  // missing from the list: dropped then; zero when listed
+    Instant coldUntil;               // slow until then
     std::unordered_map<std::string, Instant>
             absent; // "model/adapter" it denied holding, until then
     std::unordered_map<std::string, Instant> coming; // models being loaded, expected then
@@ -105,7 +113,9 @@
     Duration addedFor = std::chrono::milliseconds(3'000); // two heartbeats: the list shows it then
     double smoothing = 0.15;                              // weight of the newest outcome in shares
     double prefillTokensPerMs = 18.0; // start value, of the engines served today; slowness corrects
-    double pairsMsPerMillion = 1.4;   // attention over a long prompt grows with its square
+    Duration promptsKept = std::chrono::milliseconds(1'000); // longer than streams may pause
+    Duration stepPause = std::chrono::milliseconds(40);      // four steps, more than an event takes
+    double pairsMsPerMillion = 1.4; // attention over a long prompt grows with its square
 };
 
 class ReplicaTable
@@ -154,6 +164,9 @@
     /// A replica got a prompt to read, from this node or another.
     void onPrompt(const std::string &id, int freshTokens, Instant now);
 
+    /// A prompt that was announced will not be sent.
+    void onPromptWithdrawn(const std::string &id, int freshTokens, Instant now);
+
     void onLoad(const std::string &id, const LoadReading &reading, Instant now);
 
     /// The first byte of an answer came.
@@ -191,6 +204,11 @@
     /// @return time until the prompts that the replica has are read
     Duration prefillAhead(const ReplicaRow &row, Instant now) const;
 
+    /// @return time for prompts given to the replica within a span before now, by any node; zero
+    /// when
+    ///         all were read some steps ago
+    Duration recentPrefill(const ReplicaRow &row, Duration span, Instant now) const;
+
     /// @return requests waiting at the replica, by the newest reading while it is usable
     double estimatedWaiting(const ReplicaRow &row, Instant now) const;
 
