A stopping node refuses from the third second on, to the moment

Cause: requests were taken until a timer, due each 100 ms, had seen 3.2 s; what is taken after 3 s has to end with the process. Ruled out: the claim before a send (5 ms). Change: the moment is kept, 3.0 s after the signal, and compared with each request's arrival; the listening socket stays open 0.2 s longer, so that late callers get an answer. Test: adapter.requestflow, a request after the moment is refused with a time to come back.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -21,7 +21,9 @@
 /// stop waits for those.
 constexpr milliseconds AnswerLifetime { 1'000 };
 constexpr int KeptAnswers = 3;
-constexpr milliseconds AnswerWay { 200 }; // of an answer to its caller
+constexpr milliseconds AnswerWay {
+    200
+}; // of an answer to its caller; later connections are refused
 /// Left of the grace time when the process ends with requests still under way.
 constexpr milliseconds EndMargin { 500 };
 constexpr milliseconds EndMarginIdle { 50 }; // for last bytes to leave
@@ -515,7 +517,8 @@
     const Instant now = steadyNow();
     m_state.leaving = true;
     const milliseconds grace = m_state.profile.bounds.graceTime;
-    m_refuseAt = now + std::min(KeptAnswers * AnswerLifetime + AnswerWay, grace / 2);
+    m_state.refuseFrom = now + std::min<milliseconds>(KeptAnswers * AnswerLifetime, grace / 2);
+    m_closeAt = m_state.refuseFrom + AnswerWay;
     m_endBy = now + grace - EndMargin;
     m_giveUpAt = m_endBy - GiveUpMargin;
     m_state.log.line("stop")
@@ -529,18 +532,19 @@
 void EdgeProgram::continueStop()
 {
     const Instant now = steadyNow();
-    if (now >= m_refuseAt && !m_state.refusing) {
-        m_state.refusing = true;
+    const bool isClosed = now >= m_closeAt;
+    if (isClosed && !m_closeNoted) {
+        m_closeNoted = true;
         m_callers.stopAccepting();
-        m_state.log.line("stop_refusing").field("in_progress", m_callers.requestsInProgress());
+        m_state.log.line("stop_closed").field("in_progress", m_callers.requestsInProgress());
     }
     if (now >= m_giveUpAt && m_giveUpAt != Instant {}) {
         m_giveUpAt = {};
         m_state.log.line("stop_giving_up").field("in_progress", m_callers.requestsInProgress());
         giveUpAll(m_state, "node_stopping", RetryAtOnce);
     }
-    const bool idle = m_state.refusing && m_callers.requestsInProgress() == 0;
-    if ((idle && now >= m_refuseAt + EndMarginIdle) || now >= m_endBy)
+    const bool isIdle = isClosed && m_callers.requestsInProgress() == 0;
+    if ((isIdle && now >= m_closeAt + EndMarginIdle) || now >= m_endBy)
         end();
 }
 
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -125,7 +125,8 @@
     double m_requestRate = 0.0;           // of callers, a second, smoothed
     std::uint64_t m_requestsMeasured = 0; // counted in it
     Instant m_nextFind;
-    Instant m_refuseAt; // stopping: callers have moved on by then
+    Instant m_closeAt; // stopping: callers have moved on by then
+    bool m_closeNoted = false;
     Instant m_giveUpAt; // stopping: what has not begun to be answered gets its final answer
     Instant m_endBy;    // stopping: the process ends at the latest
 };
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -69,6 +69,9 @@
     /// @return the budget for sends beyond the first to a service
     RetryBudget &budgetOf(const std::string &service);
 
+    /// @return whether requests that arrive now are refused, because the process is about to end
+    bool refuses(Instant now) const { return refuseFrom != Instant {} && now >= refuseFrom; }
+
     /// Takes the news of a copy into the table of replicas.
     void takeCopyChange(const CopyChanged &change);
 
@@ -95,7 +98,7 @@
     Random random;
     std::set<RequestFlow *> flows; // requests under way
     bool leaving = false;          // a stop was asked for
-    bool refusing = false;         // new requests are refused, since the stop goes on
+    Instant refuseFrom;            // of a stop: later requests might not end before the process
     std::uint64_t lastRequestId = 0;
 
 private:
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -95,7 +95,7 @@
         co_await answerOwn(StatusUnavailable, RetryWhileStarting, "refused", "no_configuration");
         co_return;
     }
-    if (m_state.refusing) {
+    if (m_state.refuses(m_arrived)) {
         co_await answerOwn(StatusUnavailable, RetryElsewhere, "refused", "node_stopping");
         co_return;
     }
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -315,6 +315,22 @@
     CHECK_EQUAL(1, queued.answers);
 }
 
+// The state was changed by a timer each 100 ms: a stream was taken 3.26 s after the signal, and the
+// process ended before it.
+TEST(RequestFlow, AStoppingNodeRefusesFromTheMomentOn)
+{
+    state->leaving = true;
+    state->refuseFrom = steadyNow() + 10s;
+    play("/once/a", { Good });
+    CHECK_EQUAL(200, caller.status);
+    caller = Caller {};
+    io.restart();
+    state->refuseFrom = steadyNow();
+    play("/once/a", { Good });
+    CHECK_EQUAL(503, caller.status);
+    CHECK(headerValue(caller.headers, "Retry-After").has_value());
+}
+
 TEST(RequestFlow, UnknownRoutesAndAMissingConfiguration)
 {
     play("/nowhere/a", { Good });
