Spare hubs watch the store for their zone, not nodes that take callers

On edge-qc-east-e-7, an ingress node, calls for the configuration took 1.5, 2.7 and 3.9 s during a storm of changes, while the other nodes of the log had each within 0.4 s. Cause, by reading: nodes of lowest rank take callers and answered the polls of all nodes of their zone too (each change of 65 replicas to 16 nodes), over links of 10 Mbit/s and more. Change: the spare hubs, known to all nodes of the zone and not given to callers, watch first. Test: fleet.nodedirectory, failing before.

--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -6,13 +6,13 @@
 //   FollowSettings
 //   FollowedStore      an ObjectStore that asks other nodes first
 //
-// In each availability zone the first node by rank watches the store with short waits, so that it
-// knows at any time how old its knowledge is. The others ask it, or the second one when it fails,
-// by long polls that tell that age with every answer. A follower whose sources are too old asks the
-// store itself; so it learns of a change in time also when its sources are cut from the store.
-// Revisions are the store's own, which makes sources interchangeable. The configuration, which can
-// be large, is read from the store when a source names a newer revision. Small fleets watch the
-// store from every node.
+// In each availability zone one node (NodeDirectory::firstOfZone) watches the store with short
+// waits, so that it knows at any time how old its knowledge is. The others ask it, or the second
+// one when it fails, by long polls that tell that age with every answer. A follower whose sources
+// are too old asks the store itself; so it learns of a change in time also when its sources are cut
+// from the store. Revisions are the store's own, which makes sources interchangeable. The
+// configuration, which can be large, is read from the store when a source names a newer revision.
+// Small fleets watch the store from every node.
 #pragma once
 
 #include "edge/eventlog.h"
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -184,7 +184,12 @@
 
 std::vector<NodeInfo> NodeDirectory::firstOfZone(std::size_t count, Instant now) const
 {
-    const auto rows = byRank(m_self.info.zone, false, now);
+    auto rows = byRank(m_self.info.zone, false, now);
+    // The spare hubs, then the ingress nodes, whose links carry the traffic already.
+    const std::size_t ingress = std::min(ingressWanted(m_self.info.zone, now), rows.size());
+    const std::size_t hubsEnd = std::min(ingress + m_settings.spareHubs, rows.size());
+    std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(ingress),
+                rows.begin() + static_cast<std::ptrdiff_t>(hubsEnd));
     std::vector<NodeInfo> first;
     for (const bool reached : { true, false }) {
         for (const Row *row : rows) {
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -130,8 +130,9 @@
     ///         not every node hears every other. Those that do not reach the store come last.
     std::vector<std::string> firstNames(std::size_t count, Instant now) const;
 
-    /// @return the first nodes of the own availability zone by rank, this one included; those that
-    ///         do not reach the store come only when there are no others
+    /// @return nodes of the own availability zone that watch the store for the others, this one
+    ///         included: spare hubs first, since an answer to each other node takes much of a
+    ///         narrow link; those that do not reach the store come only when there are no others
     std::vector<NodeInfo> firstOfZone(std::size_t count, Instant now) const;
 
     /// @return addresses of the other nodes that take callers, or will when asked
--- a/tests/fleet/test_nodedirectory.cpp
+++ b/tests/fleet/test_nodedirectory.cpp
@@ -196,6 +196,23 @@
     CHECK(fleet.sent / 84 / 10 <= 25); // datagrams a second and node
 }
 
+// An ingress node with a link of 10 Mbit/s watched the store for its zone: its own configuration
+// came 3 s late.
+TEST(NodeDirectory, WhoWatchesTheStoreTakesNoCallers)
+{
+    Fleet fleet(84, 5);
+    fleet.run(5s);
+    for (std::size_t each = 0; each < 84; ++each)
+        fleet.rates[each] = 5.0;
+    fleet.run(10s);
+    const auto given = fleet.given("z0");
+    std::set<std::string> watchers;
+    for (std::size_t each = 0; each < 84; each += 5)
+        watchers.insert(fleet.nodes[each]->firstOfZone(1, fleet.now).at(0).ip);
+    CHECK_EQUAL(1, watchers.size());
+    CHECK(!given.contains(*watchers.begin()));
+}
+
 TEST(NodeDirectory, AnotherNodeTakesThePlaceOfOneThatFailed)
 {
     Fleet fleet(30, 3);
