--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -233,6 +233,7 @@
     }
     rows.erase(&m_self);
     std::vector<std::string> addresses;
+    addresses.reserve(rows.size());
     for (const Row *row : rows)
         addresses.push_back(row->info.ip);
     return addresses;
