A stream that is given up while it claims its next replica ends visibly cut

Found by reading: after events had been passed on, giving up during the claim would have sent an answer of the node's own on a stream that had begun. Both places use one function now. No test shows it yet.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -175,10 +175,7 @@
         }
         if (const auto *refusal = std::get_if<RefuseRequest>(&decision)) {
             if (m_progress.runs > 0 || m_progress.eventsPassed) {
-                co_await finish(m_progress.eventsPassed ? NextStep::Cut
-                                        : m_errorAnswer ? NextStep::PassOn
-                                                        : NextStep::Fail,
-                                AttemptResult::Lost);
+                co_await finish(finalStep(), AttemptResult::Lost);
                 co_return;
             }
             co_await answerOwn(StatusUnavailable, refusal->retryAfter, "refused", refusal->reason);
@@ -191,8 +188,7 @@
                 co_return;
             }
             if (m_givenUp) {
-                co_await finish(m_progress.runs > 0 ? NextStep::Fail : NextStep::Refuse,
-                                AttemptResult::NotRun);
+                co_await finish(finalStep(), AttemptResult::NotRun);
                 co_return;
             }
             continue;
@@ -218,6 +214,15 @@
     }
 }
 
+NextStep RequestFlow::finalStep() const
+{
+    if (m_progress.eventsPassed)
+        return NextStep::Cut;
+    if (m_progress.runs == 0)
+        return NextStep::Refuse;
+    return m_errorAnswer ? NextStep::PassOn : NextStep::Fail;
+}
+
 asio::awaitable<bool> RequestFlow::claimPrompt(const StartRequest &start)
 {
     const std::string &replica = start.choice.id;
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -56,6 +56,8 @@
     bool findRoute();
     void buildRequest();
     boost::asio::awaitable<void> serve();
+    /// @return how the request ends when no further attempt is made
+    NextStep finalStep() const;
     /// @return false: it was taken back, since another node's goes before or nobody needs it now
     boost::asio::awaitable<bool> claimPrompt(const StartRequest &start);
     boost::asio::awaitable<AttemptResult> attempt(const StartRequest &start);
