One class for a value that a coroutine waits for

Timer, optional and wake-up stood in RequestBoard, OrderShell, QuarantineShell and, with this change, WaitingRequests. AwaitedValue serves all four; what they do is as before.

--- a/src/edge/waitingrequests.cpp
+++ b/src/edge/waitingrequests.cpp
@@ -1,7 +1,5 @@
 #include "edge/waitingrequests.h"
 
-#include "net/coroutines.h"
-
 namespace burdock {
 
 namespace asio = boost::asio;
@@ -16,26 +14,21 @@
 WaitingRequests::submit(ServingRequest request, std::vector<std::string> excluded, bool attempted)
 {
     const std::uint64_t id = request.id;
-    const auto waiter = std::make_shared<Waiter>(m_io);
+    const auto waiter = std::make_shared<AwaitedValue<SchedulingDecision>>(m_io);
     m_waiters[id] = waiter;
     m_scheduler.submit(request, std::move(excluded), attempted, steadyNow());
     carryOut();
-    while (!waiter->decision) {
-        boost::system::error_code ignored; // a cancelled wait is the wake-up
-        waiter->wake.expires_at(asio::steady_timer::time_point::max());
-        co_await waiter->wake.async_wait(withError(ignored));
-    }
+    SchedulingDecision decision = co_await waiter->take();
     m_waiters.erase(id);
-    co_return std::move(*waiter->decision);
+    co_return decision;
 }
 
 void WaitingRequests::decide(std::uint64_t id, SchedulingDecision decision)
 {
     const auto found = m_waiters.find(id);
-    if (found == m_waiters.end() || found->second->decision)
+    if (found == m_waiters.end() || found->second->isSet())
         return;
-    found->second->decision = std::move(decision);
-    found->second->wake.cancel();
+    found->second->set(std::move(decision));
 }
 
 void WaitingRequests::cancel(std::uint64_t id)
@@ -48,7 +41,7 @@
 {
     std::vector<std::uint64_t> ids;
     for (const auto &[id, waiter] : m_waiters) {
-        if (!waiter->decision)
+        if (!waiter->isSet())
             ids.push_back(id);
     }
     for (const std::uint64_t id : ids) {
--- a/src/edge/waitingrequests.h
+++ b/src/edge/waitingrequests.h
@@ -1,11 +1,11 @@
 // Joins the coroutines that hold callers' connections to the scheduler's decisions.
 #pragma once
 
+#include "net/awaitedvalue.h"
 #include "serving/scheduler.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -48,23 +48,12 @@
     void tick();
 
 private:
-    struct Waiter
-    {
-        explicit Waiter(boost::asio::io_context &io)
-            : wake(io)
-        {
-        }
-
-        boost::asio::steady_timer wake; // cancelled to wake the coroutine
-        std::optional<SchedulingDecision> decision;
-    };
-
     void carryOut();
     void decide(std::uint64_t id, SchedulingDecision decision);
 
     boost::asio::io_context &m_io;
     RequestScheduler &m_scheduler;
-    std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+    std::unordered_map<std::uint64_t, std::shared_ptr<AwaitedValue<SchedulingDecision>>> m_waiters;
 };
 
 } // namespace burdock
--- a/src/entry/requestboard.cpp
+++ b/src/entry/requestboard.cpp
@@ -1,7 +1,5 @@
 #include "entry/requestboard.h"
 
-#include "net/coroutines.h"
-
 namespace burdock {
 
 namespace asio = boost::asio;
@@ -31,14 +29,7 @@
     if (found == m_waiters.end())
         co_return RequestDecision(CallerLeft {});
     const std::shared_ptr<Waiter> waiter = found->second;
-    while (!waiter->decision) {
-        boost::system::error_code woken;
-        waiter->wake.expires_at(asio::steady_timer::time_point::max());
-        co_await waiter->wake.async_wait(withError(woken));
-    }
-    RequestDecision decision = std::move(*waiter->decision);
-    waiter->decision.reset();
-    co_return decision;
+    co_return co_await waiter->decision.take();
 }
 
 void RequestBoard::setExchange(std::uint64_t id, std::shared_ptr<HttpExchange> exchange)
@@ -60,8 +51,7 @@
     const auto found = m_waiters.find(id);
     if (found == m_waiters.end())
         return;
-    found->second->decision = std::move(decision);
-    found->second->wake.cancel();
+    found->second->decision.set(std::move(decision));
 }
 
 void RequestBoard::carryOut()
--- a/src/entry/requestboard.h
+++ b/src/entry/requestboard.h
@@ -6,13 +6,13 @@
 #pragma once
 
 #include "decide/dispatcher.h"
+#include "net/awaitedvalue.h"
 #include "net/decisionlog.h"
 #include "net/httpclient.h"
 #include "net/metrics.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -70,13 +70,12 @@
     struct Waiter
     {
         explicit Waiter(boost::asio::io_context &io)
-            : wake(io)
+            : decision(io)
         {
         }
 
-        boost::asio::steady_timer wake;          // cancelled to wake the coroutine
-        std::optional<RequestDecision> decision; // not yet taken by the coroutine
-        std::shared_ptr<HttpExchange> exchange;  // of the current attempt
+        AwaitedValue<RequestDecision> decision; // not yet taken by the coroutine
+        std::shared_ptr<HttpExchange> exchange; // of the current attempt
     };
 
     void decide(std::uint64_t id, RequestDecision decision);
--- a/src/node/ordershell.cpp
+++ b/src/node/ordershell.cpp
@@ -1,7 +1,6 @@
 #include "node/ordershell.h"
 
 #include "base/wallclock.h"
-#include "net/coroutines.h"
 #include "peer.pb.h"
 #include "peer/ledgerwire.h"
 
@@ -79,15 +78,10 @@
                                                  Instant giveUpAt, std::string &attempt)
 {
     attempt = m_client.begin(order, fingerprint, giveUpAt, steadyNow());
-    const auto waiter = std::make_shared<Waiter>(m_io);
+    const auto waiter = std::make_shared<AwaitedValue<OrderDecision>>(m_io);
     m_waiters[attempt] = waiter;
     carryOut();
-    while (!waiter->decision) {
-        boost::system::error_code woken;
-        waiter->wake.expires_at(asio::steady_timer::time_point::max());
-        co_await waiter->wake.async_wait(withError(woken));
-    }
-    OrderDecision decision = std::move(*waiter->decision);
+    OrderDecision decision = co_await waiter->take();
     m_waiters.erase(attempt);
     co_return decision;
 }
@@ -116,8 +110,7 @@
     const auto found = m_waiters.find(attempt);
     if (found == m_waiters.end())
         return;
-    found->second->decision = std::move(decision);
-    found->second->wake.cancel();
+    found->second->set(std::move(decision));
 }
 
 void OrderShell::logDecision(const std::string &attempt, const OrderDecision &decision)
--- a/src/node/ordershell.h
+++ b/src/node/ordershell.h
@@ -7,13 +7,13 @@
 
 #include "decide/ledger.h"
 #include "decide/orderclient.h"
+#include "net/awaitedvalue.h"
 #include "net/decisionlog.h"
 #include "node/fleetshell.h"
 #include "platform/objectclient.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -53,17 +53,6 @@
     const OrderClient &client() const { return m_client; }
 
 private:
-    struct Waiter
-    {
-        explicit Waiter(boost::asio::io_context &io)
-            : wake(io)
-        {
-        }
-
-        boost::asio::steady_timer wake;        // cancelled to wake the coroutine
-        std::optional<OrderDecision> decision; // not yet taken by the coroutine
-    };
-
     void carryOut();
     void send(const SendToNode &action);
     void deliver(const LedgerMessage &message);
@@ -83,7 +72,7 @@
     NodeIdentity m_self;
     Ledger m_ledger;
     OrderClient m_client;
-    std::map<std::string, std::shared_ptr<Waiter>> m_waiters; // by attempt
+    std::map<std::string, std::shared_ptr<AwaitedValue<OrderDecision>>> m_waiters; // by attempt
 };
 
 } // namespace burdock
--- a/src/node/quarantineshell.cpp
+++ b/src/node/quarantineshell.cpp
@@ -1,6 +1,5 @@
 #include "node/quarantineshell.h"
 
-#include "net/coroutines.h"
 #include "peer.pb.h"
 #include "peer/ledgerwire.h"
 
@@ -40,17 +39,13 @@
 asio::awaitable<RunPermit> QuarantineShell::ask(std::string run, std::uint64_t fingerprint,
                                                 bool isRetry)
 {
-    const auto waiter = std::make_shared<Waiter>(m_io);
+    const auto waiter = std::make_shared<AwaitedValue<RunPermit>>(m_io);
     m_waiters[run] = waiter;
     m_quarantine.onRun(run, fingerprint, isRetry, true, steadyNow());
     carryOut();
-    while (!waiter->permit) {
-        boost::system::error_code woken;
-        waiter->wake.expires_at(asio::steady_timer::time_point::max());
-        co_await waiter->wake.async_wait(withError(woken));
-    }
+    RunPermit permit = co_await waiter->take();
     m_waiters.erase(run);
-    co_return *waiter->permit;
+    co_return permit;
 }
 
 void QuarantineShell::onCompleted(const std::string &run)
@@ -85,8 +80,7 @@
     const auto found = m_waiters.find(run);
     if (found == m_waiters.end())
         return;
-    found->second->permit = std::move(permit);
-    found->second->wake.cancel();
+    found->second->set(std::move(permit));
 }
 
 // ---- Events and actions -------------------------------------------------------------------------
--- a/src/node/quarantineshell.h
+++ b/src/node/quarantineshell.h
@@ -6,12 +6,12 @@
 #pragma once
 
 #include "decide/quarantine.h"
+#include "net/awaitedvalue.h"
 #include "net/decisionlog.h"
 #include "node/fleetshell.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -57,17 +57,6 @@
     const Quarantine &quarantine() const { return m_quarantine; }
 
 private:
-    struct Waiter
-    {
-        explicit Waiter(boost::asio::io_context &io)
-            : wake(io)
-        {
-        }
-
-        boost::asio::steady_timer wake;  // cancelled to wake the coroutine
-        std::optional<RunPermit> permit; // not yet taken by the coroutine
-    };
-
     void carryOut();
     void decide(const std::string &run, RunPermit permit);
     void send(const std::string &node, const QuarantineMessage &message);
@@ -78,7 +67,7 @@
     DecisionLog &m_log;
     std::string m_self;
     Quarantine m_quarantine;
-    std::map<std::string, std::shared_ptr<Waiter>> m_waiters; // by run
+    std::map<std::string, std::shared_ptr<AwaitedValue<RunPermit>>> m_waiters; // by run
 };
 
 } // namespace burdock
