--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr const char *FeedPath = "/changes";
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
 /// A follower's configuration question looks this often whether a source has named a newer one.
 constexpr milliseconds ConfigGlance { 40 };
 /// During the start a node looks this often whether it is one of those that watch.
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -47,10 +47,6 @@
 constexpr std::size_t ReservedDescriptors = 700;
 constexpr std::size_t LeastConnections = 256;
 
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusUnavailable = 503;
-
 HttpLimits callerLimits(const CallerLimits &config, std::size_t descriptors)
 {
     HttpLimits limits;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-constexpr int StatusBadRequest = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusBadGateway = 502;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusGatewayTimeout = 504;
-constexpr int StatusOk = 200;
 constexpr int LeastErrorStatus = 500;
 
 /// Until a new process has its configuration, or a stopping one's callers have moved on.
--- a/src/loadgen/main.cpp
+++ b/src/loadgen/main.cpp
@@ -87,7 +87,7 @@
         const auto exchange = m_http.exchange(m_endpoint, false);
         const auto head = co_await exchange->start(request, deadline);
         const auto *answer = std::get_if<HttpResponseHead>(&head);
-        const bool accepted = answer != nullptr && answer->status == 200;
+        const bool accepted = answer != nullptr && answer->status == StatusOk;
         const bool whole = accepted && co_await readStream(*exchange, began, deadline);
         m_result.failed += whole ? 0 : 1;
     }
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   HttpHeader, HttpRequest, HttpResponseHead
+//   Status...      status codes that the programs send or tell apart
 //   headerValue    looks up a header
 //   queryValue     looks up a query parameter
 #pragma once
@@ -34,6 +35,19 @@
     std::vector<HttpHeader> headers; // without Content-Length, Connection and Transfer-Encoding
 };
 
+constexpr int StatusOk = 200;
+constexpr int StatusCreated = 201;
+constexpr int StatusNoContent = 204;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int StatusGone = 410;
+constexpr int StatusMisdirected = 421;
+constexpr int StatusTooMany = 429;
+constexpr int StatusBadGateway = 502;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
+
 /// @param headers headers of a request or an answer
 /// @param name a header's name, in any case
 /// @return the first value, or nothing
--- a/src/platform/objectclient.cpp
+++ b/src/platform/objectclient.cpp
@@ -35,9 +35,9 @@
 
 Error errorOfStatus(int status, const std::string &what)
 {
-    if (status == 404)
+    if (status == StatusNotFound)
         return { ResultCode::PlatformNotFound, "Object API: there is no " + what };
-    if (status == 429)
+    if (status == StatusTooMany)
         return { ResultCode::PlatformRateLimited, "Object API: too many calls for " + what };
     return unavailable("status " + std::to_string(status) + " for " + what);
 }
@@ -48,7 +48,7 @@
     if (const auto *failure = std::get_if<CallFailure>(&answer))
         return unavailable(failure->message);
     const auto &response = std::get<HttpResponse>(answer);
-    if (response.head.status != 200)
+    if (response.head.status != StatusOk)
         return errorOfStatus(response.head.status, what);
     boost::system::error_code failure;
     json::value value = json::parse(response.body, failure);
@@ -108,7 +108,7 @@
     if (const auto *failure = std::get_if<CallFailure>(&answer))
         co_return unavailable(failure->message);
     auto &response = std::get<HttpResponse>(answer);
-    if (response.head.status != 200)
+    if (response.head.status != StatusOk)
         co_return errorOfStatus(response.head.status, key);
     StoredObject object;
     object.version = versionOf(response.head);
