NodeDirectory: zones are ranked in one pass

Five functions made the set of zones and then went over all nodes for each zone, with each prompt and each heartbeat; the order 'those that reach the store first' stood twice, and a declaration had no definition. What nodes are chosen is as before; notes leave in the order of zone and rank instead of that of addresses in memory.

--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -86,8 +86,8 @@
 {
     m_self.requestsPerSecond = requestsPerSecond;
     m_self.storeReached = storeReached;
-    for (const std::string &zone : zones()) {
-        const std::size_t wanted = ingressByTraffic(zone, now);
+    for (const auto &[zone, live] : byZone(true, now)) {
+        const std::size_t wanted = ingressByTraffic(live);
         Held &held = m_ingress[zone];
         if (wanted >= held.count || now >= held.until)
             held = { wanted, now + m_settings.ingressHeld };
@@ -98,8 +98,6 @@
 
 bool NodeDirectory::isLive(const Row &row, Instant now) const
 {
-    if (&row == &m_self)
-        return true;
     const bool isSlow = row.info.zone != m_self.info.zone || m_nodes.size() > m_settings.smallZone;
     const Duration liveFor = isSlow ? m_settings.slowLiveFor : m_settings.liveFor;
     return row.heardAt != Instant {} && !row.leaving && now - row.heardAt < liveFor;
@@ -107,7 +105,17 @@
 
 bool NodeDirectory::isNamed(const Row &row, Instant now) const
 {
-    return &row == &m_self || (!row.leaving && now - row.namedAt < m_settings.neighbourFor);
+    return !row.leaving && now - row.namedAt < m_settings.neighbourFor;
+}
+
+bool NodeDirectory::isThere(const Row &row, bool onlyLive, Instant now) const
+{
+    return onlyLive ? isLive(row, now) : isNamed(row, now);
+}
+
+bool NodeDirectory::hasTraffic(const Row &row)
+{
+    return row.requestsPerSecond >= TrafficLeast;
 }
 
 bool NodeDirectory::isLive(const std::string &name, Instant now) const
@@ -122,90 +130,90 @@
                         [&](const auto &entry) { return isLive(entry.second, now); });
 }
 
-std::set<std::string> NodeDirectory::zones() const
-{
-    std::set<std::string> zones { m_self.info.zone };
-    for (const auto &[name, row] : m_nodes)
-        zones.insert(row.info.zone);
-    return zones;
-}
-
-void NodeDirectory::sortByRank(std::vector<const Row *> &rows)
+void NodeDirectory::sortByRank(Rows &rows)
 {
     std::sort(rows.begin(), rows.end(),
               [](const Row *left, const Row *right) { return left->rank < right->rank; });
 }
 
 /// @param onlyLive or those that were named, too
-std::vector<const NodeDirectory::Row *> NodeDirectory::byRank(const std::string &zone,
-                                                              bool onlyLive, Instant now) const
+/// @return nodes by zone, in their ranks; also zones that have none of them
+std::map<std::string, NodeDirectory::Rows> NodeDirectory::byZone(bool onlyLive, Instant now) const
 {
-    std::vector<const Row *> rows;
-    const auto add = [&](const Row &row) {
-        const bool is = onlyLive ? isLive(row, now) : isNamed(row, now);
-        if (row.info.zone == zone && is)
+    std::map<std::string, Rows> zones { { m_self.info.zone, { &m_self } } };
+    for (const auto &[name, row] : m_nodes) {
+        Rows &rows = zones[row.info.zone];
+        if (isThere(row, onlyLive, now))
             rows.push_back(&row);
-    };
-    add(m_self);
-    for (const auto &[name, row] : m_nodes)
-        add(row);
+    }
+    for (auto &[zone, rows] : zones)
+        sortByRank(rows);
+    return zones;
+}
+
+/// @return nodes of one zone, in their ranks
+NodeDirectory::Rows NodeDirectory::byRank(const std::string &zone, bool onlyLive, Instant now) const
+{
+    Rows rows;
+    if (zone == m_self.info.zone)
+        rows.push_back(&m_self);
+    for (const auto &[name, row] : m_nodes) {
+        if (row.info.zone == zone && isThere(row, onlyLive, now))
+            rows.push_back(&row);
+    }
     sortByRank(rows);
     return rows;
 }
 
-std::vector<const NodeDirectory::Row *> NodeDirectory::hubs(const std::string &zone,
-                                                            Instant now) const
+/// @return the first of the rows, those that reach the store before the others
+NodeDirectory::Rows NodeDirectory::reachedFirst(Rows rows, std::size_t count)
+{
+    std::stable_partition(rows.begin(), rows.end(),
+                          [](const Row *row) { return row->storeReached; });
+    rows.resize(std::min(rows.size(), count));
+    return rows;
+}
+
+/// @return the nodes of the own zone that all others of it hear
+NodeDirectory::Rows NodeDirectory::hubs(Instant now) const
 {
-    auto rows = byRank(zone, false, now);
-    const std::size_t count = ingressWanted(zone, now) + m_settings.spareHubs;
-    if (rows.size() > count)
-        rows.resize(count);
+    Rows rows = byRank(m_self.info.zone, false, now);
+    const std::size_t count = ingressWanted(m_self.info.zone, now) + m_settings.spareHubs;
+    rows.resize(std::min(rows.size(), count));
     return rows;
 }
 
 std::vector<std::string> NodeDirectory::firstNames(std::size_t count, Instant now) const
 {
-    std::vector<const Row *> rows;
-    for (const std::string &zone : zones()) {
-        const auto ofZone = byRank(zone, false, now);
+    Rows rows;
+    for (const auto &[zone, ofZone] : byZone(false, now))
         rows.insert(rows.end(), ofZone.begin(), ofZone.end());
-    }
     sortByRank(rows);
     std::vector<std::string> names;
     // In an outage nobody reaches the store, and the lease is to be taken when it ends.
-    for (const bool reached : { true, false }) {
-        for (const Row *row : rows) {
-            if (row->storeReached == reached && names.size() < count)
-                names.push_back(row->info.name);
-        }
-    }
+    for (const Row *row : reachedFirst(std::move(rows), count))
+        names.push_back(row->info.name);
     return names;
 }
 
 std::vector<NodeInfo> NodeDirectory::firstOfZone(std::size_t count, Instant now) const
 {
-    auto rows = byRank(m_self.info.zone, false, now);
+    Rows rows = byRank(m_self.info.zone, false, now);
     // The spare hubs, then the ingress nodes, whose links carry the traffic already.
     const std::size_t ingress = std::min(ingressWanted(m_self.info.zone, now), rows.size());
     const std::size_t hubsEnd = std::min(ingress + m_settings.spareHubs, rows.size());
     std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(ingress),
                 rows.begin() + static_cast<std::ptrdiff_t>(hubsEnd));
-    std::vector<NodeInfo> first;
-    for (const bool reached : { true, false }) {
-        for (const Row *row : rows) {
-            if (row->storeReached == reached && first.size() < count)
-                first.push_back(row->info);
-        }
-    }
-    return first;
+    return infosOf(reachedFirst(std::move(rows), count));
 }
 
 // ---- Ingress ------------------------------------------------------------------------------------
 
-std::size_t NodeDirectory::ingressByTraffic(const std::string &zone, Instant now) const
+/// @param live nodes of one zone
+std::size_t NodeDirectory::ingressByTraffic(const Rows &live) const
 {
     double requestsPerSecond = 0.0;
-    for (const Row *row : byRank(zone, true, now))
+    for (const Row *row : live)
         requestsPerSecond += row->requestsPerSecond;
     if (requestsPerSecond < TrafficLeast)
         return m_settings.ingressAtFirst;
@@ -217,25 +225,20 @@
 {
     const auto held = m_ingress.find(zone);
     const bool isHeld = held != m_ingress.end() && now < held->second.until;
-    return isHeld ? held->second.count : ingressByTraffic(zone, now);
+    return isHeld ? held->second.count : ingressByTraffic(byRank(zone, true, now));
 }
 
 std::vector<std::string> NodeDirectory::ingressAddresses(Instant now) const
 {
-    std::set<const Row *> rows;
-    for (const std::string &zone : zones()) {
-        const auto ranked = byRank(zone, true, now);
+    std::vector<std::string> addresses;
+    for (const auto &[zone, live] : byZone(true, now)) {
         const std::size_t wanted = ingressWanted(zone, now);
-        for (std::size_t each = 0; each < ranked.size(); ++each) {
-            if (each < wanted || ranked[each]->requestsPerSecond >= TrafficLeast)
-                rows.insert(ranked[each]);
+        for (std::size_t rank = 0; rank < live.size(); ++rank) {
+            const bool takesCallers = rank < wanted || hasTraffic(*live[rank]);
+            if (takesCallers && live[rank] != &m_self)
+                addresses.push_back(live[rank]->info.ip);
         }
     }
-    rows.erase(&m_self);
-    std::vector<std::string> addresses;
-    addresses.reserve(rows.size());
-    for (const Row *row : rows)
-        addresses.push_back(row->info.ip);
     return addresses;
 }
 
@@ -245,9 +248,9 @@
     const std::size_t wanted = std::min(ingressWanted(zone, now), m_settings.addressesMost);
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (const std::string &each : zones()) {
+    for (const auto &[each, live] : byZone(true, now)) {
         std::size_t taken = 0;
-        for (const Row *row : byRank(each, true, now)) {
+        for (const Row *row : live) {
             if (row == &m_self && !withSelf)
                 continue;
             if (each != zone)
@@ -276,10 +279,11 @@
     for (const auto &[name, row] : m_nodes)
         (row.info.zone == m_self.info.zone ? zone : others).push_back(&row);
 
-    const auto hubRows = hubs(m_self.info.zone, now);
-    const bool takesCallers = m_self.requestsPerSecond >= TrafficLeast;
-    const bool isHub =
-            takesCallers || std::find(hubRows.begin(), hubRows.end(), &m_self) != hubRows.end();
+    const Rows hubRows = hubs(now);
+    const auto ownRank = static_cast<std::size_t>(std::find(hubRows.begin(), hubRows.end(), &m_self)
+                                                  - hubRows.begin());
+    const bool isHub = hasTraffic(m_self) || ownRank < hubRows.size();
+    const bool isIngress = hasTraffic(m_self) || ownRank < ingressWanted(m_self.info.zone, now);
     const bool isSmall = zone.size() <= m_settings.smallZone;
     if (isHub && (isSmall || isSlowTurn)) {
         // Also silent ones, so that a healed partition joins again.
@@ -294,16 +298,12 @@
     if (!zone.empty())
         addAddress(targets.near, zone[m_random.below(zone.size())]->info.ip);
 
-    const bool isIngress = takesCallers
-            || std::find(hubRows.begin(), hubRows.end(), &m_self) - hubRows.begin()
-                    < static_cast<std::ptrdiff_t>(ingressWanted(m_self.info.zone, now));
     if (others.empty() || !isSlowTurn)
         return targets;
     if (isIngress) {
-        for (const std::string &each : zones()) {
+        for (const auto &[each, ranked] : byZone(false, now)) {
             if (each == m_self.info.zone)
                 continue;
-            const auto ranked = byRank(each, false, now);
             const std::size_t wanted = std::min(ingressWanted(each, now), ranked.size());
             for (std::size_t row = 0; row < wanted && targets.far.size() < m_settings.farPeers;
                  ++row)
@@ -330,12 +330,18 @@
 
 std::vector<NodeInfo> NodeDirectory::nodesToWelcome(const std::string &zone, Instant now) const
 {
-    std::vector<NodeInfo> told;
-    for (const Row *row : byRank(zone, false, now)) {
-        if (told.size() < m_settings.othersTold)
-            told.push_back(row->info);
-    }
-    return told;
+    Rows rows = byRank(zone, false, now);
+    rows.resize(std::min(rows.size(), m_settings.othersTold));
+    return infosOf(rows);
+}
+
+std::vector<NodeInfo> NodeDirectory::infosOf(const Rows &rows)
+{
+    std::vector<NodeInfo> infos;
+    infos.reserve(rows.size());
+    for (const Row *row : rows)
+        infos.push_back(row->info);
+    return infos;
 }
 
 } // namespace burdock
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -23,7 +23,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -141,9 +140,6 @@
     /// @return how many nodes of an availability zone should take callers
     std::size_t ingressWanted(const std::string &zone, Instant now) const;
 
-    /// @return live nodes' addresses
-    std::vector<std::string> liveAddresses(Instant now) const;
-
     /// @param zone the caller's availability zone
     /// @param withSelf whether this node takes callers
     /// @return IP addresses of nodes that callers of that zone should use
@@ -163,6 +159,7 @@
         Instant heardAt; // zero: never
         Instant namedAt; // last time anybody named it
     };
+    using Rows = std::vector<const Row *>;
     struct Held
     {
         std::size_t count = 0;
@@ -171,11 +168,15 @@
 
     bool isLive(const Row &row, Instant now) const;
     bool isNamed(const Row &row, Instant now) const;
-    std::size_t ingressByTraffic(const std::string &zone, Instant now) const;
-    std::vector<const Row *> byRank(const std::string &zone, bool onlyLive, Instant now) const;
-    std::vector<const Row *> hubs(const std::string &zone, Instant now) const;
-    static void sortByRank(std::vector<const Row *> &rows);
-    std::set<std::string> zones() const;
+    bool isThere(const Row &row, bool onlyLive, Instant now) const;
+    static bool hasTraffic(const Row &row);
+    std::map<std::string, Rows> byZone(bool onlyLive, Instant now) const;
+    Rows byRank(const std::string &zone, bool onlyLive, Instant now) const;
+    Rows hubs(Instant now) const;
+    std::size_t ingressByTraffic(const Rows &live) const;
+    static Rows reachedFirst(Rows rows, std::size_t count);
+    static void sortByRank(Rows &rows);
+    static std::vector<NodeInfo> infosOf(const Rows &rows);
 
     Row m_self; // always live
     DirectorySettings m_settings;
