Remove what nothing calls, and second copies of small pieces

- Dead: CopyShell::owns, StoreWatch::listed, ReplicaTable::estimatedWaiting, ReplicaChooser::profile, its meanPrompt and plainServiceTime.
- One piece each for a field of a log line and for the demand of an adapter; claims are pruned by tick alone.
- The names of order answers stand with their type; comments sit at what they describe.

--- a/src/base/text.h
+++ b/src/base/text.h
@@ -26,9 +26,12 @@
     line += '"';
 }
 
-/// Appends the value of a key=value field, in quotes when it needs them.
-inline void appendLogValue(std::string &line, std::string_view value)
+/// Appends " name=value" to a log line; the value in quotes when it needs them.
+inline void appendLogField(std::string &line, std::string_view name, std::string_view value)
 {
+    line += ' ';
+    line += name;
+    line += '=';
     if (value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos)
         appendQuoted(line, value);
     else
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <algorithm>
 #include <ctime>
 
 namespace burdock {
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -30,9 +30,6 @@
     /// @return whether this node may send orders now
     bool holds() const;
 
-    /// @return whether the lease names this node
-    bool owns() const { return m_lease.owns(); }
-
 private:
     void carryOut(const LeaseAction &action);
     boost::asio::awaitable<void> readLease(LeaseRead action);
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -21,9 +21,8 @@
 /// stop waits for those.
 constexpr milliseconds AnswerLifetime { 1'000 };
 constexpr int KeptAnswers = 3;
-constexpr milliseconds AnswerWay {
-    200
-}; // of an answer to its caller; later connections are refused
+/// Of an answer to its caller; connections are refused only after it.
+constexpr milliseconds AnswerWay { 200 };
 /// Left of the grace time when the process ends with requests still under way.
 constexpr milliseconds EndMargin { 500 };
 constexpr milliseconds EndMarginIdle { 50 }; // for last bytes to leave
--- a/src/edge/eventlog.cpp
+++ b/src/edge/eventlog.cpp
@@ -33,10 +33,7 @@
 {
     if (m_log == nullptr)
         return *this;
-    m_text += ' ';
-    m_text += name;
-    m_text += '=';
-    appendLogValue(m_text, value);
+    appendLogField(m_text, name, value);
     return *this;
 }
 
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -45,7 +45,6 @@
     /// @param elapsed time since then
     void update(Duration elapsed);
 
-    /// @return tokens a second by service, model and adapter; those without any are left out
     struct Row
     {
         std::string service;
@@ -54,6 +53,8 @@
         double counted = 0.0;
         double perSecond = 0.0;
     };
+
+    /// @return tokens a second by service, model and adapter; those without any are left out
     const std::map<std::string, Row> &rows() const { return m_rows; }
 
 private:
--- a/src/edge/storewatch.cpp
+++ b/src/edge/storewatch.cpp
@@ -61,7 +61,6 @@
         auto &list = std::get<ItemList>(answer);
         m_revision = list.revision;
         m_listener.onList(m_kind, list.items);
-        m_listed = true;
         noteSuccess();
         co_return;
     }
--- a/src/edge/storewatch.h
+++ b/src/edge/storewatch.h
@@ -57,8 +57,6 @@
         return m_failing || (m_failedAt != Instant {} && now - m_failedAt < m_settings.calmAfter);
     }
 
-    bool listed() const { return m_listed; }
-
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> step();
@@ -72,7 +70,6 @@
     ObjectKind m_kind;
     StoreWatchSettings m_settings;
     std::uint64_t m_revision = 0; // 0: list first
-    bool m_listed = false;
     bool m_failing = false;
     Instant m_failedAt;
     std::chrono::milliseconds m_pause { 0 };
--- a/src/net/decisionlog.cpp
+++ b/src/net/decisionlog.cpp
@@ -23,10 +23,7 @@
 
 DecisionLine &DecisionLine::field(std::string_view name, std::string_view value)
 {
-    m_text += ' ';
-    m_text += name;
-    m_text += '=';
-    appendLogValue(m_text, value);
+    appendLogField(m_text, name, value);
     return *this;
 }
 
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -41,6 +41,13 @@
     std::unordered_set<std::string> heldAdapters; // on any replica, or ordered
     std::set<std::string> keptFree; // replicas that have to take adapters, and no model
 
+    /// @return tokens a second asked for of an adapter
+    double demandOf(const std::string &model, const std::string &adapter) const
+    {
+        const auto demand = adapterDemand.find(copyName(model, adapter));
+        return demand == adapterDemand.end() ? 0.0 : demand->second;
+    }
+
     /// Counts a copy, once for each replica.
     void count(const EngineRecord &engine, const std::string &model, bool isReady)
     {
@@ -143,8 +150,7 @@
             return true;
         const auto settled = settledAdapters(engine, now);
         return std::any_of(settled.begin(), settled.end(), [&](const auto &held) {
-            const auto demand = plan.adapterDemand.find(copyName(held.first, held.second));
-            return demand == plan.adapterDemand.end() || demand->second < m_settings.adapterIdle;
+            return plan.demandOf(held.first, held.second) < m_settings.adapterIdle;
         });
     };
     for (const auto &[key, want] : m_wants) {
@@ -344,9 +350,7 @@
             const std::string copy = copyName(view.model->name, adapter);
             if (plan.heldAdapters.contains(copy) || m_noPreload.contains(copy))
                 continue;
-            const auto demand = plan.adapterDemand.find(copy);
-            missing.push_back({ view.model, adapter,
-                                demand == plan.adapterDemand.end() ? 0.0 : demand->second });
+            missing.push_back({ view.model, adapter, plan.demandOf(view.model->name, adapter) });
         }
     }
     std::stable_sort(missing.begin(), missing.end(), [](const Missing &left, const Missing &right) {
@@ -385,7 +389,7 @@
         command.model = model.name;
         command.adapter = adapter;
         send(*best, std::move(command), wanted ? "wanted" : "preload",
-             plan.adapterDemand[copyName(model.name, adapter)], 0, now);
+             plan.demandOf(model.name, adapter), 0, now);
         return true;
     }
     if (wanted)
@@ -422,7 +426,7 @@
         if (copyOn(*engine, model.name) == nullptr || !takesAdapters(*engine, now))
             continue;
         for (const auto &[heldModel, held] : settledAdapters(*engine, now)) {
-            const double demand = plan.adapterDemand[copyName(heldModel, held)];
+            const double demand = plan.demandOf(heldModel, held);
             if (demand >= least)
                 continue;
             best = engine;
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -6,27 +6,6 @@
 
 namespace burdock {
 
-const char *orderAnswerName(OrderAnswer answer)
-{
-    switch (answer) {
-    case OrderAnswer::Accepted:
-        return "accepted";
-    case OrderAnswer::AlreadySo:
-        return "already_so";
-    case OrderAnswer::Conflict:
-        return "conflict";
-    case OrderAnswer::Fenced:
-        return "fenced";
-    case OrderAnswer::Invalid:
-        return "invalid";
-    case OrderAnswer::OtherReplica:
-        return "other_replica";
-    case OrderAnswer::Unanswered:
-        return "unanswered";
-    }
-    return "unknown";
-}
-
 void restart(EngineRecord &engine, const ReplicaInfo &info)
 {
     engine = EngineRecord {};
--- a/src/serving/promptclaims.cpp
+++ b/src/serving/promptclaims.cpp
@@ -18,9 +18,7 @@
 
 void PromptClaims::onClaim(const std::string &replica, std::uint64_t ticket, Instant now)
 {
-    auto &claims = m_claims[replica];
-    std::erase_if(claims, [&](const Claim &claim) { return now - claim.heardAt > Remembered; });
-    claims.push_back({ ticket, now });
+    m_claims[replica].push_back({ ticket, now });
 }
 
 bool PromptClaims::isBeaten(const std::string &replica, std::uint64_t ticket,
@@ -35,10 +33,9 @@
 
 void PromptClaims::tick(Instant now)
 {
-    std::erase_if(m_claims, [&](const auto &entry) {
-        return std::all_of(entry.second.begin(), entry.second.end(),
-                           [&](const Claim &claim) { return now - claim.heardAt > Remembered; });
-    });
+    for (auto &[replica, claims] : m_claims)
+        std::erase_if(claims, [&](const Claim &claim) { return now - claim.heardAt > Remembered; });
+    std::erase_if(m_claims, [](const auto &entry) { return entry.second.empty(); });
 }
 
 } // namespace burdock
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -168,7 +168,6 @@
     ServiceProfile &profile = m_profiles[request.service];
     const double tokens = request.promptTokens + request.outputTokens;
     profile.meanTokens += ProfileSmoothing * (tokens - profile.meanTokens);
-    profile.meanPrompt += ProfileSmoothing * (choice.freshTokens - profile.meanPrompt);
     if (!chain.hashes.empty())
         m_prompts.onSent(choice.generation, chain);
 }
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -53,7 +53,6 @@
     Duration zoneDistance = std::chrono::milliseconds(12);    // cost of leaving it: way and traffic
     Duration stepTime = std::chrono::milliseconds(10);        // one step of a batch
     Duration stepPerRequest = std::chrono::microseconds(300); // each request slows the others
-    Duration plainServiceTime = std::chrono::milliseconds(40); // start value; learned
     double failureWeight = 5.0;   // a replica that fails all costs this much more
     double spread = 0.15;         // random share added to costs
     double kvShare = 0.85;        // of a replica's KV cache that requests may fill
@@ -72,7 +71,6 @@
 struct ServiceProfile
 {
     double meanTokens = 2'000.0;     // prompt and output of a request, smoothed
-    double meanPrompt = 1'500.0;     // prompt tokens that have to be read
     double serviceTimeUs = 40'000.0; // plain: time to the first byte, smoothed
 };
 
@@ -107,8 +105,6 @@
     /// @return whether the prompts given to a replica lately make its streams pause for too long
     bool isCrowded(const ReplicaRow &row, Instant now);
 
-    const ServiceProfile &profile(const std::string &service) { return m_profiles[service]; }
-
 private:
     struct Candidate
     {
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -334,11 +334,4 @@
     return std::max(own, trust * read + (1.0 - trust) * own);
 }
 
-double ReplicaTable::estimatedWaiting(const ReplicaRow &row, Instant now) const
-{
-    if (row.loadReadAt == Instant {} || now - row.loadReadAt > m_settings.loadUsable)
-        return 0.0;
-    return row.load.waiting;
-}
-
 } // namespace burdock
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -204,14 +204,10 @@
     /// @return time until the prompts that the replica has are read
     Duration prefillAhead(const ReplicaRow &row, Instant now) const;
 
-    /// @return time for prompts given to the replica within a span before now, by any node; zero
-    /// when
-    ///         all were read some steps ago
+    /// @return time for prompts that any node gave the replica within a span before now; zero when
+    /// all were read some steps ago
     Duration recentPrefill(const ReplicaRow &row, Duration span, Instant now) const;
 
-    /// @return requests waiting at the replica, by the newest reading while it is usable
-    double estimatedWaiting(const ReplicaRow &row, Instant now) const;
-
     const std::map<std::string, ReplicaRow> &rows() const { return m_rows; }
 
 private:
