--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -3,6 +3,7 @@
 #include "platform/requestdialect.h"
 #include "platform/storedecoder.h"
 #include "support/scriptedserver.h"
+#include "support/unreachablestore.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,30 +15,7 @@
 
 namespace {
 
-/// A store and engines that are never asked.
-struct NoStore : public ObjectStore
-{
-    asio::awaitable<ListAnswer> list(ObjectKind) override { co_return StoreUnavailable {}; }
-    asio::awaitable<WatchAnswer> watch(ObjectKind, std::uint64_t,
-                                       std::chrono::milliseconds) override
-    {
-        co_return StoreUnavailable {};
-    }
-    asio::awaitable<ReadAnswer> read(ObjectKind, std::string) override
-    {
-        co_return StoreUnavailable {};
-    }
-    asio::awaitable<StoreWriteAnswer> write(ObjectKind, std::string, std::uint64_t,
-                                            boost::json::value) override
-    {
-        co_return StoreWriteAnswer {};
-    }
-    asio::awaitable<WriteOutcome> remove(ObjectKind, std::string) override
-    {
-        co_return WriteOutcome::Unknown;
-    }
-};
-
+/// Engines that are never asked.
 struct NoEngines : public EngineControl
 {
     asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant) override
@@ -56,6 +34,28 @@
     void announceLoss(std::uint64_t, const std::string &) override { }
 };
 
+/// The node has to give up while a request claims its second replica.
+struct StopsAtSecondClaim : public NodeAnnouncer
+{
+    explicit StopsAtSecondClaim(NodeState &node)
+        : state(node)
+    {
+    }
+
+    bool announcePrompt(const PromptNote &note) override
+    {
+        if (!note.withdrawn && ++claims == 2)
+            giveUpAll(state, "node_stopping", 50ms);
+        withdrawn += note.withdrawn ? 1 : 0;
+        return true;
+    }
+    void announceLoss(std::uint64_t, const std::string &) override { }
+
+    NodeState &state;
+    int claims = 0;
+    int withdrawn = 0;
+};
+
 /// What the caller gets.
 struct Caller : public HttpReply
 {
@@ -132,7 +132,7 @@
 TEST_GROUP(RequestFlow)
 {
     asio::io_context io { 1 };
-    NoStore store;
+    UnreachableStore store;
     NoEngines engines;
     NoNodes nodes;
     StoreDecoder decoder;
@@ -140,6 +140,8 @@
     std::unique_ptr<NodeState> state;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
     Caller caller;
+    std::string service = "s";     // of the replicas that are offered
+    std::vector<ModelCopy> models; // that they hold
 
     void setup() override
     {
@@ -150,8 +152,11 @@
         ServingConfig config;
         config.version = 1;
         config.services["s"] = { "s", 0, std::nullopt };
+        config.services["pool"] = { "pool", 0, EngineLimits {} };
         config.routes = { route("/repeat/", false, true), route("/once/", false, false),
                           route("/stream/", true, true), route("/stream-once/", true, false) };
+        config.routes.push_back(route("/model-stream/", true, true));
+        config.routes.back().targets = { { "pool", 1.0 } };
         state->applyConfig(config);
     }
 
@@ -161,12 +166,17 @@
         request.method = "POST";
         request.target = path;
         request.host = "h.example";
-        request.headers = { { "Attempt-Id", "q1" }, { "Deadline-Ms", "2000" } };
+        request.headers = { { "Attempt-Id", "q1" }, { "Deadline-Ms", "2000" }, { "Model", "m" } };
         return request;
     }
 
     /// Plays a request; each replica answers by its script, all replicas one after the other.
     void play(const char *path, const std::vector<std::string> &scripts)
+    {
+        play(path, scripts, nodes);
+    }
+
+    void play(const char *path, const std::vector<std::string> &scripts, NodeAnnouncer &announcer)
     {
         for (const std::string &script : scripts)
             servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { script }));
@@ -178,7 +188,8 @@
                 state->replicas.onMissing("r" + std::to_string(next - 1), false, steadyNow());
             ReplicaInfo info;
             info.id = "r" + std::to_string(next);
-            info.service = "s";
+            info.service = service;
+            info.models = models;
             info.address = toText(servers[next]->endpoint());
             info.startedMs = 1;
             info.slots = 4;
@@ -186,7 +197,7 @@
             next++;
         };
         offer();
-        RequestFlow flow(*state, nodes, request, caller);
+        RequestFlow flow(*state, announcer, request, caller);
         asio::co_spawn(io, flow.run(), asio::detached);
         const Instant end = steadyNow() + 3s;
         while (!caller.ended && steadyNow() < end) {
@@ -259,6 +270,22 @@
     CHECK(caller.ended);
 }
 
+// An answer of the node's own would have followed the events that the caller had.
+TEST(RequestFlow, AStreamGivenUpWhileItClaimsAReplicaHasNoEnd)
+{
+    service = "pool";
+    models = { { "m", {} } };
+    StopsAtSecondClaim announcer(*state);
+    const std::string passed = "id: 1\ndata: a\n\n";
+    play("/model-stream/a", { events(passed, false), events(passed, true) }, announcer);
+    CHECK_EQUAL(2, announcer.claims);
+    CHECK_EQUAL(1, announcer.withdrawn);
+    CHECK_EQUAL(passed, caller.body);
+    CHECK_EQUAL(1, caller.answers);
+    CHECK(!caller.ended);
+    CHECK_EQUAL(0, servers[1]->next);
+}
+
 TEST(RequestFlow, AStreamThatCannotGoOnHasNoEnd)
 {
     play("/stream-once/a", { events("id: 1\ndata: a\n\n", false) });
--- a/tests/edge/test_changefeed.cpp
+++ b/tests/edge/test_changefeed.cpp
@@ -2,6 +2,7 @@
 #include "edge/changefeed.h"
 #include "edge/storewatch.h"
 #include "net/coroutines.h"
+#include "support/unreachablestore.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -21,7 +22,7 @@
 constexpr std::uint64_t ConfigRevision = 5;
 
 /// A store in which something changes all the time, but not the configuration.
-struct BusyStore : public ObjectStore
+struct BusyStore : public UnreachableStore
 {
     asio::awaitable<ListAnswer> list(ObjectKind kind) override
     {
@@ -35,19 +36,6 @@
         co_await sleepFor(wait);
         co_return ItemList { {}, ++revision };
     }
-    asio::awaitable<ReadAnswer> read(ObjectKind, std::string) override
-    {
-        co_return StoreUnavailable {};
-    }
-    asio::awaitable<StoreWriteAnswer> write(ObjectKind, std::string, std::uint64_t,
-                                            boost::json::value) override
-    {
-        co_return StoreWriteAnswer {};
-    }
-    asio::awaitable<WriteOutcome> remove(ObjectKind, std::string) override
-    {
-        co_return WriteOutcome::Unknown;
-    }
 
     std::uint64_t revision = 100;
     std::map<ObjectKind, int> lists;
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -2,6 +2,7 @@
 #include "placing/copyplacement.h"
 
 #include "base/random.h"
+#include "support/replicas.h"
 
 #include <rapidcheck.h>
 
@@ -46,6 +47,13 @@
     return made;
 }
 
+CopyPlacementSettings onNode1()
+{
+    CopyPlacementSettings settings;
+    settings.node = "node-1";
+    return settings;
+}
+
 /// A replica that checks the number of orders, loads for a while, and crashes when overcommitted.
 struct FakeReplica
 {
@@ -116,15 +124,10 @@
 
     ReplicaInfo listing() const
     {
-        ReplicaInfo info;
-        info.id = id;
-        info.service = "pool";
-        info.address = "127.0.0.1:9000";
-        info.zone = "a";
-        info.startedMs = 1;
+        std::vector<ModelCopy> held;
         for (const auto &[model, adapters] : models)
-            info.models.push_back({ model, adapters });
-        return info;
+            held.push_back({ model, adapters });
+        return poolReplica(id, std::move(held));
     }
 
     EngineReport report(Instant now) const
@@ -144,9 +147,7 @@
     explicit World(std::uint64_t seed, int adapters = 6)
         : random(seed)
     {
-        CopyPlacementSettings settings;
-        settings.node = "node-1";
-        placement = std::make_unique<CopyPlacement>(settings);
+        placement = std::make_unique<CopyPlacement>(onNode1());
         placement->onConfig(config(adapters));
         for (int number = 0; number < 4; ++number) {
             FakeReplica replica;
@@ -326,9 +327,7 @@
 // use.
 TEST(CopyPlacement, AReplicaWhoseAdaptersAreWaitedForTakesNoModel)
 {
-    CopyPlacementSettings settings;
-    settings.node = "node-1";
-    CopyPlacement placement(settings);
+    CopyPlacement placement(onNode1());
     placement.onConfig(config(16));
     FakeReplica full;
     full.id = "full";
@@ -366,9 +365,7 @@
 // overcommitted the memory (LIMIT).
 TEST(CopyPlacement, OrdersNothingWhileTheReportSaysBusy)
 {
-    CopyPlacementSettings settings;
-    settings.node = "node-1";
-    CopyPlacement placement(settings);
+    CopyPlacement placement(onNode1());
     placement.onConfig(config());
     FakeReplica replica;
     replica.id = "r0";
@@ -390,9 +387,7 @@
 
 TEST(CopyPlacement, AReplicaWithoutModelsIsNeverAskedForReports)
 {
-    CopyPlacementSettings settings;
-    settings.node = "node-1";
-    CopyPlacement placement(settings);
+    CopyPlacement placement(onNode1());
     placement.onConfig(config());
     ReplicaInfo plain;
     plain.id = "p0";
@@ -474,9 +469,7 @@
 // Four busy copies were evicted for models that were only not listed yet.
 TEST(CopyPlacement, WaitsUntilTheListIsComplete)
 {
-    CopyPlacementSettings settings;
-    settings.node = "node-1";
-    CopyPlacement placement(settings);
+    CopyPlacement placement(onNode1());
     placement.onConfig(config());
     placement.setHolder(true, 1, Start);
     for (int number = 0; number < 4; ++number) {
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -1,4 +1,5 @@
 #include "serving/replicatable.h"
+#include "support/replicas.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -11,15 +12,7 @@
 
 ReplicaInfo replica(const std::string &id, std::vector<ModelCopy> models = {})
 {
-    ReplicaInfo info;
-    info.id = id;
-    info.service = "pool";
-    info.address = "127.0.0.1:9000";
-    info.zone = "a";
-    info.startedMs = 1;
-    info.slots = 8;
-    info.models = std::move(models);
-    return info;
+    return poolReplica(id, std::move(models), 8);
 }
 
 } // namespace
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -1,6 +1,7 @@
 // Queueing and refusing under the heaviest loads: what callers get, not how it is done.
 #include "base/random.h"
 #include "serving/scheduler.h"
+#include "support/replicas.h"
 
 #include <rapidcheck.h>
 
@@ -18,15 +19,7 @@
 
 ReplicaInfo engine(const std::string &id, std::vector<ModelCopy> models)
 {
-    ReplicaInfo info;
-    info.id = id;
-    info.service = "pool";
-    info.address = "127.0.0.1:9000";
-    info.zone = "a";
-    info.startedMs = 1;
-    info.slots = 64;
-    info.models = std::move(models);
-    return info;
+    return poolReplica(id, std::move(models), 64);
 }
 
 ServingRequest modelRequest(std::uint64_t id, int tokens, Instant now)
--- /dev/null
+++ b/tests/support/unreachablestore.h
@@ -0,0 +1,31 @@
+// A store that answers nothing; tests override what they need.
+#pragma once
+
+#include "edge/ports.h"
+
+namespace burdock {
+
+struct UnreachableStore : public ObjectStore
+{
+    boost::asio::awaitable<ListAnswer> list(ObjectKind) override { co_return StoreUnavailable {}; }
+    boost::asio::awaitable<WatchAnswer> watch(ObjectKind, std::uint64_t,
+                                              std::chrono::milliseconds) override
+    {
+        co_return StoreUnavailable {};
+    }
+    boost::asio::awaitable<ReadAnswer> read(ObjectKind, std::string) override
+    {
+        co_return StoreUnavailable {};
+    }
+    boost::asio::awaitable<StoreWriteAnswer> write(ObjectKind, std::string, std::uint64_t,
+                                                   boost::json::value) override
+    {
+        co_return StoreWriteAnswer {};
+    }
+    boost::asio::awaitable<WriteOutcome> remove(ObjectKind, std::string) override
+    {
+        co_return WriteOutcome::Unknown;
+    }
+};
+
+} // namespace burdock
