A waiting request keeps the key of its copy

It was put together from three texts for each queued request, with each arrival and each pump of the queue. Decisions are the same. Passed: serving, placing, fleet, edge, adapter tests, linter.

--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -40,7 +40,9 @@
 void RequestScheduler::submit(const ServingRequest &request, std::vector<std::string> excluded,
                               bool attempted, Instant now)
 {
-    Waiting waiting { request, promptChain(request), std::move(excluded), attempted, now, {} };
+    Waiting waiting {
+        request, rateKey(request), promptChain(request), std::move(excluded), attempted, now, {}
+    };
     if (tryStart(waiting, now))
         return;
     enqueue(std::move(waiting), now);
@@ -58,7 +60,7 @@
     auto &choice = std::get<ReplicaChoice>(answer);
     m_table.onSent(choice.id, choice.freshTokens, now);
     m_chooser.onSent(waiting.request, waiting.chain, choice);
-    if (const auto rate = m_rates.find(rateKey(waiting.request));
+    if (const auto rate = m_rates.find(waiting.key);
         rate != m_rates.end() && rate->second.waiting > 0)
         rate->second.starts++;
     m_actions.emplace_back(
@@ -106,10 +108,9 @@
     const auto queue = m_queues.find(waiting.request.service);
     if (queue == m_queues.end())
         return 0;
-    const std::string key = rateKey(waiting.request);
     std::size_t ahead = 0;
     for (const Waiting &other : queue->second) {
-        if (rateKey(other.request) == key && !goesBefore(waiting.request, other.request))
+        if (other.key == waiting.key && !goesBefore(waiting.request, other.request))
             ++ahead;
     }
     return ahead;
@@ -134,9 +135,8 @@
     if (holder == nullptr)
         return {};
     Duration queued {};
-    const std::string key = rateKey(request);
     for (const Waiting &other : m_queues.at(request.service)) {
-        if (rateKey(other.request) == key && !goesBefore(request, other.request))
+        if (other.key == waiting.key && !goesBefore(request, other.request))
             queued += m_table.prefillTime(*holder, other.request.promptTokens);
     }
     return shortest + queued / holders;
@@ -147,16 +147,16 @@
     Duration wait {};
     if (!waiting.request.model.empty() && m_queues.contains(waiting.request.service))
         wait = promptsAhead(waiting, now);
-    if (const double rate = startsPerSecond(waiting.request); rate > 0.0) {
+    if (const double rate = startsPerSecond(waiting.key); rate > 0.0) {
         const double byRate = 1e6 * double(aheadOf(waiting) + 1) / rate;
         wait = std::max(wait, Duration(static_cast<Duration::rep>(byRate)));
     }
     return wait;
 }
 
-double RequestScheduler::startsPerSecond(const ServingRequest &request) const
+double RequestScheduler::startsPerSecond(const std::string &key) const
 {
-    const auto rate = m_rates.find(rateKey(request));
+    const auto rate = m_rates.find(key);
     if (rate == m_rates.end() || rate->second.smoothedBacklog < m_settings.leastBacklog)
         return 0.0;
     return rate->second.smoothedStarts / rate->second.smoothedBacklog;
@@ -181,7 +181,7 @@
         return goesBefore(waiting.request, other.request);
     });
     m_where[waiting.request.id] = waiting.request.service;
-    m_rates[rateKey(waiting.request)].waiting++;
+    m_rates[waiting.key].waiting++;
     queue.insert(place, std::move(waiting));
 }
 
@@ -189,7 +189,7 @@
 RequestScheduler::Queue::iterator RequestScheduler::dequeue(Queue &queue, Queue::iterator place)
 {
     m_where.erase(place->request.id);
-    m_rates[rateKey(place->request)].waiting--;
+    m_rates[place->key].waiting--;
     return queue.erase(place);
 }
 
@@ -223,15 +223,14 @@
                                  Instant now)
 {
     for (auto each = queue.begin(); each != queue.end();) {
-        const std::string key = rateKey(each->request);
         const bool isLate = now >= each->request.objective;
-        if (isLate != late || (each->excluded.empty() && stuck.contains(key))) {
+        if (isLate != late || (each->excluded.empty() && stuck.contains(each->key))) {
             ++each;
             continue;
         }
         if (!tryStart(*each, now)) {
             if (each->excluded.empty())
-                stuck.insert(key);
+                stuck.insert(each->key);
             ++each;
             continue;
         }
@@ -285,7 +284,7 @@
 
 void RequestScheduler::refuse(const Waiting &waiting, const char *reason, Instant now)
 {
-    const double rate = startsPerSecond(waiting.request);
+    const double rate = startsPerSecond(waiting.key);
     std::chrono::milliseconds after = m_settings.retryAfterMin;
     if (rate > 0.0) {
         const double ms = 1e3 * double(aheadOf(waiting)) / rate;
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -101,6 +101,7 @@
     struct Waiting
     {
         ServingRequest request;
+        std::string key; // its copy, or service for a plain one
         PromptChain chain;
         std::vector<std::string> excluded;
         bool attempted = false;
@@ -129,7 +130,7 @@
     void want(const ServingRequest &request, Instant now);
     Instant patience(const Waiting &waiting, Instant now) const;
     Instant extendedPatience(const Waiting &waiting, Instant now) const;
-    double startsPerSecond(const ServingRequest &request) const;
+    double startsPerSecond(const std::string &key) const;
     Duration expectedWait(const Waiting &waiting, Instant now) const;
     Duration promptsAhead(const Waiting &waiting, Instant now) const;
     std::size_t aheadOf(const Waiting &waiting) const;
