--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -162,7 +162,7 @@
     void placeModels(Plan &plan, Instant now);
     bool placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
     bool makeRoom(Plan &plan, const ModelView &view, Instant now);
-    bool isKeptForOther(const EngineRecord &engine, const std::string &model, Instant now) const;
+    bool isOpenFor(const ModelView &view, const EngineRecord &engine, Instant now) const;
     void findHeldAdapters(Plan &plan) const;
     void keepFreeForAdapters(Plan &plan, Instant now) const;
     void placeAdapters(Plan &plan, Instant now);
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -210,8 +210,7 @@
     bool bestFromStore = true;
     for (EngineRecord *engine : plan.engines) {
         const std::string &id = engine->info.id;
-        if (!mayOrder(*engine) || view.holders.contains(id) || plan.keptFree.contains(id)
-            || isKeptForOther(*engine, view.model->name, now)
+        if (!isOpenFor(view, *engine, now) || plan.keptFree.contains(id)
             || freeMemory(*engine, *plan.limits, m_settings.memoryMargin) < view.model->memoryMb)
             continue;
         const bool fromStore = loadsFromStore(*engine, view.model->name);
@@ -247,10 +246,13 @@
     return true;
 }
 
-bool CopyPlacement::isKeptForOther(const EngineRecord &engine, const std::string &model,
-                                   Instant now) const
+/// @return whether a copy of the model may be ordered there, memory apart
+bool CopyPlacement::isOpenFor(const ModelView &view, const EngineRecord &engine, Instant now) const
 {
-    return !engine.roomFor.empty() && engine.roomFor != model && now < engine.roomUntil;
+    const std::string &model = view.model->name;
+    const bool isKeptForOther =
+            !engine.roomFor.empty() && engine.roomFor != model && now < engine.roomUntil;
+    return mayOrder(engine) && !view.holders.contains(engine.info.id) && !isKeptForOther;
 }
 
 /// Takes out the copies that the demand needs least, on the one replica where that costs least.
@@ -264,17 +266,14 @@
     for (const EngineRecord *engine : plan.engines) {
         if (engine->roomFor == view.model->name && now < engine->roomUntil)
             return false; // room is being made
-        const bool hasRoom = mayOrder(*engine) && !view.holders.contains(engine->info.id)
-                && !isKeptForOther(*engine, view.model->name, now)
+        const bool hasRoom = isOpenFor(view, *engine, now)
                 && freeMemory(*engine, *plan.limits, m_settings.memoryMargin)
                         >= view.model->memoryMb;
         if (hasRoom)
             return false; // it only waits for its turn at the weight store
     }
     for (EngineRecord *engine : plan.engines) {
-        if (!mayOrder(*engine) || view.holders.contains(engine->info.id)
-            || plan.keptFree.contains(engine->info.id)
-            || isKeptForOther(*engine, view.model->name, now))
+        if (!isOpenFor(view, *engine, now) || plan.keptFree.contains(engine->info.id))
             continue;
         const double missing =
                 view.model->memoryMb - freeMemory(*engine, *plan.limits, m_settings.memoryMargin);
