Log what marked the end of a replica's answer and what was left of an event

The logs of the incident could not tell its hypotheses apart: no line said whether a truncated answer was close-delimited, chunked or had a length, nor whether its last event was unfinished. The answer's head now carries its delimiter, and the lines retry and done show it with the unfinished bytes; retry also shows the connection's failure. No decision reads them.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -200,6 +200,9 @@
                 .field("request", m_caller.name)
                 .field("after", attemptResultName(end))
                 .field("replica", start.choice.id)
+                .field("failure", m_failure)
+                .field("delimiter", m_delimiter)
+                .field("unfinished_bytes", m_unfinishedBytes)
                 .field("sends", m_progress.sends)
                 .field("budget", m_state.budgetOf(m_request.service).tokens());
         m_state.metrics.count("burdock_retries_total");
@@ -265,6 +268,8 @@
     m_firstByteSeen = false;
     m_hasAlternative = start.choice.comparedReplicas > 1;
     m_connectionBroke = false;
+    m_delimiter = "";
+    m_unfinishedBytes = 0;
     AttemptResult end = co_await exchangeOnce(start);
     m_exchange.reset();
     if (m_callerLeft && end != AttemptResult::Delivered)
@@ -324,6 +329,7 @@
     }
     m_progress.sends++;
     const auto &head = std::get<HttpResponseHead>(result);
+    m_delimiter = bodyDelimiterName(head.delimiter);
     const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, start.choice.id);
     if (answer.load)
         m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
@@ -495,6 +501,7 @@
         if (const auto *failure = std::get_if<CallFailure>(&part)) {
             m_failure = failure->message;
             m_connectionBroke = !failure->timedOut;
+            m_unfinishedBytes = parser.pendingBytes();
             if (m_exchange)
                 m_exchange->cancel();
             co_return endOf(*failure);
@@ -513,6 +520,7 @@
         if (!co_await passEvents(head, std::move(events)))
             co_return AttemptResult::CallerLeft;
     }
+    m_unfinishedBytes = parser.pendingBytes();
     const std::string rest = parser.takePending();
     bool there = co_await beginStream(head);
     if (there && !rest.empty())
@@ -577,6 +585,8 @@
             .field("status", status)
             .field("reason", reason)
             .field("failure", m_failure)
+            .field("delimiter", m_delimiter)
+            .field("unfinished_bytes", m_unfinishedBytes)
             .field("route", m_route == nullptr ? std::string_view() : m_route->name)
             .field("copy", copyName(m_request.model, m_request.adapter))
             .field("queued", std::int64_t(m_state.scheduler.queued()))
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -290,6 +290,10 @@
             head.headers.push_back(
                     { std::string(field.name_string()), std::string(field.value()) });
     }
+    if (m_parser->chunked())
+        head.delimiter = BodyDelimiter::Chunks;
+    else if (m_parser->need_eof())
+        head.delimiter = BodyDelimiter::Close;
     if (m_parser->is_done())
         finish();
     return head;
--- a/src/net/httptypes.cpp
+++ b/src/net/httptypes.cpp
@@ -19,6 +19,19 @@
 
 } // namespace
 
+const char *bodyDelimiterName(BodyDelimiter delimiter)
+{
+    switch (delimiter) {
+    case BodyDelimiter::Length:
+        return "length";
+    case BodyDelimiter::Chunks:
+        return "chunks";
+    case BodyDelimiter::Close:
+        return "close";
+    }
+    return "unknown";
+}
+
 std::optional<std::string> headerValue(const std::vector<HttpHeader> &headers,
                                        std::string_view name)
 {
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   HttpHeader, HttpRequest, HttpResponseHead
+//   BodyDelimiter  what marks the end of an answer's body
 //   Status...      status codes that the programs send or tell apart
 //   headerValue    looks up a header
 //   queryValue     looks up a query parameter
@@ -29,10 +30,21 @@
     std::string body;                // whole body
 };
 
+/// What marks the end of an answer's body.
+enum class BodyDelimiter {
+    Length, // Content-Length, or an answer that has no body
+    Chunks, // the last chunk
+    Close,  // the end of the connection; a sender that crashes ends a connection in the same way
+};
+
+/// @return the value that log records use, e.g. "chunks"
+const char *bodyDelimiterName(BodyDelimiter delimiter);
+
 struct HttpResponseHead
 {
     int status = 0;                  // HTTP status code
     std::vector<HttpHeader> headers; // without Content-Length, Connection and Transfer-Encoding
+    BodyDelimiter delimiter = BodyDelimiter::Length; // of the answer as it was received
 };
 
 constexpr int StatusOk = 200;
