--- /dev/null
+++ b/tests/support/requestflowfixture.h
@@ -0,0 +1,195 @@
+// Plays one request through RequestFlow, with the platform's dialect, against scripted replicas.
+#pragma once
+
+#include "edge/requestflow.h"
+#include "platform/requestdialect.h"
+#include "platform/storedecoder.h"
+#include "support/scriptedserver.h"
+#include "support/unreachablestore.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+namespace burdock {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+/// Engines that are never asked.
+struct NoEngines : public EngineControl
+{
+    asio::awaitable<OrderResult> order(Endpoint, EngineCommand, Instant) override
+    {
+        co_return OrderResult::Unanswered;
+    }
+    asio::awaitable<std::optional<EngineReport>> report(Endpoint, std::string, Instant) override
+    {
+        co_return std::nullopt;
+    }
+};
+
+struct NoNodes : public NodeAnnouncer
+{
+    bool announcePrompt(const PromptNote &) override { return false; }
+    void announceLoss(std::uint64_t, const std::string &) override { }
+};
+
+/// What the caller gets.
+struct Caller : public HttpReply
+{
+    asio::awaitable<bool> send(int answered, std::vector<HttpHeader> sent,
+                               std::string text) override
+    {
+        answers++;
+        status = answered;
+        headers = std::move(sent);
+        body = std::move(text);
+        ended = true;
+        co_return true;
+    }
+    asio::awaitable<bool> begin(int answered, std::vector<HttpHeader> sent) override
+    {
+        answers++;
+        status = answered;
+        headers = std::move(sent);
+        co_return true;
+    }
+    asio::awaitable<bool> write(std::string_view part) override
+    {
+        body += part;
+        co_return true;
+    }
+    asio::awaitable<bool> finish() override
+    {
+        ended = true;
+        co_return true;
+    }
+    void onCallerLeft(std::function<void()>) override { }
+    bool callerLeft() const override { return false; }
+    bool begun() const override { return status != 0; }
+
+    int answers = 0;
+    int status = 0;
+    bool ended = false;
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+inline ServingRoute route(const char *prefix, bool streams, bool repeatable)
+{
+    ServingRoute made;
+    made.name = prefix;
+    made.host = "h.example";
+    made.pathPrefix = prefix;
+    made.streams = streams;
+    made.repeatable = repeatable;
+    made.resumable = streams && repeatable;
+    made.timeout = 2s;
+    made.latencyObjective = 500ms;
+    made.attempts = 2;
+    made.targets = { { "s", 1.0 } };
+    return made;
+}
+
+const std::string Head = "Attempt-Id: q1\r\nServer-Seal: x\r\n";
+const std::string Good = "HTTP/1.1 200 OK\r\n" + Head + "Content-Length: 4\r\n\r\ngood";
+const std::string Lost = "Close-Now"; // no answer at all
+const std::string NotRun = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string Elsewhere =
+        "HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
+
+inline std::string events(const std::string &text, bool whole)
+{
+    const std::string length = std::to_string(text.size() + (whole ? 0 : 100));
+    return "HTTP/1.1 200 OK\r\n" + Head + (whole ? "" : "X: Close-Now\r\n")
+            + "Content-Type: text/event-stream\r\nContent-Length: " + length + "\r\n\r\n" + text;
+}
+
+struct RequestFlowFixture : public Utest
+{
+    asio::io_context io { 1 };
+    UnreachableStore store;
+    NoEngines engines;
+    NoNodes nodes;
+    StoreDecoder decoder;
+    PlatformDialect dialect;
+    std::unique_ptr<NodeState> state;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    Caller caller;
+    std::string service = "s";     // of the replicas that are offered
+    std::vector<ModelCopy> models; // that they hold
+
+    void setup() override
+    {
+        NodeProfile profile;
+        profile.name = "n1";
+        state = std::make_unique<NodeState>(io, profile,
+                                            PlatformPorts { store, decoder, dialect, engines });
+        ServingConfig config;
+        config.version = 1;
+        config.services["s"] = { "s", 0, std::nullopt };
+        config.services["pool"] = { "pool", 0, EngineLimits {} };
+        config.routes = { route("/repeat/", false, true), route("/once/", false, false),
+                          route("/stream/", true, true), route("/stream-once/", true, false) };
+        config.routes.push_back(route("/model-stream/", true, true));
+        config.routes.back().targets = { { "pool", 1.0 } };
+        state->applyConfig(config);
+    }
+
+    static HttpRequest callerRequest(const char *path)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = path;
+        request.host = "h.example";
+        request.headers = { { "Attempt-Id", "q1" }, { "Deadline-Ms", "2000" }, { "Model", "m" } };
+        return request;
+    }
+
+    /// Plays a request; each replica answers by its script, all replicas one after the other.
+    void play(const char *path, const std::vector<std::string> &scripts)
+    {
+        play(path, scripts, nodes);
+    }
+
+    void play(const char *path, const std::vector<std::string> &scripts, NodeAnnouncer &announcer)
+    {
+        for (const std::string &script : scripts)
+            servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { script }));
+        const HttpRequest request = callerRequest(path);
+        std::size_t next = 0;
+        const auto offer = [&] {
+            // One replica at a time, so that the order of the scripts is the order of the attempts.
+            if (next > 0)
+                state->replicas.onDelisted("r" + std::to_string(next - 1), false, steadyNow());
+            ReplicaInfo info;
+            info.id = "r" + std::to_string(next);
+            info.service = service;
+            info.models = models;
+            info.address = toText(servers[next]->endpoint());
+            info.startedMs = 1;
+            info.slots = 4;
+            state->replicas.onAnnounced(info, steadyNow());
+            next++;
+        };
+        offer();
+        RequestFlow flow(*state, announcer, request, caller);
+        bool done = false;
+        asio::co_spawn(io, flow.run(), [&done](const std::exception_ptr &failure) {
+            done = true;
+            if (failure)
+                std::rethrow_exception(failure);
+        });
+        const Instant end = steadyNow() + 3s;
+        while (!done && steadyNow() < end) {
+            io.run_for(5ms);
+            if (next < servers.size() && servers[next - 1]->next > 0)
+                offer();
+            state->waiting.tick();
+        }
+        io.run_for(20ms);
+    }
+};
+
+} // namespace burdock
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -21,7 +21,7 @@
 const std::string NoAnswer;
 
 /// Answers each request head with the next text; with "Close-Now" in it, the connection is closed
-/// after it.
+/// after it, with "Reset-Now" it is reset.
 struct ScriptedServer
 {
     ScriptedServer(boost::asio::io_context &context, std::vector<std::string> texts)
@@ -60,6 +60,11 @@
                 continue;
             co_await boost::asio::async_write(socket, boost::asio::buffer(text),
                                               withError(failure));
+            if (text.find("Reset-Now") != std::string::npos) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0), failure);
+                socket.close(failure); // the destructor would close it without a reset
+                co_return;
+            }
             if (failure || text.find("Close-Now") != std::string::npos)
                 co_return;
         }
