Failing test: a stream that ends inside an event is delivered as complete

Fails on the code as it stands, 5 of 9 checks: close, last chunk and length inside an event are passed on as complete, a resumable stream is not resumed, and the replica's loss is not announced. The other four guard what works: a reset between events is seen, and complete streams of each delimiter are delivered whole.

--- /dev/null
+++ b/tests/adapter/test_brokenstreams.cpp
@@ -0,0 +1,115 @@
+// Streams that their replica breaks off, by what marks the end of the answer's body.
+#include "support/requestflowfixture.h"
+
+#include <array>
+#include <cstdio>
+
+using namespace burdock;
+
+namespace {
+
+const std::string FirstEvent = "id: 1\ndata: a\n\n";
+const std::string SecondEvent = "id: 2\ndata: b\n\n";
+const std::string PartOfEvent = "id: 2\nda";
+
+std::string streamHead(const std::string &delimiter)
+{
+    return "HTTP/1.1 200 OK\r\n" + Head + "Content-Type: text/event-stream\r\n" + delimiter
+            + "\r\n";
+}
+
+std::string closeDelimited(const std::string &text)
+{
+    return streamHead("X: Close-Now\r\n") + text;
+}
+
+std::string resetAfter(const std::string &text)
+{
+    return streamHead("X: Reset-Now\r\n") + text;
+}
+
+std::string withLength(const std::string &text)
+{
+    return streamHead("Content-Length: " + std::to_string(text.size()) + "\r\n") + text;
+}
+
+std::string chunked(const std::string &text)
+{
+    std::array<char, 16> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return streamHead("Transfer-Encoding: chunked\r\n") + size.data() + text + "\r\n0\r\n\r\n";
+}
+
+struct LossCounter : public NoNodes
+{
+    void announceLoss(std::uint64_t, const std::string &) override { losses++; }
+
+    int losses = 0;
+};
+
+} // namespace
+
+TEST_GROUP_BASE(BrokenStreams, RequestFlowFixture) {
+    void checkBrokenOff(const std::string &answer) { play("/stream-once/a", { answer });
+CHECK_EQUAL(FirstEvent, caller.body);
+CHECK(!caller.ended);
+}
+
+void checkDelivered(const std::string &answer)
+{
+    play("/stream-once/a", { answer });
+    CHECK_EQUAL(FirstEvent + SecondEvent, caller.body);
+    CHECK(caller.ended);
+}
+}
+;
+
+TEST(BrokenStreams, CloseInsideAnEventIsNotDeliveredAsComplete)
+{
+    checkBrokenOff(closeDelimited(FirstEvent + PartOfEvent));
+}
+
+TEST(BrokenStreams, LastChunkInsideAnEventIsNotDeliveredAsComplete)
+{
+    checkBrokenOff(chunked(FirstEvent + PartOfEvent));
+}
+
+TEST(BrokenStreams, LengthThatEndsInsideAnEventIsNotDeliveredAsComplete)
+{
+    checkBrokenOff(withLength(FirstEvent + PartOfEvent));
+}
+
+TEST(BrokenStreams, ResumableStreamClosedInsideAnEventIsResumedAtAnotherReplica)
+{
+    play("/stream/a", { closeDelimited(FirstEvent + PartOfEvent), withLength(SecondEvent) });
+    CHECK_EQUAL(FirstEvent + SecondEvent, caller.body);
+    CHECK(caller.ended);
+    CHECK_EQUAL(1, servers[1]->next);
+}
+
+TEST(BrokenStreams, CloseInsideAnEventCountsAsALossOfTheReplica)
+{
+    LossCounter counter;
+    play("/stream-once/a", { closeDelimited(FirstEvent + PartOfEvent) }, counter);
+    CHECK_EQUAL(1, counter.losses);
+}
+
+TEST(BrokenStreams, ResetBetweenEventsIsNotDeliveredAsComplete)
+{
+    checkBrokenOff(resetAfter(FirstEvent));
+}
+
+TEST(BrokenStreams, CloseDelimitedStreamIsDeliveredWhole)
+{
+    checkDelivered(closeDelimited(FirstEvent + SecondEvent));
+}
+
+TEST(BrokenStreams, ChunkedStreamIsDeliveredWhole)
+{
+    checkDelivered(chunked(FirstEvent + SecondEvent));
+}
+
+TEST(BrokenStreams, StreamWithALengthIsDeliveredWhole)
+{
+    checkDelivered(withLength(FirstEvent + SecondEvent));
+}
