Event streams: accept CR and CRLF line ends, and tell whether an event is unfinished

Callers of a stream whose replica ends lines with CRLF or CR got nothing until the stream ended: the parser knew LF alone, held everything back, and the whole stream then passed as an unfinished event. Streams that end inside an event are to be taken as broken off, so what is unfinished has to be told exactly first.

The parser now reads by line, with the three line ends of the format, scans each byte once, and counts comments and blank lines between events as no event.

--- a/src/net/eventstream.cpp
+++ b/src/net/eventstream.cpp
@@ -1,15 +1,16 @@
 #include "net/eventstream.h"
 
-#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace burdock {
 
 namespace {
 
-constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view LineEnds = "\r\n";
 constexpr std::string_view IndexField = "id:";
 constexpr std::string_view EndMark = "data: [DONE]";
+constexpr char Comment = ':';
 
 void readLine(std::string_view line, StreamEvent &event)
 {
@@ -26,35 +27,52 @@
         event.index = index;
 }
 
-StreamEvent readEvent(std::string_view text)
-{
-    StreamEvent event;
-    event.text = text;
-    while (!text.empty()) {
-        const auto end = std::min(text.find('\n'), text.size());
-        readLine(text.substr(0, end), event);
-        text.remove_prefix(std::min(end + 1, text.size()));
-    }
-    return event;
-}
-
 } // namespace
 
 std::vector<StreamEvent> EventStreamParser::add(std::string_view part)
 {
     m_pending += part;
     std::vector<StreamEvent> events;
-    std::size_t start = 0;
+    std::size_t eventStart = 0;
+    std::size_t at = m_scanned;
+    if (m_mayBeginWithLineFeed && !part.empty()) {
+        m_mayBeginWithLineFeed = false;
+        if (part.front() == '\n')
+            m_lineStart = ++at;
+    }
     while (true) {
-        const auto end = m_pending.find(EventEnd, start);
+        const auto end = m_pending.find_first_of(LineEnds, at);
         if (end == std::string::npos)
             break;
-        const auto next = end + EventEnd.size();
-        events.push_back(readEvent(std::string_view(m_pending).substr(start, next - start)));
-        start = next;
+        const auto line = std::string_view(m_pending).substr(m_lineStart, end - m_lineStart);
+        at = end + 1;
+        if (m_pending[end] == '\r') {
+            m_mayBeginWithLineFeed = at == m_pending.size();
+            if (!m_mayBeginWithLineFeed && m_pending[at] == '\n')
+                ++at;
+        }
+        m_lineStart = at;
+        if (!line.empty()) {
+            readLine(line, m_event);
+            m_hasLines = true;
+            m_hasFields = m_hasFields || line.front() != Comment;
+        } else if (m_hasLines) {
+            m_event.text = m_pending.substr(eventStart, at - eventStart);
+            events.push_back(std::exchange(m_event, {}));
+            m_hasLines = false;
+            m_hasFields = false;
+            eventStart = at;
+        }
     }
-    m_pending.erase(0, start);
+    m_pending.erase(0, eventStart);
+    m_lineStart -= eventStart;
+    m_scanned = m_pending.size();
     return events;
 }
 
+std::string EventStreamParser::takePending()
+{
+    return std::exchange(*this, {}).m_pending;
+}
+
 } // namespace burdock
--- a/src/net/eventstream.h
+++ b/src/net/eventstream.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace burdock {
@@ -17,6 +16,7 @@
     bool isEnd = false;                 // the end mark "data: [DONE]"
 };
 
+/// Lines end with LF, CR or CRLF; a blank line ends an event.
 class EventStreamParser
 {
 public:
@@ -24,14 +24,25 @@
     /// @return the events that it completes
     std::vector<StreamEvent> add(std::string_view part);
 
-    /// @return bytes of an event that is not complete yet
+    /// A sender that ends its stream here has broken off. Comments and blank lines between events
+    /// do not count.
+    /// @return whether an event has begun and its blank line has not arrived
+    bool isInsideEvent() const { return m_hasFields || m_lineStart < m_pending.size(); }
+
+    /// @return bytes that belong to no complete event yet
     std::size_t pendingBytes() const { return m_pending.size(); }
 
-    /// @return the bytes of an event that is not complete yet, which are then forgotten
-    std::string takePending() { return std::exchange(m_pending, {}); }
+    /// @return the bytes that belong to no complete event; the parser starts anew
+    std::string takePending();
 
 private:
-    std::string m_pending;
+    std::string m_pending;               // belongs to no complete event yet
+    std::size_t m_lineStart = 0;         // of the unfinished line in m_pending
+    std::size_t m_scanned = 0;           // m_pending has no line end between m_lineStart and here
+    bool m_mayBeginWithLineFeed = false; // the second half of a CRLF whose CR has been taken
+    bool m_hasLines = false;             // the current event has a complete line
+    bool m_hasFields = false;            // and one that is no comment
+    StreamEvent m_event;                 // what its complete lines say
 };
 
 } // namespace burdock
