Streams that end inside an event are broken off, not complete

Cause: RequestFlow::takeStream took every end that the HTTP client did not report as a failure for the proper one, and wrote what was left of an unfinished event before the last chunk. A replica that crashes closes its connection as one that has finished does; where the answer has neither a length nor chunks the client cannot tell them apart, the event format can. The same held for streams whose chunks or length end inside an event.

Why this works: isComplete() in serving/attemptpolicy.h decides, for each delimiter alike, by whether an event is unfinished. Otherwise the attempt ends like one whose connection failed: nothing of the unfinished event is passed on, a resumable stream goes on at another replica after the last whole event, another one is cut without its last chunk, and the replica's loss is announced. Until now such an end counted as served, which also cleared the request's record of lost replicas.

Answers of a streaming route that are not event streams (another Content-Type) were passed by the same path as one unfinished event; they are now read whole like other answers.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -35,6 +35,13 @@
 constexpr int FirstUrgency = 3;
 constexpr int LastUrgency = 9;
 
+/// A streaming route says what to expect where the answer does not name its type.
+bool isEventStream(const HttpResponseHead &head)
+{
+    const auto type = headerValue(head.headers, "Content-Type");
+    return !type || type->starts_with("text/event-stream");
+}
+
 milliseconds toMilliseconds(Duration time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -344,7 +351,7 @@
         m_exchange->cancel();
         co_return AttemptResult::Lost;
     }
-    if (m_request.streams && head.status == StatusOk)
+    if (m_request.streams && head.status == StatusOk && isEventStream(head))
         co_return co_await takeStream(head, start);
     noteFirstByte(start);
     co_return co_await takeWhole(head);
@@ -491,6 +498,13 @@
                                                        const StartRequest &start)
 {
     EventStreamParser parser;
+    const auto breakOff = [&](const CallFailure &failure, bool connectionBroke) {
+        m_failure = failure.message;
+        m_connectionBroke = connectionBroke;
+        m_unfinishedBytes = parser.pendingBytes();
+        m_exchange->cancel();
+        return endOf(failure);
+    };
     const Instant last = m_request.deadline + AnswerSlack;
     const Duration silence =
             std::max<Duration>(LeastSilence, SilentPauses * Duration(m_route->gapObjective));
@@ -498,14 +512,8 @@
         const Instant before = m_firstByteSeen ? steadyNow() + silence : firstByteDeadline(start);
         const bool canResume = m_request.resumable && mayTryAnother();
         auto part = co_await m_exchange->readPart(canResume ? std::min(before, last) : last);
-        if (const auto *failure = std::get_if<CallFailure>(&part)) {
-            m_failure = failure->message;
-            m_connectionBroke = !failure->timedOut;
-            m_unfinishedBytes = parser.pendingBytes();
-            if (m_exchange)
-                m_exchange->cancel();
-            co_return endOf(*failure);
-        }
+        if (const auto *failure = std::get_if<CallFailure>(&part))
+            co_return breakOff(*failure, !failure->timedOut);
         const auto &text = std::get<std::string>(part);
         if (text.empty())
             break;
@@ -520,7 +528,10 @@
         if (!co_await passEvents(head, std::move(events)))
             co_return AttemptResult::CallerLeft;
     }
-    m_unfinishedBytes = parser.pendingBytes();
+    if (!isComplete({ .isInsideEvent = parser.isInsideEvent() })) {
+        const CallFailure failure { true, false, false, "the stream ended inside an event" };
+        co_return breakOff(failure, head.delimiter == BodyDelimiter::Close);
+    }
     const std::string rest = parser.takePending();
     bool there = co_await beginStream(head);
     if (there && !rest.empty())
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -29,6 +29,11 @@
     return "unknown";
 }
 
+bool isComplete(const StreamEnd &end)
+{
+    return !end.isInsideEvent;
+}
+
 namespace {
 
 bool isCertainlyNotRun(AttemptResult result)
--- a/src/serving/attemptpolicy.h
+++ b/src/serving/attemptpolicy.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   AttemptResult     how an attempt ended
+//   StreamEnd         where and how a replica's stream ended without a transport error
 //   RequestProgress   the attempts made for a request so far
 //   NextStep          what the caller of nextStep() has to do
 //   AttemptLimits     bounds on the attempts for one request
@@ -38,6 +39,16 @@
 /// @return the value that log records use for this result, e.g. "not_run"
 const char *attemptResultName(AttemptResult result);
 
+struct StreamEnd
+{
+    bool isInsideEvent = false; // an event had begun and was not finished
+};
+
+/// A replica that crashes closes its connection like one that has finished, and either may be
+/// behind the end of a stream that has neither a length nor chunks.
+/// @return whether the stream may be delivered as complete; otherwise it was broken off
+bool isComplete(const StreamEnd &end);
+
 struct RequestProgress
 {
     int sends = 0;                // attempts that sent at least one byte
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -112,6 +112,16 @@
     CHECK(!caller.ended);
 }
 
+TEST(RequestFlow, AWholeAnswerToAStreamingRequestIsPassedOn)
+{
+    play("/stream-once/a",
+         { "HTTP/1.1 200 OK\r\n" + Head
+           + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}" });
+    CHECK_EQUAL(200, caller.status);
+    CHECK_EQUAL(std::string("{}"), caller.body);
+    CHECK(caller.ended);
+}
+
 TEST(RequestFlow, AnAnswerOfAnotherRequestIsNotTaken)
 {
     play("/once/a",
--- a/tests/serving/test_attemptpolicy.cpp
+++ b/tests/serving/test_attemptpolicy.cpp
@@ -127,3 +127,9 @@
     progress.runs = 1;
     CHECK(nextStep(request, progress, AttemptResult::Lost, budget, Start) == NextStep::Fail);
 }
+
+TEST(AttemptPolicy, AStreamThatEndsInsideAnEventIsNotComplete)
+{
+    CHECK(!isComplete({ .isInsideEvent = true }));
+    CHECK(isComplete({ .isInsideEvent = false }));
+}
