A close-delimited stream without any event is broken off, not an empty answer

A replica that crashes after its answer's head and before its first event closed the connection, and the caller got a complete 200 without a single event: it could not tell this from an answer.

isComplete() now also asks whether the replica sent an event. A stream that continues after an event the caller has may be empty, and so may one with a length or chunks. Before: CloseBeforeTheFirstEventIs- NotDeliveredAsComplete failed (200 instead of 502); the two neighbouring cases passed before and after.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -528,9 +528,15 @@
         if (!co_await passEvents(head, std::move(events)))
             co_return AttemptResult::CallerLeft;
     }
-    if (!isComplete({ .isInsideEvent = parser.isInsideEvent() })) {
-        const CallFailure failure { true, false, false, "the stream ended inside an event" };
-        co_return breakOff(failure, head.delimiter == BodyDelimiter::Close);
+    const bool isCloseDelimited = head.delimiter == BodyDelimiter::Close;
+    const StreamEnd end { .isInsideEvent = parser.isInsideEvent(),
+                          .isCloseDelimited = isCloseDelimited,
+                          .hasEvents = m_firstByteSeen,
+                          .isResumed = m_lastEvent.has_value() };
+    if (!isComplete(end)) {
+        const char *where = end.isInsideEvent ? "inside an event" : "before its first event";
+        const CallFailure failure { true, false, false, std::string("the stream ended ") + where };
+        co_return breakOff(failure, isCloseDelimited);
     }
     const std::string rest = parser.takePending();
     bool there = co_await beginStream(head);
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -31,7 +31,8 @@
 
 bool isComplete(const StreamEnd &end)
 {
-    return !end.isInsideEvent;
+    const bool hasNothing = !end.hasEvents && !end.isResumed;
+    return !end.isInsideEvent && !(end.isCloseDelimited && hasNothing);
 }
 
 namespace {
--- a/src/serving/attemptpolicy.h
+++ b/src/serving/attemptpolicy.h
@@ -41,7 +41,10 @@
 
 struct StreamEnd
 {
-    bool isInsideEvent = false; // an event had begun and was not finished
+    bool isInsideEvent = false;    // an event had begun and was not finished
+    bool isCloseDelimited = false; // nothing but the end of the connection marked the end
+    bool hasEvents = false;        // the replica sent at least one event
+    bool isResumed = false;        // it was to continue after an event that the caller has
 };
 
 /// A replica that crashes closes its connection like one that has finished, and either may be
--- a/tests/adapter/test_brokenstreams.cpp
+++ b/tests/adapter/test_brokenstreams.cpp
@@ -94,6 +94,26 @@
     CHECK_EQUAL(1, counter.losses);
 }
 
+TEST(BrokenStreams, CloseBeforeTheFirstEventIsNotDeliveredAsComplete)
+{
+    play("/stream-once/a", { closeDelimited("") });
+    CHECK_EQUAL(502, caller.status);
+}
+
+TEST(BrokenStreams, ResumedStreamThatHasNothingLeftIsComplete)
+{
+    play("/stream/a", { resetAfter(FirstEvent), closeDelimited("") });
+    CHECK_EQUAL(FirstEvent, caller.body);
+    CHECK(caller.ended);
+}
+
+TEST(BrokenStreams, EmptyStreamWithALengthIsDelivered)
+{
+    play("/stream-once/a", { withLength("") });
+    CHECK_EQUAL(200, caller.status);
+    CHECK(caller.ended);
+}
+
 TEST(BrokenStreams, ResetBetweenEventsIsNotDeliveredAsComplete)
 {
     checkBrokenOff(resetAfter(FirstEvent));
--- a/tests/serving/test_attemptpolicy.cpp
+++ b/tests/serving/test_attemptpolicy.cpp
@@ -133,3 +133,15 @@
     CHECK(!isComplete({ .isInsideEvent = true }));
     CHECK(isComplete({ .isInsideEvent = false }));
 }
+
+TEST(AttemptPolicy, AStreamClosedBeforeItsFirstEventIsNotComplete)
+{
+    StreamEnd end { .isCloseDelimited = true };
+    CHECK(!isComplete(end));
+    end.isResumed = true;
+    CHECK(isComplete(end));
+    end = { .isCloseDelimited = true, .hasEvents = true };
+    CHECK(isComplete(end));
+    end = { .isCloseDelimited = false };
+    CHECK(isComplete(end));
+}
