HTTP/1.0 callers get streams without chunks, and a reset when one is cut

What a caller of HTTP/1.0 saw: a streamed answer in chunks, which that version does not know.

The server now streams to such a caller without chunks, ends a whole stream with an orderly close and resets the connection of one that was cut. What stays: a node killed by SIGKILL closes its connections in the orderly way, which such a caller cannot tell from the end.

Before: CallerOfHttp10GetsAStreamWithoutChunks and CutStreamOfAnHttp10CallerEndsWithAReset failed (chunked head; eof in place of a reset). After: 3 of 3; net, edge, adapter and entry tests pass.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -25,6 +25,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds AcceptRetryDelay { 50 };
+constexpr unsigned HttpVersion11 = 11; // as Beast numbers it
 
 /// Hop-by-hop headers and those that the server sets itself.
 bool isOwnHeader(http::field field)
@@ -72,7 +73,15 @@
         m_stream.socket().set_option(Tcp::no_delay(true), ignored);
     }
 
-    ~HttpConnection() override { m_server->connections.erase(this); }
+    ~HttpConnection() override
+    {
+        m_server->connections.erase(this);
+        if (needsReset()) {
+            boost::system::error_code ignored;
+            m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            m_stream.socket().close(ignored);
+        }
+    }
 
     asio::awaitable<void> run();
 
@@ -93,6 +102,8 @@
     void watchCaller();
     void noteCallerLeft();
     bool sent(boost::system::error_code failure);
+    /// @return whether an orderly close would make a cut stream look complete
+    bool needsReset() const { return m_streaming && !m_ended && !m_knowsChunks; }
 
     std::shared_ptr<HttpServer::State> m_server;
     beast::tcp_stream m_stream;
@@ -100,6 +111,7 @@
     HttpRequest m_request;
     std::function<void()> m_onCallerLeft;
     bool m_keepAlive = true;
+    bool m_knowsChunks = true; // false: HTTP/1.0, where the end of the connection ends a stream
     bool m_begun = false;
     bool m_streaming = false;
     bool m_ended = false;
@@ -120,7 +132,8 @@
             m_keepAlive = false;
     }
     boost::system::error_code ignored;
-    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    if (!needsReset())
+        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
 asio::awaitable<bool> HttpConnection::readRequest()
@@ -178,6 +191,7 @@
                     { std::string(field.name_string()), std::string(field.value()) });
     }
     m_keepAlive = message.keep_alive();
+    m_knowsChunks = message.version() >= HttpVersion11;
     m_request.body = std::move(message.body());
 }
 
@@ -247,7 +261,7 @@
 {
     assert(!m_begun && "an answer is sent once");
     m_begun = true;
-    http::response<http::string_body> message(static_cast<http::status>(status), 11);
+    http::response<http::string_body> message(static_cast<http::status>(status), HttpVersion11);
     for (const HttpHeader &header : headers)
         message.insert(header.name, header.value);
     message.body() = std::move(body);
@@ -267,10 +281,11 @@
     assert(!m_begun && "an answer is begun once");
     m_begun = true;
     m_streaming = true;
-    http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+    m_keepAlive = m_keepAlive && m_knowsChunks;
+    http::response<http::empty_body> message(static_cast<http::status>(status), HttpVersion11);
     for (const HttpHeader &header : headers)
         message.insert(header.name, header.value);
-    message.chunked(true);
+    message.chunked(m_knowsChunks);
     message.keep_alive(m_keepAlive && m_server->keepAlive);
 
     boost::system::error_code failure;
@@ -288,7 +303,11 @@
         co_return !m_callerLeft;
     boost::system::error_code failure;
     m_stream.expires_after(m_server->limits.writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(part)), withError(failure));
+    if (m_knowsChunks)
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(part)),
+                                   withError(failure));
+    else
+        co_await asio::async_write(m_stream, asio::buffer(part), withError(failure));
     m_stream.expires_never();
     co_return sent(failure);
 }
@@ -297,9 +316,11 @@
 {
     assert(m_streaming && "call begin() before finish()");
     boost::system::error_code failure;
-    m_stream.expires_after(m_server->limits.writeTimeout);
-    co_await asio::async_write(m_stream, http::make_chunk_last(), withError(failure));
-    m_stream.expires_never();
+    if (m_knowsChunks) {
+        m_stream.expires_after(m_server->limits.writeTimeout);
+        co_await asio::async_write(m_stream, http::make_chunk_last(), withError(failure));
+        m_stream.expires_never();
+    }
     m_ended = !failure;
     co_return sent(failure);
 }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -58,8 +58,8 @@
     /// @return false when the caller has left
     virtual boost::asio::awaitable<bool> write(std::string_view part) = 0;
 
-    /// Ends a streamed answer. Without it the connection is cut, so that a part is never taken for
-    /// the whole.
+    /// Ends a streamed answer. Without it the connection is cut before the last chunk, and reset
+    /// for a caller of HTTP/1.0, which knows no chunks: a part is never taken for the whole.
     virtual boost::asio::awaitable<bool> finish() = 0;
 
     /// Calls back once when the caller leaves before the answer has ended.
