Object API: a value that ends with its connection is not taken as whole

What could be seen: an answer of the Object API without length or chunks, broken off at a record's end, gave a ledger segment with the first records only. Protobuf parses it, so the owner of a shard would not know of the orders that were cut off, and could let them run again. An empty body even parses as an empty head.

Answers in JSON (lists, watches, the users' platform, engines' reports, the nodes' change feed) cannot be parsed when cut and were already refused.

Before: ObjectClient.LedgerSegmentCutAtARecordIsNotTakenAsWhole failed. After: 2 of 2, process.faults and process.ctl pass.

--- a/src/platform/objectclient.cpp
+++ b/src/platform/objectclient.cpp
@@ -110,6 +110,9 @@
     auto &response = std::get<HttpResponse>(answer);
     if (response.head.status != StatusOk)
         co_return errorOfStatus(response.head.status, key);
+    // Stored records parse as well when some are missing at the end.
+    if (response.head.delimiter == BodyDelimiter::Close)
+        co_return unavailable("no length or chunks show that the answer is whole for " + key);
     StoredObject object;
     object.version = versionOf(response.head);
     object.key = std::move(key);
