Whole answers: close-delimited JSON that ends before its value does is not delivered

What a caller could see: a 200 with a Content-Length and half a JSON text, where the upstream crashed in an answer without length or chunks.

Both interfaces take such an answer for a lost one: a request that may be repeated goes to another upstream, another one gets 502, an order keeps its outcome unknown. Only a text that is incomplete JSON counts, so that a service which labels other bytes as JSON is passed on as before.

Before (the check switched off): one test failed in each of net.httpclient, adapter.requestflow and entry.relay. After: all pass. What cannot be seen stays: a body of another format that its upstream closes early in the orderly way.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -450,6 +450,11 @@
 asio::awaitable<AttemptResult> RequestFlow::takeWhole(const HttpResponseHead &head)
 {
     auto body = co_await readBody();
+    if (body && isVisiblyTruncated(head, *body)) {
+        m_failure = TruncatedBody;
+        m_connectionBroke = true;
+        body.reset();
+    }
     if (!body)
         co_return steadyNow() >= m_request.deadline ? AttemptResult::TimedOut : AttemptResult::Lost;
     StoredAnswer answer { head, std::move(*body) };
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -40,6 +40,11 @@
             break;
         answer.response.body += text;
     }
+    if (isVisiblyTruncated(answer.response.head, answer.response.body)) {
+        answer.end = AttemptEnd::Lost;
+        answer.failure = TruncatedBody;
+        co_return answer;
+    }
     answer.end = AttemptEnd::Done;
     co_return answer;
 }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/json/stream_parser.hpp>
 
 #include <netinet/tcp.h>
 
@@ -353,6 +354,19 @@
 
 // ---- Whole answers ------------------------------------------------------------------------------
 
+bool isVisiblyTruncated(const HttpResponseHead &head, std::string_view body)
+{
+    const auto type = headerValue(head.headers, "Content-Type");
+    if (head.delimiter != BodyDelimiter::Close || !type || !type->starts_with("application/json"))
+        return false;
+    boost::json::stream_parser parser;
+    boost::system::error_code failure;
+    parser.write(body.data(), body.size(), failure);
+    if (!failure)
+        parser.finish(failure);
+    return failure == boost::json::error::incomplete;
+}
+
 namespace {
 
 asio::awaitable<CallResult<HttpResponse>>
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   CallFailure     why a call failed, and whether any byte of it was sent
+//   HttpResponse    a whole answer, and a check whether it was cut off
 //   HttpExchange    one request over one connection, its answer read part by part
 //   HttpSession     several calls over one and the same connection
 //   HttpClientSettings
@@ -44,6 +45,14 @@
     std::string body;      // whole body
 };
 
+/// A sender that crashes closes its connection like one that has finished, so the body of a
+/// close-delimited answer may be short. This finds the case that the body itself shows.
+/// @return whether the answer is close-delimited JSON that ends before its value does
+bool isVisiblyTruncated(const HttpResponseHead &head, std::string_view body);
+
+/// How logs name that case.
+constexpr const char *TruncatedBody = "the connection closed before the end of the body";
+
 // ---- Exchange -----------------------------------------------------------------------------------
 
 class HttpExchange
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -122,6 +122,14 @@
     CHECK(caller.ended);
 }
 
+TEST(RequestFlow, JsonCutOffByTheCloseIsNotDeliveredAsComplete)
+{
+    play("/once/a",
+         { "HTTP/1.1 200 OK\r\n" + Head
+           + "X: Close-Now\r\nContent-Type: application/json\r\n\r\n{\"order\":" });
+    CHECK_EQUAL(502, caller.status);
+}
+
 TEST(RequestFlow, AnAnswerOfAnotherRequestIsNotTaken)
 {
     play("/once/a",
--- a/tests/entry/test_relay.cpp
+++ b/tests/entry/test_relay.cpp
@@ -23,6 +23,9 @@
             + "\r\nContent-Type: text/event-stream\r\n\r\n" + text;
 }
 
+const std::string CutJson = "HTTP/1.1 200 OK\r\nX: Close-Now\r\n"
+                            "Content-Type: application/json\r\n\r\n{\"choices\":";
+
 } // namespace
 
 TEST_GROUP(StreamRelay)
@@ -84,3 +87,17 @@
     CHECK_EQUAL(Part + EndMark, caller.body);
     CHECK(caller.ended);
 }
+
+TEST(StreamRelay, WholeAnswerCutOffByTheCloseIsLost)
+{
+    engine = std::make_unique<ScriptedServer>(io, std::vector { CutJson });
+    WholeAnswer answer;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const HttpRequest request;
+        answer = co_await readWhole(client.exchange(engine->endpoint(), true), request,
+                                    steadyNow() + 1s);
+    };
+    asio::co_spawn(io, run(), asio::detached);
+    io.run_for(100ms);
+    CHECK(answer.end == AttemptEnd::Lost);
+}
--- a/tests/net/test_httpclient.cpp
+++ b/tests/net/test_httpclient.cpp
@@ -141,3 +141,16 @@
     CHECK(served(results[0]));
     CHECK_EQUAL(413, std::get<HttpResponse>(results[0]).head.status);
 }
+
+TEST(HttpClient, JsonThatIsCutOffByTheCloseIsToldFromWholeJson)
+{
+    HttpResponseHead head;
+    head.headers = { { "Content-Type", "application/json; charset=utf-8" } };
+    head.delimiter = BodyDelimiter::Close;
+    for (const char *cut : { "", "{\"a\":", "[1,2", "\"text" })
+        CHECK(isVisiblyTruncated(head, cut));
+    for (const char *whole : { "{}", "[1,2]\n", "not json" })
+        CHECK(!isVisiblyTruncated(head, whole));
+    head.delimiter = BodyDelimiter::Length;
+    CHECK(!isVisiblyTruncated(head, "{"));
+}
