--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -275,6 +275,7 @@
     m_firstByteSeen = false;
     m_hasAlternative = start.choice.comparedReplicas > 1;
     m_connectionBroke = false;
+    m_failure.clear();
     m_delimiter = "";
     m_unfinishedBytes = 0;
     AttemptResult end = co_await exchangeOnce(start);
@@ -348,6 +349,7 @@
     }
     m_progress.runs++;
     if (answer.foreign) {
+        m_failure = "the answer is another request's or does not prove its replica";
         m_exchange->cancel();
         co_return AttemptResult::Lost;
     }
