A stream whose events have no ids is cut, not begun anew at another replica

What callers saw: on a resumable route, where a replica without event ids broke off, the events of its stream and then all events of a second run from the beginning, framed as one complete answer (ORDER: pieces of two runs joined).

Cause: the retry rule asked only whether the route allows to resume. With no id there is nothing to continue after, so the second replica starts over. RequestProgress::hasResumePoint says whether the last event forwarded had an id; without one nextStep() ends the stream without its last chunk. Comments do not count.

Before: StreamWithoutEventIdsIsCutRatherThanBegunAnewAtAnotherReplica failed (the first event came twice). After: adapter, net, serving, edge and entry tests pass.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -491,6 +491,8 @@
             continue; // the caller has it from an earlier attempt
         if (event.index)
             m_lastEvent = event.index;
+        if (event.hasFields)
+            m_progress.hasResumePoint = event.index.has_value();
         text += event.text;
     }
     if (text.empty())
--- a/src/net/eventstream.cpp
+++ b/src/net/eventstream.cpp
@@ -14,6 +14,9 @@
 
 void readLine(std::string_view line, StreamEvent &event)
 {
+    if (line.front() == Comment)
+        return;
+    event.hasFields = true;
     if (line == EndMark)
         event.isEnd = true;
     if (!line.starts_with(IndexField))
@@ -55,12 +58,10 @@
         if (!line.empty()) {
             readLine(line, m_event);
             m_hasLines = true;
-            m_hasFields = m_hasFields || line.front() != Comment;
         } else if (m_hasLines) {
             m_event.text = m_pending.substr(eventStart, at - eventStart);
             events.push_back(std::exchange(m_event, {}));
             m_hasLines = false;
-            m_hasFields = false;
             eventStart = at;
         }
     }
--- a/src/net/eventstream.h
+++ b/src/net/eventstream.h
@@ -14,6 +14,7 @@
     std::string text;                   // the event as it arrived, with its blank line
     std::optional<std::uint64_t> index; // number in its "id:" line, if it has one
     bool isEnd = false;                 // the end mark "data: [DONE]"
+    bool hasFields = false;             // false: comments only, e.g. a keep-alive
 };
 
 /// Lines end with LF, CR or CRLF; a blank line ends an event.
@@ -27,7 +28,7 @@
     /// A sender that ends its stream here has broken off. Comments and blank lines between events
     /// do not count.
     /// @return whether an event has begun and its blank line has not arrived
-    bool isInsideEvent() const { return m_hasFields || m_lineStart < m_pending.size(); }
+    bool isInsideEvent() const { return m_event.hasFields || m_lineStart < m_pending.size(); }
 
     /// @return bytes that belong to no complete event yet
     std::size_t pendingBytes() const { return m_pending.size(); }
@@ -41,7 +42,6 @@
     std::size_t m_scanned = 0;           // m_pending has no line end between m_lineStart and here
     bool m_mayBeginWithLineFeed = false; // the second half of a CRLF whose CR has been taken
     bool m_hasLines = false;             // the current event has a complete line
-    bool m_hasFields = false;            // and one that is no comment
     StreamEvent m_event;                 // what its complete lines say
 };
 
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -58,7 +58,7 @@
 {
     if (result == AttemptResult::TimedOut)
         return false;
-    if (progress.eventsForwarded && !request.resumable)
+    if (progress.eventsForwarded && !(request.resumable && progress.hasResumePoint))
         return false;
     if (!isCertainlyNotRun(result) && !request.repeatable)
         return false;
--- a/src/serving/attemptpolicy.h
+++ b/src/serving/attemptpolicy.h
@@ -58,6 +58,7 @@
     int runs = 0;                 // attempts among the sends that may have run the request
     int connectFailures = 0;      // attempts that established no connection
     bool eventsForwarded = false; // whether the caller has received a part of the event stream
+    bool hasResumePoint = true;   // whether the last event forwarded had an id to continue after
 };
 
 enum class NextStep {
--- a/tests/adapter/test_brokenstreams.cpp
+++ b/tests/adapter/test_brokenstreams.cpp
@@ -133,3 +133,19 @@
 {
     checkDelivered(withLength(FirstEvent + SecondEvent));
 }
+
+TEST(BrokenStreams, StreamWithoutEventIdsIsCutRatherThanBegunAnewAtAnotherReplica)
+{
+    play("/stream/a", { resetAfter("data: a\n\n"), withLength("data: a\n\ndata: b\n\n") });
+    CHECK_EQUAL(std::string("data: a\n\n"), caller.body);
+    CHECK(!caller.ended);
+    CHECK_EQUAL(0, servers[1]->next);
+}
+
+TEST(BrokenStreams, CommentsDoNotKeepAStreamFromBeingResumed)
+{
+    const std::string comment = ": keep-alive\n\n";
+    play("/stream/a", { resetAfter(FirstEvent + comment), withLength(SecondEvent) });
+    CHECK_EQUAL(FirstEvent + comment + SecondEvent, caller.body);
+    CHECK(caller.ended);
+}
--- a/tests/serving/test_attemptpolicy.cpp
+++ b/tests/serving/test_attemptpolicy.cpp
@@ -145,3 +145,17 @@
     end = { .isCloseDelimited = false };
     CHECK(isComplete(end));
 }
+
+TEST(AttemptPolicy, AStreamWithoutAResumePointIsAborted)
+{
+    RetryBudget budget;
+    ServingRequest request;
+    request.streams = request.resumable = request.repeatable = true;
+    request.attempts = 3;
+    request.deadline = Start + 1s;
+    RequestProgress progress { .sends = 1, .runs = 1, .eventsForwarded = true };
+    CHECK(nextStep(request, progress, AttemptResult::StreamCut, budget, Start) == NextStep::Retry);
+    progress.hasResumePoint = false;
+    CHECK(nextStep(request, progress, AttemptResult::StreamCut, budget, Start)
+          == NextStep::AbortStream);
+}
