Replicas that ask for a pause get no requests until it ends

A replica that turns a request away with 503 and Retry-After wants nothing from this node for that time. The node avoided it for 150 ms and went on sending.

ReplicaTable keeps a deadline for each replica, bounded to 5 minutes, beyond a gap in the list and until the process restarts. No first send, repeat, resumed stream, order or report goes there before it. A request for which every replica asked for a pause beyond its queue deadline is refused at once, queued ones too, with a time after the first pause ends that differs between callers.

--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -246,7 +246,8 @@
     OrderResult answer = OrderResult::Conflict; // nothing was sent
     // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so
     // it is read at the last moment.
-    if (isOk(endpoint) && holds())
+    const bool isPaused = m_state.replicas.isPaused(action.command.replica, steadyNow());
+    if (isOk(endpoint) && holds() && !isPaused)
         answer = co_await m_state.ports.engines.order(valueOf(endpoint), action.command,
                                                       steadyNow() + OrderDeadline);
     m_state.log.line("order")
@@ -268,7 +269,7 @@
 {
     const auto endpoint = parseEndpoint(action.address);
     std::optional<EngineReport> report;
-    if (isOk(endpoint))
+    if (isOk(endpoint) && !m_state.replicas.isPaused(action.replica, steadyNow()))
         report = co_await m_state.ports.engines.report(valueOf(endpoint), action.replica,
                                                        steadyNow() + OrderDeadline);
     m_state.log.line("report")
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -143,6 +143,9 @@
     bool otherReplica = false; // another replica has the address; not run
     bool copyAbsent = false;   // the model or adapter is not there; not run
     std::optional<ReplicaLoadReport> load;
+    /// The replica wants no further request of this node for this long.
+    std::optional<std::chrono::milliseconds> pause;
+    std::string malformedPause; // as sent, if it could not be used
 };
 
 class RequestDialect
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -341,6 +341,8 @@
     const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, start.choice.id);
     if (answer.load)
         m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
+    if (answer.pause || !answer.malformedPause.empty())
+        notePause(start, answer);
     if (answer.notRun) {
         co_await readBody(); // so that the connection can be used again
         if (answer.otherReplica)
@@ -359,6 +361,20 @@
     co_return co_await takeWhole(head);
 }
 
+void RequestFlow::notePause(const StartRequest &start, const ReplicaAnswer &answer)
+{
+    const Instant now = steadyNow();
+    const milliseconds asked = answer.pause.value_or(milliseconds(0));
+    const Instant until =
+            m_state.replicas.onPauseRequested(start.choice.id, start.choice.generation, asked, now);
+    m_state.log.line("pause")
+            .field("request", m_caller.name)
+            .field("replica", start.choice.id)
+            .field("asked_ms", std::int64_t(asked.count()))
+            .field("malformed", answer.malformedPause)
+            .field("paused_ms", std::max<Duration>(Duration::zero(), until - now));
+}
+
 AttemptResult RequestFlow::endOf(const CallFailure &failure) const
 {
     if (!failure.bytesSent)
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -62,6 +62,9 @@
         row->generation = m_nextGeneration++;
         row->info = info;
         index(*row);
+        const auto mark = m_marks.find(info.id);
+        if (mark != m_marks.end() && mark->second.startedMs == info.startedMs)
+            row->pausedUntil = mark->second.pausedUntil;
     }
     const bool wasDraining = row->info.draining;
     row->info = info;
@@ -151,6 +154,7 @@
 
 std::vector<std::pair<std::string, std::uint64_t>> ReplicaTable::tick(Instant now)
 {
+    std::erase_if(m_marks, [&](const auto &entry) { return now >= entry.second.pausedUntil; });
     std::vector<std::pair<std::string, std::uint64_t>> removed;
     for (auto each = m_rows.begin(); each != m_rows.end();) {
         const ReplicaRow &row = each->second;
@@ -287,6 +291,18 @@
                        m_settings.maxAvoidAfterConnectFailure);
 }
 
+Instant ReplicaTable::onPauseRequested(const std::string &id, std::uint64_t generation,
+                                       std::chrono::milliseconds pause, Instant now)
+{
+    ReplicaRow *row = findRow(id);
+    if (row == nullptr || row->generation != generation)
+        return {};
+    const Duration bounded = std::min<Duration>(pause, m_settings.maxRequestedPause);
+    row->pausedUntil = std::max(row->pausedUntil, now + bounded);
+    m_marks[id] = { row->info.startedMs, row->pausedUntil };
+    return row->pausedUntil;
+}
+
 // ---- Queries ------------------------------------------------------------------------------------
 
 const ReplicaRow *ReplicaTable::find(const std::string &id) const
@@ -303,7 +319,28 @@
 
 bool ReplicaTable::isUsable(const ReplicaRow &row, Instant now) const
 {
-    return !row.info.draining && now >= row.avoidUntil;
+    return !row.info.draining && now >= row.avoidUntil && now >= row.pausedUntil;
+}
+
+bool ReplicaTable::isPaused(const std::string &id, Instant now) const
+{
+    const ReplicaRow *row = find(id);
+    return row != nullptr && now < row->pausedUntil;
+}
+
+Instant ReplicaTable::pauseEnd(const std::string &service, const std::string &model,
+                               const std::string &adapter, Instant now) const
+{
+    Instant earliest;
+    for (const std::string &id : replicasOfService(service)) {
+        const ReplicaRow *row = find(id);
+        if (row->info.draining || (!model.empty() && !holds(*row, model, adapter, now)))
+            continue;
+        if (now >= row->pausedUntil)
+            return {};
+        earliest = earliest == Instant {} ? row->pausedUntil : std::min(earliest, row->pausedUntil);
+    }
+    return earliest;
 }
 
 bool ReplicaTable::holds(const ReplicaRow &row, const std::string &model,
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -96,6 +96,7 @@
     double slowness = 1.0;    // smoothed ratio of observed to expected time to the first byte
     int connectFailures = 0;  // consecutive failed connections
     Instant avoidUntil;       // no requests are sent until then
+    Instant pausedUntil;      // the replica asked for no requests until then
     Instant removeAt;         // end of the grace period of an unlisted replica; zero: listed
     Instant coldUntil;        // below its normal speed until then
 
@@ -133,6 +134,8 @@
     // Time for which a newly loaded copy counts as held without being listed: two heartbeats, after
     // which the list shows it.
     Duration addedCopyTime = std::chrono::milliseconds(3'000);
+    // Longest pause that a replica can ask for.
+    Duration maxRequestedPause = std::chrono::minutes(5);
     double smoothing = 0.15; // weight of the latest value in smoothed rates and ratios
     // Initial prefill speed, that of the engines in use; the observed slowness corrects it per
     // replica.
@@ -219,6 +222,13 @@
     /// Records that no connection to the replica could be established.
     void onConnectFailed(const std::string &id, Instant now);
 
+    /// Records that a replica turned a request away and asked for no further ones for a while. The
+    /// pause also holds if the replica leaves the list and returns as the same process.
+    /// @param generation of the row that the request was sent to; other generations are ignored
+    /// @return end of the pause; zero if the row is gone
+    Instant onPauseRequested(const std::string &id, std::uint64_t generation,
+                             std::chrono::milliseconds pause, Instant now);
+
     // ---- Queries ----
 
     /// @return the row of that id, or null
@@ -230,6 +240,14 @@
     /// @return whether new requests may be sent to the replica
     bool isUsable(const ReplicaRow &row, Instant now) const;
 
+    /// @return whether the replica asked for no requests at this time
+    bool isPaused(const std::string &id, Instant now) const;
+
+    /// @return when the first of a service's replicas that hold the copy ends its pause; zero if
+    /// one of them is not paused or none holds the copy
+    Instant pauseEnd(const std::string &service, const std::string &model,
+                     const std::string &adapter, Instant now) const;
+
     /// @return whether the replica holds the model and, unless the name is empty, the adapter
     bool holds(const ReplicaRow &row, const std::string &model, const std::string &adapter,
                Instant now) const;
@@ -253,6 +271,13 @@
     const std::map<std::string, ReplicaRow> &rows() const { return m_rows; }
 
 private:
+    /// What a process asked for; outlives its row, since the list may lose a living replica.
+    struct ProcessMark
+    {
+        std::uint64_t startedMs = 0; // of the process
+        Instant pausedUntil;
+    };
+
     ReplicaRow *findRow(const std::string &id);
     void index(const ReplicaRow &row);
     void unindex(const ReplicaRow &row);
@@ -260,6 +285,7 @@
     ReplicaTableSettings m_settings;
     std::map<std::string, ReplicaRow> m_rows;
     std::unordered_map<std::string, std::vector<std::string>> m_byService; // replica ids
+    std::unordered_map<std::string, ProcessMark> m_marks;                  // by replica id
     std::uint64_t m_nextGeneration = 1;
 };
 
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "serving/scheduler.h"
 
+#include "base/hashing.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,8 @@
 
 namespace {
 
+constexpr std::uint64_t SpreadSteps = 64; // different times that callers are told to return at
+
 /// @return the key that identifies a copy, or a plain service, among all services
 std::string copyKey(const ServingRequest &request)
 {
@@ -180,6 +184,8 @@
         refuse(waiting, "queue_full", now);
         return;
     }
+    if (refuseIfPaused(waiting, now))
+        return;
     if (waiting.cause == NoReplica::Full && !waiting.isRetry) {
         const Instant expected = now + expectedWait(waiting, now);
         if (expected > std::min(waiting.request.firstByteObjective, waiting.queueDeadline)) {
@@ -283,6 +289,10 @@
             if (now >= position->queueDeadline && position->cause == NoReplica::NotResident)
                 position->queueDeadline =
                         std::max(position->queueDeadline, extendedQueueDeadline(*position, now));
+            if (refuseIfPaused(*position, now)) {
+                position = dequeue(queue, position);
+                continue;
+            }
             if (now < position->queueDeadline) {
                 ++position;
                 continue;
@@ -313,6 +323,26 @@
     m_actions.emplace_back(RefuseRequest { waiting.request.id, reason, retryAfter });
 }
 
+/// Refuses a request if all replicas that could run it asked for pauses beyond its queue deadline.
+/// Callers are told different times after the first pause ends, so that they do not return at once.
+/// @return whether it was refused
+bool RequestScheduler::refuseIfPaused(const QueuedRequest &waiting, Instant now)
+{
+    if (waiting.cause != NoReplica::Unusable)
+        return false;
+    const ServingRequest &request = waiting.request;
+    const Instant end = m_table.pauseEnd(request.service, request.model, request.adapter, now);
+    if (end <= waiting.queueDeadline)
+        return false;
+    const Duration wait = end - now;
+    const double spread = m_settings.pauseSpread * double(wait.count())
+            * double(hashPair(request.id, waiting.key) % SpreadSteps) / double(SpreadSteps);
+    const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+            wait + Duration(static_cast<Duration::rep>(spread)));
+    m_actions.emplace_back(RefuseRequest { request.id, "paused", retryAfter });
+    return true;
+}
+
 void RequestScheduler::requestCopy(const ServingRequest &request, Instant now)
 {
     Instant &nextRequestAt = m_nextCopyRequestAt[copyKey(request)];
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -82,6 +82,8 @@
     double minBacklog = 0.1;
     // Share of a request's remaining time within which a late start is still worthwhile.
     double maxLateShare = 0.7;
+    // Share of a pause of all replicas by which the retries of refused callers are spread.
+    double pauseSpread = 0.5;
     // Bounds of the retry delay that callers are advised to keep.
     std::chrono::milliseconds minRetryAfter { 250 };
     std::chrono::milliseconds maxRetryAfter { 3'000 };
@@ -148,6 +150,7 @@
     bool tryStart(QueuedRequest &waiting, Instant now);
     void enqueue(QueuedRequest waiting, Instant now);
     void refuse(const QueuedRequest &waiting, const char *reason, Instant now);
+    bool refuseIfPaused(const QueuedRequest &waiting, Instant now);
     void requestCopy(const ServingRequest &request, Instant now);
     Instant initialQueueDeadline(const QueuedRequest &waiting, Instant now) const;
     Instant extendedQueueDeadline(const QueuedRequest &waiting, Instant now) const;
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -193,6 +193,29 @@
     CHECK_EQUAL(8, loaded.load->slots);
 }
 
+TEST(PlatformDialect, ReadsForHowLongAReplicaWantsNoRequests)
+{
+    CallerRequest caller;
+    caller.name = "q1";
+    const auto read = [&](std::vector<std::string> values, int status = 503) {
+        HttpResponseHead head { status, { { "Not-Executed", "1" } } };
+        for (const std::string &value : values)
+            head.headers.push_back({ "Retry-After", value });
+        return dialect.readHead(head, caller, "i-1");
+    };
+    CHECK(*read({ "2" }).pause == 2s);
+    CHECK(*read({ "0.25" }).pause == 250ms);
+    CHECK(*read({ "1", "3" }).pause == 3s);
+    CHECK(*read({ "1e300" }).pause == 24h);
+    CHECK(!read({}).pause.has_value());
+    CHECK(!read({ "2" }, 429).pause.has_value());
+    for (const char *bad : { "-1", "soon", "2 s", "nan", "Fri, 04 Dec 2026 07:28:00 GMT", "" }) {
+        const ReplicaAnswer answer = read({ bad });
+        CHECK(!answer.pause.has_value());
+        CHECK_EQUAL(std::string(bad), answer.malformedPause);
+    }
+}
+
 TEST(PlatformDialect, AnswersWithAddresses)
 {
     HttpRequest question;
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -200,3 +200,15 @@
     play("/nowhere/a", { Good });
     CHECK_EQUAL(404, caller.status);
 }
+
+TEST(RequestFlow, AReplicaThatAsksForAPauseGetsNoFurtherRequest)
+{
+    const std::string busy = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 1.5\r\n"
+                             "Content-Length: 0\r\n\r\n";
+    play("/once/a", { busy });
+    CHECK_EQUAL(503, caller.status);
+    CHECK_EQUAL(1, servers[0]->next);
+    const ReplicaRow *row = state->replicas.find("r0");
+    CHECK(row->pausedUntil > steadyNow() + 1s);
+    CHECK(row->pausedUntil < steadyNow() + 1'500ms);
+}
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -129,3 +129,36 @@
     CHECK(table.copyExpectedAt("pool", "m1", Start) == Start + 2s);
     CHECK(table.copyExpectedAt("pool", "m1", Start + 7s) == Instant::max()); // counts as failed
 }
+
+TEST(ReplicaTable, GetsNoRequestsUntilThePauseThatItAskedForEnds)
+{
+    table.onAnnounced(replica("r1"), Start);
+    const std::uint64_t generation = table.find("r1")->generation;
+    CHECK(table.onPauseRequested("r1", generation, 2s, Start) == Start + 2s);
+    table.onPauseRequested("r1", generation, 1s, Start); // does not shorten the pause
+    table.onFirstByte("r1", generation, 1.0);
+    CHECK(!table.isUsable(*table.find("r1"), Start + 1'999ms));
+    CHECK(table.isUsable(*table.find("r1"), Start + 2s));
+}
+
+TEST(ReplicaTable, APauseSurvivesTheListAndEndsWithTheProcess)
+{
+    table.onAnnounced(replica("r1"), Start);
+    table.onPauseRequested("r1", table.find("r1")->generation, 2s, Start);
+    table.onDelisted("r1", false, Start);
+    table.tick(Start + 100ms);
+    table.onAnnounced(replica("r1"), Start + 1s);
+    CHECK(table.isPaused("r1", Start + 1s));
+    ReplicaInfo restarted = replica("r1");
+    restarted.startedMs = 2;
+    table.onAnnounced(restarted, Start + 1s);
+    CHECK(!table.isPaused("r1", Start + 1s));
+}
+
+TEST(ReplicaTable, APauseIsBoundedAndIgnoredForAnEarlierProcess)
+{
+    table.onAnnounced(replica("r1"), Start);
+    const std::uint64_t generation = table.find("r1")->generation;
+    CHECK(table.onPauseRequested("r1", generation + 1, 2s, Start) == Instant {});
+    CHECK(table.onPauseRequested("r1", generation, 24h, Start) == Start + 5min);
+}
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -288,3 +288,48 @@
         RC_ASSERT(requests.queued() == 0);
     }));
 }
+
+TEST(RequestScheduler, RefusesAtOnceWithSpreadTimesWhileAllReplicasAskedForAPause)
+{
+    for (const char *id : { "r1", "r2" }) {
+        table.onAnnounced(engine(id, { { "m1", {} } }), Start);
+        table.onPauseRequested(id, table.find(id)->generation, 2s, Start);
+    }
+    std::set<std::chrono::milliseconds> times;
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        scheduler.submit(modelRequest(id, 100, Start), {}, false, Start);
+    const auto refusals = actions<RefuseRequest>();
+    CHECK_EQUAL(20, refusals.size());
+    for (const RefuseRequest &refusal : refusals) {
+        CHECK(refusal.retryAfter >= 2s && refusal.retryAfter <= 3s);
+        times.insert(refusal.retryAfter);
+    }
+    CHECK(times.size() > 10);
+    scheduler.submit(modelRequest(30, 100, Start + 2s), {}, false, Start + 2s);
+    CHECK_EQUAL(1, actions<StartRequest>().size());
+}
+
+TEST(RequestScheduler, AReplicaThatAskedForAPauseIsPassedOver)
+{
+    for (const char *id : { "r1", "r2" })
+        table.onAnnounced(engine(id, { { "m1", {} } }), Start);
+    table.onPauseRequested("r1", table.find("r1")->generation, 2s, Start);
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        scheduler.submit(modelRequest(id, 10, Start), {}, false, Start);
+    const auto starts = actions<StartRequest>();
+    CHECK_EQUAL(5, starts.size());
+    for (const StartRequest &start : starts)
+        CHECK_EQUAL(std::string("r2"), start.choice.id);
+}
+
+TEST(RequestScheduler, QueuedRequestsAreRefusedOnceAllReplicasAskForAPause)
+{
+    table.onAnnounced(engine("r1", { { "m1", {} } }), Start);
+    table.onConnectFailed("r1", Start);
+    scheduler.submit(modelRequest(1, 10, Start), {}, false, Start);
+    CHECK_EQUAL(1, scheduler.queued());
+    table.onPauseRequested("r1", table.find("r1")->generation, 5s, Start);
+    scheduler.tick(Start + 20ms);
+    CHECK_EQUAL(1, actions<RefuseRequest>().size());
+    CHECK_EQUAL(0, scheduler.queued());
+}
