Replicas that say in an answer that they leave are drained, whatever the store lists

A replica that is about to terminate says so in all its answers. The node went by its entry in the store alone, so it sent on for as long as the entry said ready, did not come, or the store could not be reached.

The dialect decodes the flag from every answer to a request (success, error, rejection, head of a stream; not from another replica's). From the first such answer of a process ReplicaTable keeps a deadline one drain time later: until then the replica is chosen only where no other has room, so a service whose every replica leaves is not emptied at once; after it nothing goes there: first sends, requests out of the queue, repeats, resumed streams. Later answers without the flag, the list and its gaps change nothing; a new start time, address or service does.

Before: the new tests do not build, the fields being new, and nothing read the flag. After: serving and adapter tests pass.

--- a/src/edge/nodeprofile.h
+++ b/src/edge/nodeprofile.h
@@ -14,6 +14,7 @@
 struct ServingBounds
 {
     std::chrono::milliseconds graceTime { 8'000 }; // from SIGTERM until the process is killed
+    std::chrono::milliseconds drainTime { 2'000 }; // a leaving replica may be used this long
     std::chrono::milliseconds leaseTime { 3'000 }; // holders may not take turns within it
     std::chrono::milliseconds answerLifetimeMax { 5'000 }; // callers keep address answers this long
     std::chrono::milliseconds ceilingWindow { 5'000 }; // loads from the weight store count in it
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -142,6 +142,7 @@
     bool notRun = false;       // the replica said that it has not run the request
     bool otherReplica = false; // another replica has the address; not run
     bool copyAbsent = false;   // the model or adapter is not there; not run
+    bool leaving = false;      // the replica is about to terminate
     std::optional<ReplicaLoadReport> load;
     /// The replica wants no further request of this node for this long.
     std::optional<std::chrono::milliseconds> pause;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -341,6 +341,8 @@
     const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, start.choice.id);
     if (answer.load)
         m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
+    if (answer.leaving)
+        noteLeaving(start);
     if (answer.pause || !answer.malformedPause.empty())
         notePause(start, answer);
     if (answer.notRun) {
@@ -361,6 +363,18 @@
     co_return co_await takeWhole(head);
 }
 
+void RequestFlow::noteLeaving(const StartRequest &start)
+{
+    const Instant now = steadyNow();
+    const Instant drainedAt = now + Duration(m_state.profile.bounds.drainTime);
+    const std::string &replica = start.choice.id;
+    if (m_state.replicas.onLeaving(replica, start.choice.generation, drainedAt, now))
+        m_state.log.line("replica_leaving")
+                .field("request", m_caller.name)
+                .field("replica", replica)
+                .field("drained_in_ms", drainedAt - now);
+}
+
 void RequestFlow::notePause(const StartRequest &start, const ReplicaAnswer &answer)
 {
     const Instant now = steadyNow();
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -113,6 +113,14 @@
     return recent <= m_settings.negligiblePrefill || recent + own <= bounds.prefillLimit;
 }
 
+/// A replica that is about to terminate is chosen only if no other has capacity.
+bool ReplicaChooser::isBetter(const Candidate &left, const Candidate &right)
+{
+    const bool leftLeaves = left.row->drainedAt != Instant {};
+    const bool rightLeaves = right.row->drainedAt != Instant {};
+    return leftLeaves == rightLeaves ? left.cost < right.cost : rightLeaves;
+}
+
 ChooserResult ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
                                      const std::vector<std::string> &excluded, Instant now)
 {
@@ -124,7 +132,7 @@
             continue;
         if (!request.model.empty() && !m_table.holds(*row, request.model, request.adapter, now))
             continue;
-        held = held || !row->info.draining;
+        held = held || !m_table.isDrained(*row, now);
         if (m_table.isUsable(*row, now) && !contains(excluded, id))
             holders.push_back(row);
     }
@@ -147,7 +155,7 @@
         const Candidate candidate = evaluate(*row, request, chain, row == preferred, now);
         if (!hasCapacity(candidate, request, now))
             continue;
-        if (best.row == nullptr || candidate.cost < best.cost)
+        if (best.row == nullptr || isBetter(candidate, best))
             best = candidate;
     }
     if (best.row == nullptr)
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -139,6 +139,7 @@
     Candidate evaluate(const ReplicaRow &row, const ServingRequest &request,
                        const PromptChain &chain, bool preferred, Instant now);
     bool hasCapacity(const Candidate &candidate, const ServingRequest &request, Instant now);
+    static bool isBetter(const Candidate &left, const Candidate &right);
     double maxRequests(const ReplicaRow &row, const ServingRequest &request);
     int slots(const ReplicaRow &row) const;
 
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace burdock {
@@ -64,7 +65,8 @@
         index(*row);
         const auto mark = m_marks.find(info.id);
         if (mark != m_marks.end() && mark->second.startedMs == info.startedMs)
-            row->pausedUntil = mark->second.pausedUntil;
+            std::tie(row->pausedUntil, row->drainedAt) =
+                    std::tie(mark->second.pausedUntil, mark->second.drainedAt);
     }
     const bool wasDraining = row->info.draining;
     row->info = info;
@@ -135,7 +137,7 @@
     for (const std::string &id : replicasOfService(service)) {
         const ReplicaRow *row = find(id);
         const auto loading = row->loadingCopies.find(copy);
-        if (loading == row->loadingCopies.end() || row->info.draining
+        if (loading == row->loadingCopies.end() || isDrained(*row, now)
             || now > loading->second + m_settings.maxCopyLoadDelay)
             continue;
         earliest = std::min(earliest, std::max(now, loading->second));
@@ -154,7 +156,10 @@
 
 std::vector<std::pair<std::string, std::uint64_t>> ReplicaTable::tick(Instant now)
 {
-    std::erase_if(m_marks, [&](const auto &entry) { return now >= entry.second.pausedUntil; });
+    std::erase_if(m_marks, [&](const auto &entry) {
+        return !m_rows.contains(entry.first)
+                && now >= entry.second.notedAt + m_settings.markLifetime;
+    });
     std::vector<std::pair<std::string, std::uint64_t>> removed;
     for (auto each = m_rows.begin(); each != m_rows.end();) {
         const ReplicaRow &row = each->second;
@@ -299,10 +304,26 @@
         return {};
     const Duration bounded = std::min<Duration>(pause, m_settings.maxRequestedPause);
     row->pausedUntil = std::max(row->pausedUntil, now + bounded);
-    m_marks[id] = { row->info.startedMs, row->pausedUntil };
+    noteMark(*row, now);
     return row->pausedUntil;
 }
 
+bool ReplicaTable::onLeaving(const std::string &id, std::uint64_t generation, Instant drainedAt,
+                             Instant now)
+{
+    ReplicaRow *row = findRow(id);
+    if (row == nullptr || row->generation != generation || row->drainedAt != Instant {})
+        return false;
+    row->drainedAt = drainedAt;
+    noteMark(*row, now);
+    return true;
+}
+
+void ReplicaTable::noteMark(const ReplicaRow &row, Instant now)
+{
+    m_marks[row.info.id] = { row.info.startedMs, row.pausedUntil, row.drainedAt, now };
+}
+
 // ---- Queries ------------------------------------------------------------------------------------
 
 const ReplicaRow *ReplicaTable::find(const std::string &id) const
@@ -319,7 +340,12 @@
 
 bool ReplicaTable::isUsable(const ReplicaRow &row, Instant now) const
 {
-    return !row.info.draining && now >= row.avoidUntil && now >= row.pausedUntil;
+    return !isDrained(row, now) && now >= row.avoidUntil && now >= row.pausedUntil;
+}
+
+bool ReplicaTable::isDrained(const ReplicaRow &row, Instant now) const
+{
+    return row.info.draining || (row.drainedAt != Instant {} && now >= row.drainedAt);
 }
 
 bool ReplicaTable::isPaused(const std::string &id, Instant now) const
@@ -334,7 +360,7 @@
     Instant earliest;
     for (const std::string &id : replicasOfService(service)) {
         const ReplicaRow *row = find(id);
-        if (row->info.draining || (!model.empty() && !holds(*row, model, adapter, now)))
+        if (isDrained(*row, now) || (!model.empty() && !holds(*row, model, adapter, now)))
             continue;
         if (now >= row->pausedUntil)
             return {};
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -97,8 +97,9 @@
     int connectFailures = 0;  // consecutive failed connections
     Instant avoidUntil;       // no requests are sent until then
     Instant pausedUntil;      // the replica asked for no requests until then
-    Instant removeAt;         // end of the grace period of an unlisted replica; zero: listed
-    Instant coldUntil;        // below its normal speed until then
+    Instant drainedAt; // it said that it terminates: no requests from then on; zero: it stays
+    Instant removeAt;  // end of the grace period of an unlisted replica; zero: listed
+    Instant coldUntil; // below its normal speed until then
 
     // Copies that get no requests until the given time, because the replica denied holding them or
     // was ordered to unload them.
@@ -134,6 +135,9 @@
     // Time for which a newly loaded copy counts as held without being listed: two heartbeats, after
     // which the list shows it.
     Duration addedCopyTime = std::chrono::milliseconds(3'000);
+    // Time for which marks of replicas that are no longer listed are kept; longer than a process
+    // that is about to terminate lives.
+    Duration markLifetime = std::chrono::minutes(10);
     // Longest pause that a replica can ask for.
     Duration maxRequestedPause = std::chrono::minutes(5);
     double smoothing = 0.15; // weight of the latest value in smoothed rates and ratios
@@ -229,6 +233,13 @@
     Instant onPauseRequested(const std::string &id, std::uint64_t generation,
                              std::chrono::milliseconds pause, Instant now);
 
+    /// Records that a replica said in an answer that it is about to terminate. The first such
+    /// answer of a process counts; later ones without it, the list and its gaps change nothing.
+    /// @param generation of the row that the request was sent to; other generations are ignored
+    /// @param drainedAt from then on it gets no requests; until then only if no other has capacity
+    /// @return whether this is new
+    bool onLeaving(const std::string &id, std::uint64_t generation, Instant drainedAt, Instant now);
+
     // ---- Queries ----
 
     /// @return the row of that id, or null
@@ -240,6 +251,9 @@
     /// @return whether new requests may be sent to the replica
     bool isUsable(const ReplicaRow &row, Instant now) const;
 
+    /// @return whether the replica is terminating and gets no further requests
+    bool isDrained(const ReplicaRow &row, Instant now) const;
+
     /// @return whether the replica asked for no requests at this time
     bool isPaused(const std::string &id, Instant now) const;
 
@@ -276,9 +290,12 @@
     {
         std::uint64_t startedMs = 0; // of the process
         Instant pausedUntil;
+        Instant drainedAt; // zero: it stays
+        Instant notedAt;   // when the mark was last changed
     };
 
     ReplicaRow *findRow(const std::string &id);
+    void noteMark(const ReplicaRow &row, Instant now);
     void index(const ReplicaRow &row);
     void unindex(const ReplicaRow &row);
 
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -193,6 +193,22 @@
     CHECK_EQUAL(8, loaded.load->slots);
 }
 
+TEST(PlatformDialect, ReadsFromEveryAnswerWhetherItsReplicaLeaves)
+{
+    CallerRequest caller;
+    caller.name = "q1";
+    const auto leaves = [&](int status, std::vector<HttpHeader> headers) {
+        headers.push_back({ "Server-Leaving", "1" });
+        return dialect.readHead({ status, std::move(headers) }, caller, "i-1").leaving;
+    };
+    CHECK(leaves(200, { { "Attempt-Id", "q1" }, { "Server-Seal", "s" } }));
+    CHECK(leaves(500, { { "Attempt-Id", "q1" } }));
+    CHECK(leaves(503, { { "Not-Executed", "1" } }));
+    CHECK(leaves(421, { { "Instance-Id", "i-1" } }));
+    CHECK(!leaves(421, { { "Instance-Id", "i-2" } })); // another replica's word
+    CHECK(!leaves(200, { { "Attempt-Id", "q2" }, { "Server-Seal", "s" } }));
+}
+
 TEST(PlatformDialect, ReadsForHowLongAReplicaWantsNoRequests)
 {
     CallerRequest caller;
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -212,3 +212,13 @@
     CHECK(row->pausedUntil > steadyNow() + 1s);
     CHECK(row->pausedUntil < steadyNow() + 1'500ms);
 }
+
+TEST(RequestFlow, AReplicaThatSaysItLeavesIsDrained)
+{
+    play("/once/a",
+         { "HTTP/1.1 200 OK\r\n" + Head + "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\ngood" });
+    CHECK_EQUAL(200, caller.status);
+    const ReplicaRow *row = state->replicas.find("r0");
+    CHECK(row->drainedAt > steadyNow());
+    CHECK(state->replicas.isDrained(*row, steadyNow() + state->profile.bounds.drainTime));
+}
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -162,3 +162,28 @@
     CHECK(table.onPauseRequested("r1", generation + 1, 2s, Start) == Instant {});
     CHECK(table.onPauseRequested("r1", generation, 24h, Start) == Start + 5min);
 }
+
+TEST(ReplicaTable, AReplicaThatSaidItLeavesGetsNoRequestsAfterItsDrainTime)
+{
+    table.onAnnounced(replica("r1"), Start);
+    const std::uint64_t generation = table.find("r1")->generation;
+    CHECK(table.onLeaving("r1", generation, Start + 2s, Start));
+    CHECK(!table.onLeaving("r1", generation, Start + 3s, Start + 1s)); // the first answer counts
+    table.onAnnounced(replica("r1"), Start + 1s);                      // still listed as ready
+    CHECK(table.isUsable(*table.find("r1"), Start + 1'999ms));
+    CHECK(!table.isUsable(*table.find("r1"), Start + 2s));
+}
+
+TEST(ReplicaTable, LeavingSurvivesTheListAndEndsWithTheProcess)
+{
+    table.onAnnounced(replica("r1"), Start);
+    table.onLeaving("r1", table.find("r1")->generation, Start + 2s, Start);
+    table.onDelisted("r1", false, Start + 1s);
+    table.tick(Start + 2s);
+    table.onAnnounced(replica("r1"), Start + 3s);
+    CHECK(!table.isUsable(*table.find("r1"), Start + 3s));
+    ReplicaInfo restarted = replica("r1");
+    restarted.startedMs = 2;
+    table.onAnnounced(restarted, Start + 4s);
+    CHECK(table.isUsable(*table.find("r1"), Start + 4s));
+}
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -333,3 +333,21 @@
     CHECK_EQUAL(1, actions<RefuseRequest>().size());
     CHECK_EQUAL(0, scheduler.queued());
 }
+
+TEST(RequestScheduler, AReplicaThatLeavesIsUsedOnlyWhereNoOtherHasRoom)
+{
+    for (const char *id : { "r1", "r2" })
+        table.onAnnounced(engine(id, { { "m1", {} } }), Start);
+    table.onLeaving("r1", table.find("r1")->generation, Start + 2s, Start);
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        scheduler.submit(modelRequest(id, 10, Start), {}, false, Start);
+    for (const StartRequest &start : actions<StartRequest>())
+        CHECK_EQUAL(std::string("r2"), start.choice.id);
+    table.onLeaving("r2", table.find("r2")->generation, Start + 3s, Start);
+    scheduler.submit(modelRequest(6, 10, Start + 1s), {}, false, Start + 1s);
+    CHECK_EQUAL(1, actions<StartRequest>().size()); // the whole service leaves
+    scheduler.submit(modelRequest(7, 10, Start + 2'500ms), {}, false, Start + 2'500ms);
+    CHECK_EQUAL(std::string("r2"), actions<StartRequest>().at(0).choice.id);
+    scheduler.submit(modelRequest(8, 10, Start + 3s), {}, false, Start + 3s);
+    CHECK_EQUAL(0, actions<StartRequest>().size());
+}
