--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -69,8 +69,8 @@
     /// Runs one attempt.
     boost::asio::awaitable<AttemptEnd> run(StreamAttempt attempt);
 
-    /// Ends a stream that cannot be completed. The caller gets an error event, and its connection is
-    /// cut without the end of a complete answer.
+    /// Ends a stream that cannot be completed. The caller gets an error event, and its connection
+    /// is cut without the end of a complete answer.
     boost::asio::awaitable<void> truncate(const Error &error);
 
     /// @return whether the caller has been sent anything
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -213,7 +213,7 @@
 {
     CallerRequest caller;
     caller.name = "q1";
-    const auto read = [&](std::vector<std::string> values, int status = 503) {
+    const auto read = [&](const std::vector<std::string> &values, int status = 503) {
         HttpResponseHead head { status, { { "Not-Executed", "1" } } };
         for (const std::string &value : values)
             head.headers.push_back({ "Retry-After", value });
--- a/tests/net/test_eventstream.cpp
+++ b/tests/net/test_eventstream.cpp
@@ -9,6 +9,16 @@
 
 namespace {
 
+/// @return an event of two lines with the given line end
+std::string eventOf(const std::string &firstLine, const std::string &secondLine,
+                    const std::string &lineEnd)
+{
+    std::string event;
+    for (const std::string &line : { firstLine, secondLine, std::string() })
+        event.append(line).append(lineEnd);
+    return event;
+}
+
 std::string textOf(const std::vector<StreamEvent> &events)
 {
     std::string text;
@@ -27,8 +37,8 @@
 TEST(EventStream, EventsMayEndTheirLinesInThreeWays)
 {
     for (const std::string end : { "\n", "\r", "\r\n" }) {
-        const std::string first = "id: 7" + end + "data: a" + end + end;
-        const std::string last = "data: [DONE]" + end + end;
+        const std::string first = eventOf("id: 7", "data: a", end);
+        const std::string last = eventOf("id: 8", "data: [DONE]", end);
         EventStreamParser own;
         const auto events = own.add(first + last);
         CHECK_EQUAL(2, events.size());
@@ -69,7 +79,7 @@
         std::string stream;
         for (int event = 0; event < count; ++event) {
             const std::string end = *rc::gen::element<std::string>("\n", "\r", "\r\n");
-            stream += "id: " + std::to_string(event) + end + "data: x" + end + end;
+            stream += eventOf("id: " + std::to_string(event), "data: x", end);
         }
         EventStreamParser own;
         std::vector<StreamEvent> events;
