--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -52,7 +52,7 @@
 
 enum class NoReplica {
     NotResident, // no replica of the service holds the model or adapter
-    Unusable,    // all replicas that hold it are draining, avoided after failures or excluded
+    Unusable,    // all that hold it are leaving, paused, avoided after failures or excluded
     Full,        // all usable replicas that hold it are at capacity
 };
 
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -19,6 +19,9 @@
 // A replica that disappears from the platform's list while the source of the list is unreliable is
 // kept for a grace period, because it may only have failed to renew its entry.
 //
+// A replica may ask for a pause, or say in a response that it is about to terminate. Both are kept
+// for its process, even while the list does not have it.
+//
 // A copy is a model that is loaded at a replica, or an adapter on top of it. Texts that name a copy
 // have the form "model" or "model/adapter", see copyName(). Functions that take a replica id ignore
 // ids that are not in the table.
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -11,7 +11,8 @@
 // first byte is due. Requests that are already late are started after those that can still be on
 // time. A request is refused on arrival if it would start too late, judged by the prompts queued
 // before it and by the rate at which requests are started. Callers thus learn early that they have
-// to retry, and capacity goes to requests that can still be on time.
+// to retry, and capacity goes to requests that can still be on time. While all replicas that could
+// run a request have asked for a pause, it is refused at once with a time after the pause.
 //
 // The scheduler does no I/O. It returns its decisions as actions; each submitted request leads to
 // one StartRequest or RefuseRequest unless it is cancelled:
