Log the request limit that a replica's answer states

The logs could not tell a limit that is not read from one that each node keeps for itself. No decision uses it yet.

--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -147,6 +147,9 @@
     /// The replica wants no further request of this node for this long.
     std::optional<std::chrono::milliseconds> pause;
     std::string malformedPause; // as sent, if it could not be used
+    /// Requests a second that the replica takes from all nodes together; at least 0.
+    std::optional<double> requestLimit;
+    std::string malformedLimit; // as sent, if it could not be used
 };
 
 class RequestDialect
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -210,6 +210,7 @@
                 .field("failure", m_failure)
                 .field("delimiter", m_delimiter)
                 .field("unfinished_bytes", m_unfinishedBytes)
+                .field("replica_limit", m_replicaLimit)
                 .field("sends", m_progress.sends)
                 .field("budget", m_state.budgetOf(m_request.service).tokens());
         m_state.metrics.count("burdock_retries_total");
@@ -277,6 +278,7 @@
     m_connectionBroke = false;
     m_failure.clear();
     m_delimiter = "";
+    m_replicaLimit.clear();
     m_unfinishedBytes = 0;
     AttemptResult end = co_await exchangeOnce(start);
     m_exchange.reset();
@@ -339,6 +341,10 @@
     const auto &head = std::get<HttpResponseHead>(result);
     m_delimiter = bodyDelimiterName(head.delimiter);
     const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, start.choice.id);
+    if (answer.requestLimit)
+        m_replicaLimit = std::to_string(*answer.requestLimit);
+    else
+        m_replicaLimit = answer.malformedLimit;
     if (answer.load)
         m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
     if (answer.leaving)
@@ -643,6 +649,7 @@
             .field("failure", m_failure)
             .field("delimiter", m_delimiter)
             .field("unfinished_bytes", m_unfinishedBytes)
+            .field("replica_limit", m_replicaLimit)
             .field("route", m_route == nullptr ? std::string_view() : m_route->name)
             .field("copy", copyName(m_request.model, m_request.adapter))
             .field("queued", std::int64_t(m_state.scheduler.queued()))
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -102,6 +102,7 @@
     Instant m_sentAt;
     std::string m_failure;             // what ended the last attempt, as the connection told it
     const char *m_delimiter = "";      // of the last answer's body; for the log
+    std::string m_replicaLimit;        // that the last answer stated; for the log
     std::size_t m_unfinishedBytes = 0; // of an event at the end of the last stream; for the log
     bool m_firstByteSeen = false;      // in the current attempt
     bool m_hasAlternative = false;     // another replica could have been chosen for it
--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -232,6 +232,33 @@
     }
 }
 
+TEST(PlatformDialect, ReadsHowManyRequestsAReplicaTakes)
+{
+    CallerRequest caller;
+    caller.name = "q1";
+    const auto read = [&](const std::vector<std::string> &values,
+                          HttpResponseHead head = { 500, { { "Attempt-Id", "q1" } } }) {
+        for (const std::string &value : values)
+            head.headers.push_back({ "Server-Limit", value });
+        return dialect.readHead(head, caller, "i-1");
+    };
+    DOUBLES_EQUAL(1.0, *read({ "1" }).requestLimit, 1e-9);
+    DOUBLES_EQUAL(0.25, *read({ "0.25" }).requestLimit, 1e-9);
+    DOUBLES_EQUAL(0.0, *read({ "0" }).requestLimit, 1e-9);
+    DOUBLES_EQUAL(1.0, *read({ "3", "1" }).requestLimit, 1e-9);
+    DOUBLES_EQUAL(2.0, *read({ "soon", "2" }).requestLimit, 1e-9);
+    CHECK(!read({}).requestLimit.has_value());
+    for (const char *bad : { "-1", "soon", "2/s", "nan", "inf", "1,5", "1e999", "" }) {
+        const ReplicaAnswer answer = read({ bad });
+        CHECK(!answer.requestLimit.has_value());
+        CHECK_EQUAL(std::string(bad), answer.malformedLimit);
+    }
+    CHECK(read({ "1" }, { 503, { { "Not-Executed", "1" } } }).requestLimit.has_value());
+    CHECK(read({ "1" }, { 421, { { "Instance-Id", "i-1" } } }).requestLimit.has_value());
+    CHECK(!read({ "1" }, { 421, { { "Instance-Id", "i-2" } } }).requestLimit.has_value());
+    CHECK(!read({ "1" }, { 200, { { "Attempt-Id", "q2" } } }).requestLimit.has_value());
+}
+
 TEST(PlatformDialect, AnswersWithAddresses)
 {
     HttpRequest question;
