Replicas' request limits are kept by all nodes together

Callers' requests went to a replica in need at the usual rate: the limit that its answers stated was not read, so all nodes together sent it 12 to 14 requests in 4 s where 11 were allowed.

Cause: no part of the routing knew of a limit that holds for the fleet.

Every node now computes the same few senders of a limited replica from the nodes it knows; a sender spaces its requests at limit / senders a second and keeps no more of them unanswered than it sends in a second; others send none. In 4 s the replica gets at most 4 * limit + senders, and senders <= max(1, limit), where 6 * limit + 5 is allowed. What is held back goes to other replicas, waits for the node's share, or is refused at once with the time of that share. Orders and report requests of the placement are counted too. Nodes tell each other of limits and of their end.

In adapter.requestlimits the lower bound of 5 arrivals beside a second replica is replaced: nothing demands that much use of a limited replica while another has room. Its purpose, that the nodes go on learning from the replica, is checked by a bound from the interval of news and by a new test of a limit that is lifted. The test with a single replica still demands 5 served requests.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -25,7 +25,14 @@
 constexpr std::size_t MostDemandRows = 40; // the largest; more do not fit a packet
 constexpr std::size_t MostDatagram = 8 * 1024;
 
-enum class MessageType : std::int64_t { Beat = 1, Want = 2, Copy = 3, Loss = 4, Prompt = 5 };
+enum class MessageType : std::int64_t {
+    Beat = 1,
+    Want = 2,
+    Copy = 3,
+    Loss = 4,
+    Prompt = 5,
+    Limit = 6
+};
 
 json::array nodeToJson(const NodeInfo &node)
 {
@@ -92,6 +99,23 @@
              note.ticket, note.withdrawn };
 }
 
+json::array toJson(const LimitNote &note)
+{
+    return { static_cast<std::int64_t>(MessageType::Limit), note.replica, note.startedMs,
+             note.limit ? json::value(*note.limit) : json::value(nullptr) };
+}
+
+LimitNote limitFromJson(const json::array &list)
+{
+    LimitNote note { textAt(list, 1), list.at(2).to_number<std::uint64_t>(), std::nullopt };
+    if (list.at(3).is_null())
+        return note;
+    note.limit = list.at(3).to_number<double>();
+    if (!(*note.limit >= 0.0))
+        throw std::invalid_argument("negative limit");
+    return note;
+}
+
 BeatMessage beatFromJson(const json::array &list)
 {
     BeatMessage message;
@@ -136,6 +160,8 @@
     case MessageType::Prompt:
         return PromptNote { textAt(list, 1), list.at(2).to_number<int>(),
                             list.at(3).to_number<std::uint64_t>(), list.at(4).as_bool() };
+    case MessageType::Limit:
+        return limitFromJson(list);
     }
     throw std::invalid_argument("unknown type of message");
 }
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -10,6 +10,7 @@
 #include "edge/eventlog.h"
 #include "fleet/nodedirectory.h"
 #include "placing/copyplacement.h"
+#include "serving/requestlimits.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -57,7 +58,7 @@
     bool withdrawn = false;
 };
 
-using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, LossNote, PromptNote>;
+using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, LossNote, PromptNote, LimitNote>;
 
 class BeatListener
 {
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -240,14 +240,24 @@
     }
 }
 
+/// @return whether a command may go to the replica now; it is then counted
+bool CopyShell::mayCommand(const std::string &replica, CommandKind kind)
+{
+    const Instant now = steadyNow();
+    RequestLimits &limits = m_state.replicas.limits();
+    if (m_state.replicas.isPaused(replica, now) || !limits.mayCommand(replica, kind, now))
+        return false;
+    limits.onCommand(replica, kind, now);
+    return true;
+}
+
 asio::awaitable<void> CopyShell::sendOrder(SendCommand action)
 {
     const auto endpoint = parseEndpoint(action.address);
     OrderResult answer = OrderResult::Conflict; // nothing was sent
     // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so
     // it is read at the last moment.
-    const bool isPaused = m_state.replicas.isPaused(action.command.replica, steadyNow());
-    if (isOk(endpoint) && holds() && !isPaused)
+    if (isOk(endpoint) && holds() && mayCommand(action.command.replica, CommandKind::Order))
         answer = co_await m_state.ports.engines.order(valueOf(endpoint), action.command,
                                                       steadyNow() + OrderDeadline);
     m_state.log.line("order")
@@ -269,7 +279,7 @@
 {
     const auto endpoint = parseEndpoint(action.address);
     std::optional<EngineReport> report;
-    if (isOk(endpoint) && !m_state.replicas.isPaused(action.replica, steadyNow()))
+    if (isOk(endpoint) && mayCommand(action.replica, CommandKind::Report))
         report = co_await m_state.ports.engines.report(valueOf(endpoint), action.replica,
                                                        steadyNow() + OrderDeadline);
     m_state.log.line("report")
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -37,6 +37,7 @@
     boost::asio::awaitable<void> sendOrder(SendCommand action);
     boost::asio::awaitable<void> askReport(RequestReport action);
     void noteGivenBack(const LeaseReadResult &read);
+    bool mayCommand(const std::string &replica, CommandKind kind);
     void tickLease();
     void tickPlacement();
 
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -354,12 +354,26 @@
             m_state.replicas.onPromptAssigned(prompt->replica, prompt->freshTokens, now);
             m_state.claims.onClaim(prompt->replica, prompt->ticket, now);
         }
+    } else if (const auto *limit = std::get_if<LimitNote>(&message)) {
+        onLimitNote(*limit);
     } else {
         const auto &loss = std::get<LossNote>(message);
         m_state.suspects.onReplicaLost(loss.fingerprint, loss.replica, now);
     }
 }
 
+void EdgeProgram::onLimitNote(const LimitNote &note)
+{
+    const Instant now = steadyNow();
+    RequestLimits &limits = m_state.replicas.limits();
+    if (!limits.onNote(note, now))
+        return;
+    m_state.log.line("request_limit")
+            .field("replica", note.replica)
+            .field("limit", note.limit ? std::to_string(*note.limit) : "lifted")
+            .field("share", limits.share(note.replica, now).value_or(-1.0));
+}
+
 void EdgeProgram::onHeartbeat(const BeatMessage &message)
 {
     const Instant now = steadyNow();
@@ -397,6 +411,11 @@
     m_link.send(LossNote { fingerprint, replica }, m_state.directory.ingressAddresses(steadyNow()));
 }
 
+void EdgeProgram::announceLimit(const LimitNote &note)
+{
+    m_link.send(note, m_state.directory.ingressAddresses(steadyNow()));
+}
+
 std::vector<CopyDemand> EdgeProgram::demandNow() const
 {
     std::vector<CopyDemand> demand;
@@ -427,6 +446,9 @@
     m_copies.onDemand(m_state.profile.name, demandNow());
 
     m_state.directory.setOwnState(m_requestRate, !m_replicaWatch.disturbed(now), now);
+    m_state.replicas.limits().setNodes(
+            m_state.profile.name, m_state.directory.senderCandidates(now),
+            m_state.directory.nodeCount(), m_state.directory.isCutOff(now), now);
     HeartbeatTargets targets = m_state.directory.heartbeatTargets(m_state.leaving, now);
     BeatMessage message = ownBeat();
     if (m_state.directory.isAlone(now)) {
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -79,10 +79,12 @@
 private:
     void onPeerMessage(const PeerMessage &message) override;
     void onHeartbeat(const BeatMessage &message);
+    void onLimitNote(const LimitNote &note);
     void onList(ObjectKind kind, const std::vector<StoredItem> &items) override;
     void onChanges(ObjectKind kind, const std::vector<StoredItem> &items) override;
     bool announcePrompt(const PromptNote &note) override;
     void announceLoss(std::uint64_t fingerprint, const std::string &replica) override;
+    void announceLimit(const LimitNote &note) override;
 
     void takeConfig(const StoredItem &item);
     void takeReplica(const StoredItem &item, Instant now);
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -249,6 +249,7 @@
     m_announcer.announcePrompt(note);
     m_state.replicas.onPromptWithdrawn(replica, note.freshTokens, now);
     m_state.replicas.onFinished(replica, start.choice.generation, ReplicaOutcome::Cancelled, now);
+    m_state.replicas.limits().onWithdrawn(replica);
     m_state.metrics.count("burdock_prompts_withdrawn_total");
     m_state.log.line("withdraw").field("request", m_caller.name).field("replica", replica);
     co_return false;
@@ -273,6 +274,8 @@
                            : steadyNow() - row->loadReceivedAt)
             .field("fresh_tokens", start.choice.freshTokens)
             .field("weighed", start.choice.comparedReplicas);
+    m_replicaStartedMs = row == nullptr ? 0 : row->info.startedMs;
+    m_awaitsHead = true;
     m_firstByteSeen = false;
     m_hasAlternative = start.choice.comparedReplicas > 1;
     m_connectionBroke = false;
@@ -281,6 +284,7 @@
     m_replicaLimit.clear();
     m_unfinishedBytes = 0;
     AttemptResult end = co_await exchangeOnce(start);
+    noteHead(start);
     m_exchange.reset();
     if (m_callerLeft && end != AttemptResult::Delivered)
         end = AttemptResult::CallerLeft;
@@ -327,6 +331,7 @@
     m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
     const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
     const auto result = co_await m_exchange->start(request, firstByteDeadline(start));
+    noteHead(start);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         m_failure = failure->message;
         m_connectionBroke = !failure->timedOut && !failure->keptConnection;
@@ -347,6 +352,7 @@
         m_replicaLimit = answer.malformedLimit;
     if (answer.load)
         m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
+    noteLimit(start, answer);
     if (answer.leaving)
         noteLeaving(start);
     if (answer.pause || !answer.malformedPause.empty())
@@ -369,6 +375,40 @@
     co_return co_await takeWhole(head);
 }
 
+/// The replica has begun to answer, or will not.
+void RequestFlow::noteHead(const StartRequest &start)
+{
+    if (std::exchange(m_awaitsHead, false))
+        m_state.replicas.limits().onHead(start.choice.id);
+}
+
+void RequestFlow::noteLimit(const StartRequest &start, const ReplicaAnswer &answer)
+{
+    // Answers of others say nothing of this replica; what cannot be read does not lift a limit.
+    if (answer.foreign || answer.otherReplica)
+        return;
+    const std::string &replica = start.choice.id;
+    if (!answer.requestLimit && !answer.malformedLimit.empty()) {
+        m_state.log.line("request_limit")
+                .field("request", m_caller.name)
+                .field("replica", replica)
+                .field("malformed", answer.malformedLimit);
+        return;
+    }
+    const Instant now = steadyNow();
+    RequestLimits &limits = m_state.replicas.limits();
+    const LimitChange change =
+            limits.onAnswer(replica, m_replicaStartedMs, answer.requestLimit, m_sentAt, now);
+    if (change.isNew)
+        m_state.log.line("request_limit")
+                .field("request", m_caller.name)
+                .field("replica", replica)
+                .field("limit", m_replicaLimit.empty() ? "lifted" : m_replicaLimit)
+                .field("share", limits.share(replica, now).value_or(-1.0));
+    if (change.note)
+        m_announcer.announceLimit(*change.note);
+}
+
 void RequestFlow::noteLeaving(const StartRequest &start)
 {
     const Instant now = steadyNow();
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -26,6 +26,9 @@
 
     /// A replica was lost while it ran a request.
     virtual void announceLoss(std::uint64_t fingerprint, const std::string &replica) = 0;
+
+    /// A replica stated a limit on the requests of all nodes together, or lifted it.
+    virtual void announceLimit(const LimitNote &note) = 0;
 };
 
 class RequestFlow
@@ -72,6 +75,8 @@
     boost::asio::awaitable<bool> beginStream(const HttpResponseHead &head);
     void noteFirstByte(const StartRequest &start);
     void noteLeaving(const StartRequest &start);
+    void noteLimit(const StartRequest &start, const ReplicaAnswer &answer);
+    void noteHead(const StartRequest &start);
     void notePause(const StartRequest &start, const ReplicaAnswer &answer);
     AttemptResult endOf(const CallFailure &failure) const;
     void noteEnd(const StartRequest &start, AttemptResult end);
@@ -100,12 +105,14 @@
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
     Instant m_sentAt;
-    std::string m_failure;             // what ended the last attempt, as the connection told it
-    const char *m_delimiter = "";      // of the last answer's body; for the log
-    std::string m_replicaLimit;        // that the last answer stated; for the log
-    std::size_t m_unfinishedBytes = 0; // of an event at the end of the last stream; for the log
-    bool m_firstByteSeen = false;      // in the current attempt
-    bool m_hasAlternative = false;     // another replica could have been chosen for it
+    std::string m_failure;                // what ended the last attempt, as the connection told it
+    const char *m_delimiter = "";         // of the last answer's body; for the log
+    std::string m_replicaLimit;           // that the last answer stated; for the log
+    std::size_t m_unfinishedBytes = 0;    // of an event at the end of the last stream; for the log
+    std::uint64_t m_replicaStartedMs = 0; // of the replica's process in the current attempt
+    bool m_awaitsHead = false;     // in the current attempt; its limit counts it as unanswered
+    bool m_firstByteSeen = false;  // in the current attempt
+    bool m_hasAlternative = false; // another replica could have been chosen for it
     bool m_callerLeft = false;
     bool m_givenUp = false;
     Duration m_firstByteAfter {}; // of the whole request; for the log
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -247,6 +247,24 @@
     return addresses;
 }
 
+std::vector<std::string> NodeDirectory::senderCandidates(Instant now) const
+{
+    std::map<std::string, Rows> zones;
+    zones[m_self.info.zone].push_back(&m_self);
+    for (const auto &[name, row] : m_nodes) {
+        if (now - row.lastMentionedAt < m_settings.senderTimeout)
+            zones[row.info.zone].push_back(&row);
+    }
+    std::vector<std::string> names;
+    for (auto &[zone, rows] : zones) {
+        sortByRank(rows);
+        rows.resize(std::min(rows.size(), m_settings.minIngressNodes));
+        for (const Row *row : rows)
+            names.push_back(row->info.name);
+    }
+    return names;
+}
+
 std::vector<std::string> NodeDirectory::addressesFor(const std::string &zone, bool withSelf,
                                                      Instant now)
 {
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -85,6 +85,11 @@
     /// A node is ranked with the others if a heartbeat came from it or named it within this time.
     Duration mentionTimeout = std::chrono::seconds(5);
 
+    /// A node may be a sender of limited replicas for this long after a heartbeat came from it or
+    /// named it, whether it is live or not: a share must not move to another node before all nodes
+    /// know that it is free.
+    Duration senderTimeout = std::chrono::seconds(15);
+
     std::size_t minIngressNodes = 3;     // per zone; after the loss of one, two are left
     std::size_t initialIngressNodes = 4; // per zone, while the zone has almost no traffic
     /// Planned requests per second of one ingress node: about a sixth of the capacity of the
@@ -169,6 +174,14 @@
     /// callers' traffic
     std::vector<std::string> ingressAddresses(Instant now) const;
 
+    /// @return names of the nodes that may be senders of replicas that limit their requests: of
+    ///         each zone, the first ones by rank, as many as always serve callers. Their choice
+    ///         depends neither on traffic nor on short silences, so that all nodes agree on it.
+    std::vector<std::string> senderCandidates(Instant now) const;
+
+    /// @return whether this node knows others and has no recent heartbeat of any
+    bool isCutOff(Instant now) const { return isAlone(now) && !m_nodes.empty(); }
+
     /// @return how many nodes of the availability zone should serve callers
     std::size_t ingressNodeCount(const std::string &zone, Instant now) const;
 
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -54,6 +54,7 @@
 {
     Candidate candidate;
     candidate.row = &row;
+    candidate.wantsNews = m_table.limits().wantsNews(row.info.id, now);
     const ServiceProfile &profile = m_profiles[request.service];
     const double load = m_table.estimatedLoad(row, now);
     if (request.model.empty()) {
@@ -113,12 +114,15 @@
     return recent <= m_settings.negligiblePrefill || recent + own <= bounds.prefillLimit;
 }
 
-/// A replica that is about to terminate is chosen only if no other has capacity.
+/// A replica that is about to terminate is chosen only if no other has capacity, one whose request
+/// limit may be outdated before all others.
 bool ReplicaChooser::isBetter(const Candidate &left, const Candidate &right)
 {
     const bool leftLeaves = left.row->drainedAt != Instant {};
     const bool rightLeaves = right.row->drainedAt != Instant {};
-    return leftLeaves == rightLeaves ? left.cost < right.cost : rightLeaves;
+    if (leftLeaves != rightLeaves)
+        return rightLeaves;
+    return left.wantsNews == right.wantsNews ? left.cost < right.cost : left.wantsNews;
 }
 
 ChooserResult ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
@@ -126,6 +130,7 @@
 {
     std::vector<const ReplicaRow *> holders;
     bool held = false;
+    bool limited = false;
     for (const std::string &id : m_table.replicasOfService(request.service)) {
         const ReplicaRow *row = m_table.find(id);
         if (row == nullptr)
@@ -133,9 +138,15 @@
         if (!request.model.empty() && !m_table.holds(*row, request.model, request.adapter, now))
             continue;
         held = held || !m_table.isDrained(*row, now);
-        if (m_table.isUsable(*row, now) && !contains(excluded, id))
+        if (!m_table.isUsable(*row, now) || contains(excluded, id))
+            continue;
+        if (m_table.limits().maySend(id, now))
             holders.push_back(row);
+        else
+            limited = true;
     }
+    if (holders.empty() && limited)
+        return NoReplica::Limited;
     if (holders.empty())
         return held ? NoReplica::Unusable : NoReplica::NotResident;
 
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -54,6 +54,7 @@
     NotResident, // no replica of the service holds the model or adapter
     Unusable,    // all that hold it are leaving, paused, avoided after failures or excluded
     Full,        // all usable replicas that hold it are at capacity
+    Limited,     // this node's share of the limits that the usable ones stated is spent
 };
 
 using ChooserResult = std::variant<ReplicaChoice, NoReplica>;
@@ -134,6 +135,7 @@
         double cost = 0.0;        // in microseconds, with all factors and surcharges
         double firstByteUs = 0.0; // expected time to the first byte
         int freshTokens = 0;      // prompt tokens that the replica has to read
+        bool wantsNews = false;   // see RequestLimits::wantsNews()
     };
 
     Candidate evaluate(const ReplicaRow &row, const ServingRequest &request,
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -49,6 +49,7 @@
 
 void ReplicaTable::onAnnounced(const ReplicaInfo &info, Instant now)
 {
+    m_limits.onReplicaStarted(info.id, info.startedMs);
     ReplicaRow *row = findRow(info.id);
     const bool restarted = row != nullptr
             && (row->info.startedMs != info.startedMs || row->info.address != info.address
@@ -160,6 +161,7 @@
         return !m_rows.contains(entry.first)
                 && now >= entry.second.notedAt + m_settings.markLifetime;
     });
+    m_limits.tick(now);
     std::vector<std::pair<std::string, std::uint64_t>> removed;
     for (auto each = m_rows.begin(); each != m_rows.end();) {
         const ReplicaRow &row = each->second;
@@ -189,6 +191,7 @@
         return;
     row->inFlight++;
     row->changeSinceReport++;
+    m_limits.onSent(id, now);
     onPromptAssigned(id, freshTokens, now);
 }
 
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -20,7 +20,8 @@
 // kept for a grace period, because it may only have failed to renew its entry.
 //
 // A replica may ask for a pause, or say in a response that it is about to terminate. Both are kept
-// for its process, even while the list does not have it.
+// for its process, even while the list does not have it. It may also state a limit on the requests
+// of all nodes together, see serving/requestlimits.h.
 //
 // A copy is a model that is loaded at a replica, or an adapter on top of it. Texts that name a copy
 // have the form "model" or "model/adapter", see copyName(). Functions that take a replica id ignore
@@ -28,6 +29,7 @@
 #pragma once
 
 #include "base/instant.h"
+#include "serving/requestlimits.h"
 
 #include <cstdint>
 #include <map>
@@ -284,6 +286,10 @@
     /// ago
     Duration recentPrefill(const ReplicaRow &row, Duration span, Instant now) const;
 
+    /// @return the limits that replicas stated for all nodes together; onSent() counts the sends
+    RequestLimits &limits() { return m_limits; }
+    const RequestLimits &limits() const { return m_limits; }
+
     /// @return all rows by replica id
     const std::map<std::string, ReplicaRow> &rows() const { return m_rows; }
 
@@ -307,6 +313,7 @@
     std::unordered_map<std::string, std::vector<std::string>> m_byService; // replica ids
     std::unordered_map<std::string, ProcessMark> m_marks;                  // by replica id
     std::uint64_t m_nextGeneration = 1;
+    RequestLimits m_limits;
 };
 
 /// @return the text that names a copy: "model" or "model/adapter"
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "serving/scheduler.h"
 
 #include "base/hashing.h"
+#include "base/text.h"
 
 #include <algorithm>
 #include <utility>
@@ -92,6 +93,7 @@
     case NoReplica::Unusable:
         return std::min(now + m_settings.maxUnusableWait, afterShare(m_settings.maxLoadWaitShare));
     case NoReplica::Full:
+    case NoReplica::Limited:
         break;
     }
     return std::max(std::min(request.firstByteObjective, request.deadline),
@@ -184,7 +186,7 @@
         refuse(waiting, "queue_full", now);
         return;
     }
-    if (refuseIfPaused(waiting, now))
+    if (refuseIfPaused(waiting, now) || refuseIfLimited(waiting, now))
         return;
     if (waiting.cause == NoReplica::Full && !waiting.isRetry) {
         const Instant expected = now + expectedWait(waiting, now);
@@ -289,7 +291,7 @@
             if (now >= position->queueDeadline && position->cause == NoReplica::NotResident)
                 position->queueDeadline =
                         std::max(position->queueDeadline, extendedQueueDeadline(*position, now));
-            if (refuseIfPaused(*position, now)) {
+            if (refuseIfPaused(*position, now) || refuseIfLimited(*position, now)) {
                 position = dequeue(queue, position);
                 continue;
             }
@@ -298,7 +300,8 @@
                 continue;
             }
             // Indexed by NoReplica.
-            static constexpr const char *Reasons[] = { "not_resident", "no_replica", "overload" };
+            static constexpr const char *Reasons[] = { "not_resident", "no_replica", "overload",
+                                                       "limited" };
             refuse(*position, Reasons[static_cast<std::size_t>(position->cause)], now);
             position = dequeue(queue, position);
         }
@@ -323,8 +326,19 @@
     m_actions.emplace_back(RefuseRequest { waiting.request.id, reason, retryAfter });
 }
 
+/// Refuses a request for which capacity returns after a known time. Callers are told different
+/// times after that, so that they do not all return at once.
+void RequestScheduler::refuseUntil(const QueuedRequest &waiting, const char *reason, Duration wait)
+{
+    const ServingRequest &request = waiting.request;
+    const double spread = m_settings.retrySpread * double(wait.count())
+            * double(hashPair(request.id, waiting.key) % SpreadSteps) / double(SpreadSteps);
+    const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+            wait + Duration(static_cast<Duration::rep>(spread)));
+    m_actions.emplace_back(RefuseRequest { request.id, reason, retryAfter });
+}
+
 /// Refuses a request if all replicas that could run it asked for pauses beyond its queue deadline.
-/// Callers are told different times after the first pause ends, so that they do not return at once.
 /// @return whether it was refused
 bool RequestScheduler::refuseIfPaused(const QueuedRequest &waiting, Instant now)
 {
@@ -334,12 +348,47 @@
     const Instant end = m_table.pauseEnd(request.service, request.model, request.adapter, now);
     if (end <= waiting.queueDeadline)
         return false;
-    const Duration wait = end - now;
-    const double spread = m_settings.pauseSpread * double(wait.count())
-            * double(hashPair(request.id, waiting.key) % SpreadSteps) / double(SpreadSteps);
-    const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(
-            wait + Duration(static_cast<Duration::rep>(spread)));
-    m_actions.emplace_back(RefuseRequest { request.id, "paused", retryAfter });
+    refuseUntil(waiting, "paused", end - now);
+    return true;
+}
+
+/// Refuses a request if this node's share of the request limits of all replicas that could run it
+/// comes after its queue deadline, or if it has none: then another node has it.
+/// @return whether it was refused
+bool RequestScheduler::refuseIfLimited(const QueuedRequest &waiting, Instant now)
+{
+    if (waiting.cause != NoReplica::Limited)
+        return false;
+    const ServingRequest &request = waiting.request;
+    const RequestLimits &limits = m_table.limits();
+    Instant earliest = Instant::max();
+    double sharePerSecond = 0.0;
+    Duration interval = Duration::max(); // between the requests of all nodes
+    for (const std::string &id : m_table.replicasOfService(request.service)) {
+        const ReplicaRow *row = m_table.find(id);
+        if (!m_table.isUsable(*row, now) || contains(waiting.excluded, id)
+            || (!request.model.empty()
+                && !m_table.holds(*row, request.model, request.adapter, now)))
+            continue;
+        earliest = std::min(earliest, limits.nextSendAt(id, now));
+        sharePerSecond += limits.share(id, now).value_or(0.0);
+        interval = std::min(interval, limits.interval(id));
+    }
+    if (interval == Duration::max())
+        return false; // no replica is usable any more; the next try tells why
+    if (earliest == Instant::max()) {
+        refuseUntil(waiting, "limited", interval);
+        return true;
+    }
+    std::size_t ahead = requestsAhead(waiting);
+    if (m_serviceById.contains(request.id))
+        ahead--; // it is queued itself
+    Instant expected = earliest;
+    if (sharePerSecond > 0.0)
+        expected += Duration(static_cast<Duration::rep>(1e6 * double(ahead) / sharePerSecond));
+    if (expected <= waiting.queueDeadline)
+        return false;
+    refuseUntil(waiting, "limited", expected - now);
     return true;
 }
 
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -12,7 +12,8 @@
 // time. A request is refused on arrival if it would start too late, judged by the prompts queued
 // before it and by the rate at which requests are started. Callers thus learn early that they have
 // to retry, and capacity goes to requests that can still be on time. While all replicas that could
-// run a request have asked for a pause, it is refused at once with a time after the pause.
+// run a request have asked for a pause, it is refused at once with a time after the pause; while
+// they have stated request limits, it waits for this node's share if that comes in time.
 //
 // The scheduler does no I/O. It returns its decisions as actions; each submitted request leads to
 // one StartRequest or RefuseRequest unless it is cancelled:
@@ -83,8 +84,9 @@
     double minBacklog = 0.1;
     // Share of a request's remaining time within which a late start is still worthwhile.
     double maxLateShare = 0.7;
-    // Share of a pause of all replicas by which the retries of refused callers are spread.
-    double pauseSpread = 0.5;
+    // Share of a known wait, such as a pause of all replicas, by which the retries of refused
+    // callers are spread.
+    double retrySpread = 0.5;
     // Bounds of the retry delay that callers are advised to keep.
     std::chrono::milliseconds minRetryAfter { 250 };
     std::chrono::milliseconds maxRetryAfter { 3'000 };
@@ -152,6 +154,8 @@
     void enqueue(QueuedRequest waiting, Instant now);
     void refuse(const QueuedRequest &waiting, const char *reason, Instant now);
     bool refuseIfPaused(const QueuedRequest &waiting, Instant now);
+    bool refuseIfLimited(const QueuedRequest &waiting, Instant now);
+    void refuseUntil(const QueuedRequest &waiting, const char *reason, Duration wait);
     void requestCopy(const ServingRequest &request, Instant now);
     Instant initialQueueDeadline(const QueuedRequest &waiting, Instant now) const;
     Instant extendedQueueDeadline(const QueuedRequest &waiting, Instant now) const;
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -21,6 +21,7 @@
         return true;
     }
     void announceLoss(std::uint64_t, const std::string &) override { }
+    void announceLimit(const LimitNote &) override { }
 
     NodeState &state;
     int claims = 0;
--- a/tests/adapter/test_requestlimits.cpp
+++ b/tests/adapter/test_requestlimits.cpp
@@ -23,6 +23,8 @@
 constexpr int Nodes = 6;
 constexpr auto SettleTime = 7s; // nodes have found each other
 constexpr auto LimitedTime = 9s;
+constexpr auto LiftedTime = 8s;
+constexpr auto NewsTime = 3s; // at least one request in it tells whether the limit still holds
 constexpr auto CallInterval = 250ms; // between the requests that one node gets
 constexpr double Limit = 1.0;
 const std::string Limited = "i-limited";
@@ -158,6 +160,7 @@
     bool calling = true;
     std::map<int, int> answers; // count by status
     int refusalsWithoutTime = 0;
+    int arrivalsWhileLimited = 0;
 
     void addReplica(const std::string &id)
     {
@@ -217,8 +220,8 @@
             refusalsWithoutTime++;
     }
 
-    /// Plays until the nodes know each other, then with the limit.
-    void play(const std::string &limit)
+    /// Plays until the nodes know each other, then with the limit, then without it.
+    void play(const std::string &limit, std::chrono::seconds liftedTime = 0s)
     {
         startNodes();
         io.run_for(SettleTime);
@@ -226,6 +229,10 @@
         replicas[Limited]->limit = limit;
         replicas[Limited]->arrivals = 0;
         io.run_for(LimitedTime);
+        arrivalsWhileLimited = replicas[Limited]->arrivals;
+        replicas[Limited]->limit.clear();
+        replicas[Limited]->arrivals = 0;
+        io.run_for(liftedTime);
         calling = false;
         io.run_for(CallInterval + 200ms);
     }
@@ -245,7 +252,7 @@
     const Replica &limited = *replicas[Limited];
     CHECK(!limited.judge.told.empty());
     CHECK_COMPARE(limited.judge.worstWindow(), <=, LimitJudge::allowed(Limit));
-    CHECK_COMPARE(limited.arrivals, >=, 5);      // about one a second is its share
+    CHECK_COMPARE(arrivalsWhileLimited, >=, int(LimitedTime / NewsTime));
     CHECK_EQUAL(std::size_t(1), answers.size()); // the other replica served the rest
     CHECK_COMPARE(answers[StatusOk], >, 0);
 }
@@ -261,3 +268,12 @@
     CHECK_EQUAL(0, answers[0]);
     CHECK_EQUAL(0, refusalsWithoutTime);
 }
+
+TEST(RequestLimits, AReplicaThatLiftsItsLimitGetsRequestsOfAllNodesAgain)
+{
+    addReplica(Limited);
+    addReplica("i-other");
+    play("1", LiftedTime);
+    constexpr int Calls = Nodes * int(LiftedTime / CallInterval);
+    CHECK_COMPARE(replicas[Limited]->arrivals, >=, Calls / 4); // a half is its usual part
+}
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -34,6 +34,7 @@
 {
     bool announcePrompt(const PromptNote &) override { return false; }
     void announceLoss(std::uint64_t, const std::string &) override { }
+    void announceLimit(const LimitNote &) override { }
 };
 
 inline ServingRoute route(const char *prefix, bool streams, bool repeatable)
