Simulated fleets: a limit that stands is not replaced when an earlier one returns

Traced: two take-backs overlapped with a change; the second one's return replaced a limit of 30 by 1 inside a judged period, so that requests under 30 were judged by 1. The return now leaves a limit that stands.

--- a/tests/edge/test_requestlimits.cpp
+++ b/tests/edge/test_requestlimits.cpp
@@ -162,7 +162,7 @@
             judgePeriod();
             m_limit.reset();
             m_judge = {};
-            in(3s + upTo(6s), [this] { m_limit = m_schedule.limit; });
+            in(3s + upTo(6s), [this] { m_limit = m_limit.value_or(m_schedule.limit); });
             return;
         }
         if (node.process == 0 || node.frozen || node.cut || node.leaving)
