--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -64,3 +64,16 @@
     const auto beat = std::get<BeatMessage>(*decodePeerMessage(encodePeerMessage(message)));
     CHECK_EQUAL(std::string("model-499"), beat.demand.at(0).model); // the largest are kept
 }
+
+TEST(PeerMessages, ALimitArrivesAsItWasSent)
+{
+    for (const std::optional<double> limit : { std::optional(0.25), std::optional(0.0), {} }) {
+        const auto read = decodePeerMessage(encodePeerMessage(LimitNote { "i-1", 17, limit }));
+        const auto &note = std::get<LimitNote>(*read);
+        CHECK_EQUAL(std::string("i-1"), note.replica);
+        CHECK_EQUAL(17U, note.startedMs);
+        CHECK(note.limit == limit);
+    }
+    CHECK(!decodePeerMessage(R"([6,"i-1",17,-1])").has_value());
+    CHECK(!decodePeerMessage(R"([6,"i-1",17,"1"])").has_value());
+}
