HTTP client: heads, bodies and reads that never end are bounded

A server that sends bytes without end kept a call beyond its deadline and filled the memory: the deadline's timer does not end a read that always finds bytes, and neither whole bodies nor lines between or after chunks had a bound. Every read of an answer checks the deadline, unparsed bytes are bounded by the connection's buffer, and whole answers by HttpClientSettings::maxBodyBytes (a bound of its own in the product's relay).

--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Bounds the memory that one whole answer may take.
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+
 AttemptEnd endOf(const CallFailure &failure)
 {
     if (!failure.bytesSent)
@@ -28,18 +31,13 @@
         co_return answer;
     }
     answer.response.head = std::move(std::get<HttpResponseHead>(head));
-    while (true) {
-        auto part = co_await exchange->readPart(deadline);
-        if (const auto *failure = std::get_if<CallFailure>(&part)) {
-            answer.end = endOf(*failure);
-            answer.failure = failure->message;
-            co_return answer;
-        }
-        const auto &text = std::get<std::string>(part);
-        if (text.empty())
-            break;
-        answer.response.body += text;
+    auto body = co_await readBody(*exchange, deadline, MaxAnswerBytes);
+    if (const auto *failure = std::get_if<CallFailure>(&body)) {
+        answer.end = endOf(*failure);
+        answer.failure = failure->message;
+        co_return answer;
     }
+    answer.response.body = std::move(std::get<std::string>(body));
     if (isVisiblyTruncated(answer.response.head, answer.response.body)) {
         answer.end = AttemptEnd::Lost;
         answer.failure = TruncatedBody;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -27,6 +27,9 @@
 
 constexpr std::size_t PartBytes = 16 * 1024;
 constexpr std::size_t MaxAnswerHeaderBytes = 64 * 1024;
+/// Bytes of an answer that were received and not parsed. Longer lines between the chunks of a body,
+/// or after them, are an error.
+constexpr std::size_t MaxBufferedBytes = 2 * MaxAnswerHeaderBytes;
 constexpr std::size_t MaxIdlePerEndpoint = 64;
 
 struct Connection
@@ -37,7 +40,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { MaxBufferedBytes };
     std::optional<http::request<http::string_body>> message; // being written
     Instant keptAt {};                                       // when it was put aside for reuse
     Instant usableUntil {}; // when kept for reuse: the server closes it at about this time
@@ -201,6 +204,8 @@
 
 asio::awaitable<std::optional<CallFailure>> BeastExchange::connect(Instant deadline)
 {
+    if (m_cancelled)
+        co_return CallFailure { false, false, false, toText(m_endpoint) + ": cancelled" };
     if (m_use == ConnectionUse::Kept)
         m_connection = m_client->takeIdle(m_endpoint);
     m_kept = m_connection != nullptr;
@@ -307,6 +312,9 @@
     while (part.empty() && m_connection && !m_parser->is_done()) {
         m_parser->get().body().data = m_part.data();
         m_parser->get().body().size = m_part.size();
+        // The timer does not end a read that always finds bytes.
+        if (steadyNow() >= deadline)
+            co_return failed(beast::error::timeout);
         m_connection->stream.expires_at(toSteady(deadline));
         co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
                                        withError(failure));
@@ -367,10 +375,34 @@
     return failure == boost::json::error::incomplete;
 }
 
+asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
+                                                  std::size_t maxBytes)
+{
+    std::string body;
+    while (true) {
+        auto part = co_await exchange.readPart(deadline);
+        if (const auto *failure = std::get_if<CallFailure>(&part)) {
+            exchange.cancel();
+            co_return *failure;
+        }
+        const auto &text = std::get<std::string>(part);
+        if (text.empty())
+            co_return body;
+        if (body.size() + text.size() > maxBytes) {
+            exchange.cancel();
+            co_return CallFailure {
+                true, false, false, "the body is longer than " + std::to_string(maxBytes) + " bytes"
+            };
+        }
+        body += text;
+    }
+}
+
 namespace {
 
-asio::awaitable<CallResult<HttpResponse>>
-readWholeAnswer(HttpExchange &exchange, const HttpRequest &request, Instant deadline)
+asio::awaitable<CallResult<HttpResponse>> readWholeAnswer(HttpExchange &exchange,
+                                                          const HttpRequest &request,
+                                                          Instant deadline, std::size_t maxBytes)
 {
     auto head = co_await exchange.start(request, deadline);
     if (const auto *failure = std::get_if<CallFailure>(&head))
@@ -378,15 +410,10 @@
 
     HttpResponse response;
     response.head = std::move(std::get<HttpResponseHead>(head));
-    while (true) {
-        auto part = co_await exchange.readPart(deadline);
-        if (const auto *failure = std::get_if<CallFailure>(&part))
-            co_return *failure;
-        const auto &text = std::get<std::string>(part);
-        if (text.empty())
-            break;
-        response.body += text;
-    }
+    auto body = co_await readBody(exchange, deadline, maxBytes);
+    if (const auto *failure = std::get_if<CallFailure>(&body))
+        co_return *failure;
+    response.body = std::move(std::get<std::string>(body));
     co_return response;
 }
 
@@ -394,17 +421,19 @@
 {
 public:
     BeastSession(std::shared_ptr<HttpClient::State> client, const Endpoint &endpoint)
-        : m_exchange(std::move(client), endpoint, ConnectionUse::Own)
+        : m_maxBodyBytes(client->settings.maxBodyBytes)
+        , m_exchange(std::move(client), endpoint, ConnectionUse::Own)
     {
     }
 
     asio::awaitable<CallResult<HttpResponse>> call(const HttpRequest &request,
                                                    Instant deadline) override
     {
-        co_return co_await readWholeAnswer(m_exchange, request, deadline);
+        co_return co_await readWholeAnswer(m_exchange, request, deadline, m_maxBodyBytes);
     }
 
 private:
+    std::size_t m_maxBodyBytes;
     BeastExchange m_exchange;
 };
 
@@ -439,7 +468,7 @@
                                                            Instant deadline)
 {
     const auto own = exchange(endpoint, false);
-    co_return co_await readWholeAnswer(*own, request, deadline);
+    co_return co_await readWholeAnswer(*own, request, deadline, m_state->settings.maxBodyBytes);
 }
 
 } // namespace burdock
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -4,10 +4,14 @@
 //   CallFailure     why a call failed, and whether any byte of it was sent
 //   HttpResponse    a whole answer, and a check whether it was cut off
 //   HttpExchange    one request over one connection, its answer read part by part
+//   readBody        the rest of an answer, within a bound
 //   HttpSession     several calls over one and the same connection
 //   HttpClientSettings
 //   HttpClient      keeps idle connections and makes exchanges and whole calls
 //
+// Servers in trouble send answers without end: every read ends by its deadline, also while bytes
+// keep arriving, and heads, whole bodies and what is buffered between them are bounded.
+//
 // What failed matters: a request whose first byte was never written has certainly not run; once a
 // byte was written, a missing answer says nothing about that.
 #pragma once
@@ -75,6 +79,11 @@
     virtual void cancel() = 0;
 };
 
+/// Reads the body of an answer whose head was read. If it is too long or late, the exchange ends.
+/// @param maxBytes longest body that is taken
+boost::asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
+                                                         std::size_t maxBytes);
+
 // ---- Session ------------------------------------------------------------------------------------
 
 /// Calls that must reach the same process: a connection does not survive the other side's restart.
@@ -98,6 +107,7 @@
                                                     // or if kept connections turn out dead
     std::chrono::milliseconds idleLeast { 50 };     // the least it is lowered to
     std::chrono::milliseconds silenceTimeout { 0 }; // unacknowledged data or probes; 0: off
+    std::size_t maxBodyBytes = 16 * 1024 * 1024;    // of a whole answer
 };
 
 class HttpClient
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -21,7 +21,8 @@
 const std::string NoAnswer;
 
 /// Answers each request head with the next text; with "Close-Now" in it, the connection is closed
-/// after it, with "Reset-Now" it is reset.
+/// after it, with "Reset-Now" it is reset. With `endless` set, it goes on with that over and over
+/// until the caller closes the connection.
 struct ScriptedServer
 {
     ScriptedServer(boost::asio::io_context &context, std::vector<std::string> texts)
@@ -60,6 +61,10 @@
                 continue;
             co_await boost::asio::async_write(socket, boost::asio::buffer(text),
                                               withError(failure));
+            if (!endless.empty()) {
+                co_await writeOn(socket);
+                co_return;
+            }
             if (text.find("Reset-Now") != std::string::npos) {
                 socket.set_option(boost::asio::socket_base::linger(true, 0), failure);
                 socket.close(failure); // the destructor would close it without a reset
@@ -70,11 +75,34 @@
         }
     }
 
+    boost::asio::awaitable<void> writeOn(boost::asio::ip::tcp::socket &socket)
+    {
+        constexpr std::size_t BytesPerWrite = 16 * 1024;
+        std::string text = endless;
+        while (endlessPause.count() == 0 && text.size() < BytesPerWrite)
+            text += text;
+        boost::system::error_code failure;
+        while (!failure && endlessBytes < MostEndlessBytes) {
+            endlessBytes += co_await boost::asio::async_write(socket, boost::asio::buffer(text),
+                                                              withError(failure));
+            if (endlessPause.count() > 0)
+                co_await sleepFor(endlessPause);
+        }
+        closedByCaller += failure ? 1 : 0;
+    }
+
+    /// Ends even the answers of a caller that never closes.
+    static constexpr std::size_t MostEndlessBytes = 512 * 1024 * 1024;
+
     boost::asio::io_context &io;
     boost::asio::ip::tcp::acceptor acceptor;
     std::vector<std::string> answers;
     std::size_t next = 0;
     int connections = 0;
+    std::string endless;                          // follows each answer
+    std::chrono::milliseconds endlessPause { 0 }; // between repetitions; 0: as fast as they go
+    std::size_t endlessBytes = 0;                 // written so far
+    int closedByCaller = 0;                       // connections closed while it went on
 };
 
 } // namespace burdock
