--- a/tests/net/test_endlessanswers.cpp
+++ b/tests/net/test_endlessanswers.cpp
@@ -72,8 +72,8 @@
 
 TEST(EndlessAnswers, BytesThatAreNoAnswer)
 {
-    endsByItsDeadline("", "\r\n");
-    endsByItsDeadline("", "x");
+    endsByItsDeadline("\r\n", "\r\n");
+    endsByItsDeadline("x", "x");
 }
 
 TEST(EndlessAnswers, ABodyThatWouldEndWithItsConnection)
