A resumable stream that falls silent goes on at another replica

With two attempts, as routes usually allow, a stream whose replica fell silent after its first event waited until the request's deadline: the current attempt was counted twice when the node asked whether another one is possible, once as a run and once as the attempt to come.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -295,7 +295,8 @@
 /// @return whether giving up the current attempt could lead to another one
 bool RequestFlow::mayTryAnother() const
 {
-    return m_request.repeatable && m_progress.runs + 1 < m_request.attempts && m_hasAlternative
+    const int runs = m_progress.runs + (m_awaitsHead ? 1 : 0); // with the current attempt
+    return m_request.repeatable && runs < m_request.attempts && m_hasAlternative
             && m_state.budgetOf(m_request.service).tokens() >= 1.0;
 }
 
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -90,6 +90,22 @@
     CHECK(caller.ended);
 }
 
+// The attempt that had fallen silent was counted twice against the route's attempts.
+TEST(RequestFlow, AStreamThatFallsSilentGoesOnAtAnotherReplica)
+{
+    offersAllAtOnce = true;
+    const std::string second = "id: 2\ndata: b\n\n";
+    servers.push_back(std::make_unique<ScriptedServer>(
+            io,
+            std::vector { "HTTP/1.1 200 OK\r\n" + Head
+                          + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n" }));
+    servers[0]->endless = "id: 2";
+    servers[0]->endlessPause = 5s;
+    play("/stream/a", { events(second, true) });
+    CHECK_EQUAL("id: 1\ndata: a\n\n" + second, caller.body);
+    CHECK(caller.ended);
+}
+
 // An answer of the node's own would have followed the events that the caller had.
 TEST(RequestFlow, AStreamGivenUpWhileItClaimsAReplicaHasNoEnd)
 {
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -80,6 +80,7 @@
     Caller caller;
     std::string service = "s";     // of the replicas that are offered
     std::vector<ModelCopy> models; // that they hold
+    bool offersAllAtOnce = false;  // the first one gets the first attempt
 
     void setup() override
     {
@@ -122,7 +123,7 @@
         std::size_t next = 0;
         const auto offer = [&] {
             // One replica at a time, so that the order of the scripts is the order of the attempts.
-            if (next > 0)
+            if (next > 0 && !offersAllAtOnce)
                 state->replicas.onDelisted("r" + std::to_string(next - 1), false, steadyNow());
             ReplicaInfo info;
             info.id = "r" + std::to_string(next);
@@ -131,10 +132,13 @@
             info.address = toText(servers[next]->endpoint());
             info.startedMs = 1;
             info.slots = 4;
+            info.zone = next == 0 ? "" : "far"; // the first one is preferred
             state->replicas.onAnnounced(info, steadyNow());
             next++;
         };
-        offer();
+        do {
+            offer();
+        } while (offersAllAtOnce && next < servers.size());
         RequestFlow flow(*state, announcer, request, caller);
         bool done = false;
         asio::co_spawn(io, flow.run(), [&done](const std::exception_ptr &failure) {
