Answers without end are broken off in both interfaces

A replica in trouble may send bytes without end. An event that never ends filled the memory (179 MB in 2 s); the body of a refusal was read until the request's deadline, so that no other replica was tried; bytes or comments now and then kept a stalled stream alive up to the deadline, or for good in the product's own interface. An event has a longest length, the body of a refusal is read only if it is short and at once, and a stream's silence is measured from its latest event. Whole answers that are being read share one bound.

--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -101,6 +101,7 @@
     bool leaving = false;          // a stop was asked for
     Instant refuseFrom;            // of a stop: later requests might not end before the process
     std::uint64_t lastRequestId = 0;
+    std::size_t answerBytes = 0; // of whole answers that are being read from replicas
 
 private:
     std::map<std::string, RetryBudget> m_budgets;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -28,8 +28,15 @@
 /// An attempt at an unresponsive replica is ended after this many times the expected time, so that
 /// another one can still be in time or nearly so.
 constexpr double PatienceFactor = 6.0;
-/// Bounds the memory that one whole answer may take.
+/// Bounds the memory that one whole answer may take, and all that are being read together.
 constexpr std::size_t MostAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t MostAnswerBytesOfAll = 32 * 1024 * 1024;
+/// Up to here an answer is read whatever the others take.
+constexpr std::size_t LeastAnswerBytes = 64 * 1024;
+/// The body of an answer that is not needed is read, so that its connection can be used again, only
+/// if it is short and comes at once.
+constexpr std::size_t MostUnusedBytes = 64 * 1024;
+constexpr milliseconds UnusedBodyTime { 100 };
 
 /// The most urgent priority gets this urgency, each lower one the next; 9 is the last there is.
 constexpr int FirstUrgency = 3;
@@ -42,6 +49,35 @@
     return !type || type->starts_with("text/event-stream");
 }
 
+/// Bytes of one body in the total of all bodies that are being read.
+class CountedBytes
+{
+public:
+    explicit CountedBytes(std::size_t &total)
+        : m_total(total)
+    {
+    }
+    ~CountedBytes() { m_total -= m_own; }
+    CountedBytes(const CountedBytes &) = delete;
+    CountedBytes &operator=(const CountedBytes &) = delete;
+
+    /// @return whether so many more may be read
+    bool tryAdd(std::size_t bytes)
+    {
+        const bool isWithinTotal =
+                m_own + bytes <= LeastAnswerBytes || m_total + bytes <= MostAnswerBytesOfAll;
+        if (m_own + bytes > MostAnswerBytes || !isWithinTotal)
+            return false;
+        m_own += bytes;
+        m_total += bytes;
+        return true;
+    }
+
+private:
+    std::size_t &m_total;
+    std::size_t m_own = 0;
+};
+
 milliseconds toMilliseconds(Duration time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -359,7 +395,7 @@
     if (answer.pause || !answer.malformedPause.empty())
         notePause(start, answer);
     if (answer.notRun) {
-        co_await readBody(); // so that the connection can be used again
+        co_await discardBody();
         if (answer.otherReplica)
             co_return AttemptResult::OtherReplica;
         co_return answer.copyAbsent ? AttemptResult::CopyAbsent : AttemptResult::NotRun;
@@ -503,10 +539,11 @@
 
 // ---- Whole answers ------------------------------------------------------------------------------
 
-asio::awaitable<std::optional<std::string>> RequestFlow::readBody()
+asio::awaitable<std::optional<std::string>> RequestFlow::readWholeBody()
 {
     std::string body;
     const Instant last = m_request.deadline + AnswerSlack;
+    CountedBytes counted(m_state.answerBytes);
     while (true) {
         auto part = co_await m_exchange->readPart(last);
         if (const auto *failure = std::get_if<CallFailure>(&part)) {
@@ -517,7 +554,7 @@
         const auto &text = std::get<std::string>(part);
         if (text.empty())
             co_return body;
-        if (body.size() + text.size() > MostAnswerBytes) {
+        if (!counted.tryAdd(text.size())) {
             m_failure = "the answer is longer than this node buffers";
             m_exchange->cancel();
             co_return std::nullopt;
@@ -526,9 +563,17 @@
     }
 }
 
+asio::awaitable<void> RequestFlow::discardBody()
+{
+    const Instant last = std::min<Instant>(m_request.deadline, steadyNow() + UnusedBodyTime);
+    const auto body = co_await readBody(*m_exchange, last, MostUnusedBytes);
+    if (const auto *failure = std::get_if<CallFailure>(&body))
+        m_failure = failure->message;
+}
+
 asio::awaitable<AttemptResult> RequestFlow::takeWhole(const HttpResponseHead &head)
 {
-    auto body = co_await readBody();
+    auto body = co_await readWholeBody();
     if (body && isVisiblyTruncated(head, *body)) {
         m_failure = TruncatedBody;
         m_connectionBroke = true;
@@ -594,8 +639,9 @@
     const Instant last = m_request.deadline + AnswerSlack;
     const Duration silence =
             std::max<Duration>(LeastSilence, SilentPauses * Duration(m_route->gapObjective));
+    Instant silentUntil; // from the latest event that is more than a comment
     while (true) {
-        const Instant before = m_firstByteSeen ? steadyNow() + silence : firstByteDeadline(start);
+        const Instant before = m_firstByteSeen ? silentUntil : firstByteDeadline(start);
         const bool canResume = m_request.resumable && mayTryAnother();
         auto part = co_await m_exchange->readPart(canResume ? std::min(before, last) : last);
         if (const auto *failure = std::get_if<CallFailure>(&part))
@@ -604,15 +650,24 @@
         if (text.empty())
             break;
         auto events = parser.add(text);
+        if (parser.isOverlong()) {
+            const CallFailure failure { true, false, false, "an event has no end" };
+            co_return breakOff(failure, false);
+        }
         if (events.empty())
             continue;
-        noteFirstByte(start);
-        const Instant now = steadyNow();
-        if (m_progress.eventsForwarded)
-            m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
-        m_lastEventAt = now;
+        const bool isProgress = hasContent(events);
+        if (isProgress) {
+            noteFirstByte(start);
+            const Instant now = steadyNow();
+            if (m_progress.eventsForwarded)
+                m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+            m_lastEventAt = now;
+        }
         if (!co_await passEvents(head, std::move(events)))
             co_return AttemptResult::CallerLeft;
+        if (isProgress)
+            silentUntil = steadyNow() + silence; // the caller may have been slow to take them
     }
     const bool isCloseDelimited = head.delimiter == BodyDelimiter::Close;
     const StreamEnd end { .isInsideEvent = parser.isInsideEvent(),
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -66,7 +66,10 @@
     boost::asio::awaitable<AttemptResult> attempt(const StartRequest &start);
     boost::asio::awaitable<AttemptResult> exchangeOnce(const StartRequest &start);
     /// @return the rest of the replica's answer; nothing when it does not come whole
-    boost::asio::awaitable<std::optional<std::string>> readBody();
+    boost::asio::awaitable<std::optional<std::string>> readWholeBody();
+    /// Reads the rest of an answer that is not needed, so that the connection can be used again;
+    /// closes the connection if that takes too long.
+    boost::asio::awaitable<void> discardBody();
     boost::asio::awaitable<AttemptResult> takeWhole(const HttpResponseHead &head);
     boost::asio::awaitable<AttemptResult> takeStream(const HttpResponseHead &head,
                                                      const StartRequest &start);
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -107,17 +107,24 @@
 asio::awaitable<AttemptEnd> StreamRelay::relayEvents(StreamAttempt &attempt, ResponsePart part)
 {
     EventStreamParser parser;
+    Instant silentUntil = steadyNow() + attempt.gapTimeout;
     while (!m_check.isComplete()) {
-        auto read = co_await attempt.exchange->readPart(steadyNow() + attempt.gapTimeout);
+        auto read = co_await attempt.exchange->readPart(silentUntil);
         if (const auto *failure = std::get_if<CallFailure>(&read))
             co_return breakOff(attempt.number, endOf(*failure), failure->message);
         const auto &text = std::get<std::string>(read);
         if (text.empty())
             co_return breakOff(attempt.number, AttemptEnd::Failed,
                                "the stream ended without its end mark");
-        const AttemptEnd end = co_await deliver(parser.add(text), part);
+        auto events = parser.add(text);
+        if (parser.isOverlong())
+            co_return breakOff(attempt.number, AttemptEnd::Failed, "an event has no end");
+        const bool isProgress = hasContent(events);
+        const AttemptEnd end = co_await deliver(std::move(events), part);
         if (end != AttemptEnd::Done)
             co_return end;
+        if (isProgress)
+            silentUntil = steadyNow() + attempt.gapTimeout;
     }
     co_return AttemptEnd::Done;
 }
--- a/src/net/eventstream.cpp
+++ b/src/net/eventstream.cpp
@@ -1,5 +1,6 @@
 #include "net/eventstream.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -32,6 +33,12 @@
 
 } // namespace
 
+bool hasContent(const std::vector<StreamEvent> &events)
+{
+    return std::any_of(events.begin(), events.end(),
+                       [](const StreamEvent &event) { return event.hasFields; });
+}
+
 std::vector<StreamEvent> EventStreamParser::add(std::string_view part)
 {
     m_pending += part;
--- a/src/net/eventstream.h
+++ b/src/net/eventstream.h
@@ -17,6 +17,9 @@
     bool hasFields = false;             // false: comments only, e.g. a keep-alive
 };
 
+/// @return whether one of the events is more than a comment
+bool hasContent(const std::vector<StreamEvent> &events);
+
 /// Lines end with LF, CR or CRLF; a blank line ends an event.
 class EventStreamParser
 {
@@ -30,6 +33,9 @@
     /// @return whether an event has begun and its blank line has not arrived
     bool isInsideEvent() const { return m_event.hasFields || m_lineStart < m_pending.size(); }
 
+    /// @return whether the current event is longer than any sound one, so that it may never end
+    bool isOverlong() const { return m_pending.size() > MaxEventBytes; }
+
     /// @return bytes that belong to no complete event yet
     std::size_t pendingBytes() const { return m_pending.size(); }
 
@@ -37,6 +43,8 @@
     std::string takePending();
 
 private:
+    static constexpr std::size_t MaxEventBytes = 256 * 1024;
+
     std::string m_pending;               // belongs to no complete event yet
     std::size_t m_lineStart = 0;         // of the unfinished line in m_pending
     std::size_t m_scanned = 0;           // m_pending has no line end between m_lineStart and here
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -31,6 +31,8 @@
 /// or after them, are an error.
 constexpr std::size_t MaxBufferedBytes = 2 * MaxAnswerHeaderBytes;
 constexpr std::size_t MaxIdlePerEndpoint = 64;
+/// Reads that an answer may still get after its deadline; together they take in what sockets hold.
+constexpr int MaxLateReads = 32;
 
 struct Connection
 {
@@ -179,6 +181,7 @@
     bool m_closed = false;
     bool m_kept = false; // the connection had served a request before
     bool m_headRead = false;
+    int m_lateReads = 0;   // reads of the answer after its deadline
     Duration m_idleFor {}; // the kept connection had been idle
     Instant m_idleUntil {};
     ConnectionPtr m_connection;
@@ -245,6 +248,7 @@
     m_connection->stream.expires_at(toSteady(deadline));
     m_parser.reset();
     m_headRead = false;
+    m_lateReads = 0;
     sendRequest(request);
 
     m_parser.emplace();
@@ -312,8 +316,9 @@
     while (part.empty() && m_connection && !m_parser->is_done()) {
         m_parser->get().body().data = m_part.data();
         m_parser->get().body().size = m_part.size();
-        // The timer does not end a read that always finds bytes.
-        if (steadyNow() >= deadline)
+        // The timer does not end a read that always finds bytes. What has already arrived when a
+        // suspended process goes on is still read.
+        if (steadyNow() >= deadline && ++m_lateReads > MaxLateReads)
             co_return failed(beast::error::timeout);
         m_connection->stream.expires_at(toSteady(deadline));
         co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
--- a/tests/entry/test_relay.cpp
+++ b/tests/entry/test_relay.cpp
@@ -35,11 +35,15 @@
     Caller caller;
     StreamRelay relay { caller, RequestNumber, RequestName };
     std::unique_ptr<ScriptedServer> engine;
+    std::string endless; // follows its answer, with that pause
+    std::chrono::milliseconds endlessPause { 20 };
 
     /// Relays one attempt; when it fails, the stream is given up.
     AttemptEnd play(const std::string &answer)
     {
         engine = std::make_unique<ScriptedServer>(io, std::vector { answer });
+        engine->endless = endless;
+        engine->endlessPause = endlessPause;
         AttemptEnd end = AttemptEnd::ConnectFailed;
         bool done = false;
         const auto run = [&]() -> asio::awaitable<void> {
@@ -64,6 +68,7 @@
         const Instant limit = steadyNow() + 3s;
         while (!done && steadyNow() < limit)
             io.run_for(5ms);
+        io.run_for(100ms); // the engine notices a close when it writes
         return end;
     }
 };
@@ -101,3 +106,18 @@
     io.run_for(100ms);
     CHECK(answer.end == AttemptEnd::Lost);
 }
+
+TEST(StreamRelay, CommentsWithoutEndDoNotKeepAStreamAlive)
+{
+    endless = ": still here\n\n";
+    CHECK(play(closeDelimited(Part)) != AttemptEnd::Done);
+    CHECK_EQUAL(1, engine->closedByCaller);
+}
+
+TEST(StreamRelay, AnEventWithoutEndIsBrokenOff)
+{
+    endless = "data";
+    endlessPause = {};
+    CHECK(play(closeDelimited(Part)) == AttemptEnd::Failed);
+    CHECK(engine->endlessBytes < 32 * 1024 * 1024);
+}
