A node's share of the retry budget follows the number of known nodes

A node that had just started knew few others and kept a share of the slack for two nodes, 6 tokens, for as long as its process ran.

--- a/src/decide/retrybudget.cpp
+++ b/src/decide/retrybudget.cpp
@@ -15,6 +15,12 @@
     m_tokens = std::min(m_settings.maxTokens, m_tokens + m_settings.tokensPerSuccess);
 }
 
+void RetryBudget::setMaxTokens(double maxTokens)
+{
+    m_settings.maxTokens = maxTokens;
+    m_tokens = std::min(m_tokens, maxTokens);
+}
+
 bool RetryBudget::trySpend()
 {
     if (m_tokens < 1.0) {
--- a/src/decide/retrybudget.h
+++ b/src/decide/retrybudget.h
@@ -27,6 +27,10 @@
     /// Adds `tokensPerSuccess` tokens, up to `maxTokens`.
     void onSuccess();
 
+    /// Sets the most tokens, and drops those beyond it. The fleet's tokens are shared by the nodes
+    /// that are known, and more may become known.
+    void setMaxTokens(double maxTokens);
+
     /// Spends one token.
     /// @return whether a token was available; if not, the request must not be retried
     bool trySpend();
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -105,15 +105,18 @@
 
 RetryBudget &NodeState::budgetOf(const std::string &service)
 {
+    const double nodes = double(std::max<std::size_t>(directory.nodeCount(), 2));
+    const double maxTokens = std::clamp(BudgetShare * profile.bounds.retrySlack / nodes,
+                                        NodeBudgetLeast, NodeBudgetMost);
     const auto found = m_budgets.find(service);
-    if (found != m_budgets.end())
+    if (found != m_budgets.end()) {
+        found->second.setMaxTokens(maxTokens);
         return found->second;
-    const double nodes = double(std::max<std::size_t>(directory.nodeCount(), 2));
+    }
     RetryBudgetSettings settings;
     settings.tokensPerSuccess = BudgetShare * profile.bounds.retryRatio;
-    settings.maxTokens = std::clamp(BudgetShare * profile.bounds.retrySlack / nodes,
-                                    NodeBudgetLeast, NodeBudgetMost);
-    settings.initialTokens = settings.maxTokens / 2.0; // restarts hand out this much anew
+    settings.maxTokens = maxTokens;
+    settings.initialTokens = maxTokens / 2.0; // restarts hand out this much anew
     return m_budgets.emplace(service, RetryBudget(settings)).first->second;
 }
 
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -106,6 +106,16 @@
     CHECK(caller.ended);
 }
 
+// A node that had just started took the fleet's slack for two nodes as its own share for good.
+TEST(RequestFlow, ItsShareOfTheRetryBudgetFallsAsMoreNodesAreKnown)
+{
+    CHECK_COMPARE(state->budgetOf("s").tokens(), >, 1.0);
+    for (int node = 0; node < 80; ++node)
+        state->directory.onIndirectReport({ "other" + std::to_string(node), "ip", "z" },
+                                          steadyNow());
+    CHECK_COMPARE(state->budgetOf("s").tokens(), <=, 1.0);
+}
+
 // An answer of the node's own would have followed the events that the caller had.
 TEST(RequestFlow, AStreamGivenUpWhileItClaimsAReplicaHasNoEnd)
 {
