--- a/src/edge/storewatch.cpp
+++ b/src/edge/storewatch.cpp
@@ -74,6 +74,9 @@
         co_return;
     }
     if (const auto *failure = std::get_if<StoreUnavailable>(&answer)) {
+        // A watch brings every version since, whole; a list only the newest.
+        if (m_kind == ObjectKind::Configuration)
+            m_revision = 0;
         co_await pauseAfterFailure(failure->message);
         co_return;
     }
--- a/src/edge/storewatch.h
+++ b/src/edge/storewatch.h
@@ -1,7 +1,8 @@
 // Follows all objects of one kind in the store: lists them once, then watches their changes.
 //
-// A call that fails is repeated from the revision reached, after a pause that grows; only when the
-// store has forgotten that part of its history are the objects listed anew.
+// A call that fails is repeated from the revision reached, after a pause that grows. Objects are
+// listed anew when the store has forgotten that part of its history, and after a failure those of
+// which only the newest version counts: the configuration.
 #pragma once
 
 #include "edge/eventlog.h"
