What replicas say of themselves is read from answers to orders and report requests, too

A limit, a pause or the leaving flag in such an answer was dropped. Answers to orders and reports set a limit and never lift one.

--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -251,10 +251,27 @@
     return true;
 }
 
+SignalSource CopyShell::signalSource(const std::string &replica) const
+{
+    const ReplicaRow *row = m_state.replicas.find(replica);
+    if (row == nullptr)
+        return {};
+    return { replica, row->generation, row->info.startedMs, steadyNow(), "" };
+}
+
+void CopyShell::takeSignals(const ReplicaSignals &signals, const SignalSource &source)
+{
+    if (source.replica.empty())
+        return; // it was no longer listed when the command was sent
+    if (const auto note = m_state.takeSignals(signals, source))
+        m_link.send(*note, m_state.directory.ingressAddresses(steadyNow()));
+}
+
 asio::awaitable<void> CopyShell::sendOrder(SendCommand action)
 {
     const auto endpoint = parseEndpoint(action.address);
-    OrderResult answer = OrderResult::Conflict; // nothing was sent
+    OrderAnswer answer { OrderResult::Conflict, {} }; // nothing was sent
+    const SignalSource source = signalSource(action.command.replica);
     // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so
     // it is read at the last moment.
     if (isOk(endpoint) && holds() && mayCommand(action.command.replica, CommandKind::Order))
@@ -269,24 +286,27 @@
             .field("term", action.command.term)
             .field("demand", action.demand)
             .field("copies", action.copies)
-            .field("answer", orderResultName(answer));
+            .field("answer", orderResultName(answer.result));
     m_state.metrics.count("burdock_orders_total");
-    m_placement.onOrderResult(action.command, answer, steadyNow());
+    takeSignals(answer.signals, source);
+    m_placement.onOrderResult(action.command, answer.result, steadyNow());
     tickPlacement();
 }
 
 asio::awaitable<void> CopyShell::askReport(RequestReport action)
 {
     const auto endpoint = parseEndpoint(action.address);
-    std::optional<EngineReport> report;
+    ReportAnswer answer;
+    const SignalSource source = signalSource(action.replica);
     if (isOk(endpoint) && mayCommand(action.replica, CommandKind::Report))
-        report = co_await m_state.ports.engines.report(valueOf(endpoint), action.replica,
+        answer = co_await m_state.ports.engines.report(valueOf(endpoint), action.replica,
                                                        steadyNow() + OrderDeadline);
     m_state.log.line("report")
             .field("replica", action.replica)
-            .field("answered", report ? "yes" : "no")
-            .field("orders", report ? report->ordersAccepted : 0);
-    m_placement.onReport(action.replica, report, steadyNow());
+            .field("answered", answer.report ? "yes" : "no")
+            .field("orders", answer.report ? answer.report->ordersAccepted : 0);
+    takeSignals(answer.signals, source);
+    m_placement.onReport(action.replica, answer.report, steadyNow());
 }
 
 } // namespace burdock
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -38,6 +38,8 @@
     boost::asio::awaitable<void> askReport(RequestReport action);
     void noteGivenBack(const LeaseReadResult &read);
     bool mayCommand(const std::string &replica, CommandKind kind);
+    SignalSource signalSource(const std::string &replica) const;
+    void takeSignals(const ReplicaSignals &signals, const SignalSource &source);
     void tickLease();
     void tickPlacement();
 
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -355,25 +355,13 @@
             m_state.claims.onClaim(prompt->replica, prompt->ticket, now);
         }
     } else if (const auto *limit = std::get_if<LimitNote>(&message)) {
-        onLimitNote(*limit);
+        m_state.takeLimitNote(*limit);
     } else {
         const auto &loss = std::get<LossNote>(message);
         m_state.suspects.onReplicaLost(loss.fingerprint, loss.replica, now);
     }
 }
 
-void EdgeProgram::onLimitNote(const LimitNote &note)
-{
-    const Instant now = steadyNow();
-    RequestLimits &limits = m_state.replicas.limits();
-    if (!limits.onNote(note, now))
-        return;
-    m_state.log.line("request_limit")
-            .field("replica", note.replica)
-            .field("limit", note.limit ? std::to_string(*note.limit) : "lifted")
-            .field("share", limits.share(note.replica, now).value_or(-1.0));
-}
-
 void EdgeProgram::onHeartbeat(const BeatMessage &message)
 {
     const Instant now = steadyNow();
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -79,7 +79,6 @@
 private:
     void onPeerMessage(const PeerMessage &message) override;
     void onHeartbeat(const BeatMessage &message);
-    void onLimitNote(const LimitNote &note);
     void onList(ObjectKind kind, const std::vector<StoredItem> &items) override;
     void onChanges(ObjectKind kind, const std::vector<StoredItem> &items) override;
     bool announcePrompt(const PromptNote &note) override;
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -120,6 +120,72 @@
     return m_budgets.emplace(service, RetryBudget(settings)).first->second;
 }
 
+std::optional<LimitNote> NodeState::takeSignals(const ReplicaSignals &signals,
+                                                const SignalSource &source)
+{
+    const Instant now = steadyNow();
+    const Instant drainedAt = now + Duration(profile.bounds.drainTime);
+    if (signals.leaving && replicas.onLeaving(source.replica, source.generation, drainedAt, now))
+        log.line("replica_leaving")
+                .field("request", source.request)
+                .field("replica", source.replica)
+                .field("drained_in_ms", drainedAt - now);
+    takePause(signals, source);
+    return takeLimit(signals, source);
+}
+
+void NodeState::takePause(const ReplicaSignals &signals, const SignalSource &source)
+{
+    if (!signals.pause && signals.malformedPause.empty())
+        return;
+    const Instant now = steadyNow();
+    const auto asked = signals.pause.value_or(std::chrono::milliseconds(0));
+    const Instant until = replicas.onPauseRequested(source.replica, source.generation, asked, now);
+    log.line("pause")
+            .field("request", source.request)
+            .field("replica", source.replica)
+            .field("asked_ms", std::int64_t(asked.count()))
+            .field("malformed", signals.malformedPause)
+            .field("paused_ms", std::max<Duration>(Duration::zero(), until - now));
+}
+
+std::optional<LimitNote> NodeState::takeLimit(const ReplicaSignals &signals,
+                                              const SignalSource &source)
+{
+    if (!signals.requestLimit && !signals.malformedLimit.empty()) {
+        log.line("request_limit")
+                .field("request", source.request)
+                .field("replica", source.replica)
+                .field("malformed", signals.malformedLimit);
+        return std::nullopt; // what cannot be read does not lift a limit
+    }
+    // Only answers to requests show that a limit was lifted.
+    if (!signals.requestLimit && source.request.empty())
+        return std::nullopt;
+    const Instant now = steadyNow();
+    const LimitChange change = replicas.limits().onAnswer(source.replica, source.startedMs,
+                                                          signals.requestLimit, source.sentAt, now);
+    if (change.isNew)
+        logLimit(source.replica, signals.requestLimit, source.request);
+    return change.note;
+}
+
+void NodeState::takeLimitNote(const LimitNote &note)
+{
+    if (replicas.limits().onNote(note, steadyNow()))
+        logLimit(note.replica, note.limit, "");
+}
+
+void NodeState::logLimit(const std::string &replica, std::optional<double> limit,
+                         const std::string &request)
+{
+    log.line("request_limit")
+            .field("request", request)
+            .field("replica", replica)
+            .field("limit", limit ? std::to_string(*limit) : "lifted")
+            .field("share", replicas.limits().share(replica, steadyNow()).value_or(-1.0));
+}
+
 void NodeState::takeCopyChange(const AnnounceCopyChange &change)
 {
     const Instant now = steadyNow();
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -63,6 +63,16 @@
 
 class RequestFlow;
 
+/// The answer of a replica that signals came with.
+struct SignalSource
+{
+    std::string replica;
+    std::uint64_t generation = 0; // ReplicaRow::generation when the request was sent
+    std::uint64_t startedMs = 0;  // start of its process, as known then
+    Instant sentAt;               // when the request was sent
+    std::string request;          // name of the caller's request; empty: an order or report request
+};
+
 struct NodeState
 {
     NodeState(boost::asio::io_context &context, NodeProfile nodeProfile, PlatformPorts platform);
@@ -76,6 +86,16 @@
     /// Takes the news of a copy into the table of replicas.
     void takeCopyChange(const AnnounceCopyChange &change);
 
+    /// Takes what a replica says of itself: that it leaves, wants a pause or limits its requests.
+    /// @return news of its limit for the other nodes, if any
+    std::optional<LimitNote> takeSignals(const ReplicaSignals &signals, const SignalSource &source);
+
+    /// Takes only the pause that a replica asks for.
+    void takePause(const ReplicaSignals &signals, const SignalSource &source);
+
+    /// Takes another node's news of a replica's limit.
+    void takeLimitNote(const LimitNote &note);
+
     /// Takes a configuration, unless it is not newer than the one in force.
     void applyConfig(ServingConfig config);
 
@@ -104,6 +124,10 @@
     std::size_t answerBytes = 0; // of whole answers that are being read from replicas
 
 private:
+    std::optional<LimitNote> takeLimit(const ReplicaSignals &signals, const SignalSource &source);
+    void logLimit(const std::string &replica, std::optional<double> limit,
+                  const std::string &request);
+
     std::map<std::string, RetryBudget> m_budgets;
 };
 
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -135,21 +135,35 @@
     int urgency = 5;                          // 0 is first, 9 is last
 };
 
-/// The head of a replica's answer, decoded.
-struct ReplicaAnswer
+/// What a replica says of itself in the head of any answer.
+struct ReplicaSignals
 {
-    bool foreign = false;      // it belongs to another request, or bears no proof of its replica
-    bool notRun = false;       // the replica said that it has not run the request
-    bool otherReplica = false; // another replica has the address; not run
-    bool copyAbsent = false;   // the model or adapter is not there; not run
-    bool leaving = false;      // the replica is about to terminate
-    std::optional<ReplicaLoadReport> load;
+    bool leaving = false; // the replica is about to terminate
     /// The replica wants no further request of this node for this long.
     std::optional<std::chrono::milliseconds> pause;
     std::string malformedPause; // as sent, if it could not be used
     /// Requests a second that the replica takes from all nodes together; at least 0.
     std::optional<double> requestLimit;
     std::string malformedLimit; // as sent, if it could not be used
+
+    /// Keeps only the pause, which does no harm if another replica asked for it.
+    void keepPauseOnly()
+    {
+        leaving = false;
+        requestLimit.reset();
+        malformedLimit.clear();
+    }
+};
+
+/// The head of a replica's answer to a request, decoded. Of an answer that may be another
+/// replica's, only a pause is kept of the signals.
+struct ReplicaAnswer : public ReplicaSignals
+{
+    bool foreign = false;      // it belongs to another request, or bears no proof of its replica
+    bool notRun = false;       // the replica said that it has not run the request
+    bool otherReplica = false; // another replica has the address; not run
+    bool copyAbsent = false;   // the model or adapter is not there; not run
+    std::optional<ReplicaLoadReport> load;
 };
 
 class RequestDialect
@@ -187,18 +201,30 @@
 
 // ---- Engines ------------------------------------------------------------------------------------
 
+struct OrderAnswer
+{
+    OrderResult result = OrderResult::Unanswered;
+    ReplicaSignals signals; // empty unless the replica itself answered
+};
+
+struct ReportAnswer
+{
+    std::optional<EngineReport> report; // nothing: no usable answer
+    ReplicaSignals signals;             // as in OrderAnswer
+};
+
 class EngineControl
 {
 public:
     virtual ~EngineControl() = default;
 
     /// Sends an order, once.
-    virtual boost::asio::awaitable<OrderResult> order(Endpoint replica, EngineCommand command,
+    virtual boost::asio::awaitable<OrderAnswer> order(Endpoint replica, EngineCommand command,
                                                       Instant deadline) = 0;
 
     /// Asks a replica what it holds.
-    virtual boost::asio::awaitable<std::optional<EngineReport>>
-    report(Endpoint replica, std::string id, Instant deadline) = 0;
+    virtual boost::asio::awaitable<ReportAnswer> report(Endpoint replica, std::string id,
+                                                        Instant deadline) = 0;
 };
 
 } // namespace burdock
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -389,11 +389,7 @@
         m_replicaLimit = answer.malformedLimit;
     if (answer.load)
         m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
-    noteLimit(start, answer);
-    if (answer.leaving)
-        noteLeaving(start);
-    if (answer.pause || !answer.malformedPause.empty())
-        notePause(start, answer);
+    takeSignals(start, answer);
     if (answer.notRun) {
         co_await discardBody();
         if (answer.otherReplica)
@@ -419,57 +415,16 @@
         m_state.replicas.limits().onHead(start.choice.id);
 }
 
-void RequestFlow::noteLimit(const StartRequest &start, const ReplicaAnswer &answer)
+void RequestFlow::takeSignals(const StartRequest &start, const ReplicaAnswer &answer)
 {
-    // Answers of others say nothing of this replica; what cannot be read does not lift a limit.
-    if (answer.foreign || answer.otherReplica)
-        return;
-    const std::string &replica = start.choice.id;
-    if (!answer.requestLimit && !answer.malformedLimit.empty()) {
-        m_state.log.line("request_limit")
-                .field("request", m_caller.name)
-                .field("replica", replica)
-                .field("malformed", answer.malformedLimit);
+    const SignalSource source { start.choice.id, start.choice.generation, m_replicaStartedMs,
+                                m_sentAt, m_caller.name };
+    if (answer.foreign || answer.otherReplica) {
+        m_state.takePause(answer, source);
         return;
     }
-    const Instant now = steadyNow();
-    RequestLimits &limits = m_state.replicas.limits();
-    const LimitChange change =
-            limits.onAnswer(replica, m_replicaStartedMs, answer.requestLimit, m_sentAt, now);
-    if (change.isNew)
-        m_state.log.line("request_limit")
-                .field("request", m_caller.name)
-                .field("replica", replica)
-                .field("limit", m_replicaLimit.empty() ? "lifted" : m_replicaLimit)
-                .field("share", limits.share(replica, now).value_or(-1.0));
-    if (change.note)
-        m_announcer.announceLimit(*change.note);
-}
-
-void RequestFlow::noteLeaving(const StartRequest &start)
-{
-    const Instant now = steadyNow();
-    const Instant drainedAt = now + Duration(m_state.profile.bounds.drainTime);
-    const std::string &replica = start.choice.id;
-    if (m_state.replicas.onLeaving(replica, start.choice.generation, drainedAt, now))
-        m_state.log.line("replica_leaving")
-                .field("request", m_caller.name)
-                .field("replica", replica)
-                .field("drained_in_ms", drainedAt - now);
-}
-
-void RequestFlow::notePause(const StartRequest &start, const ReplicaAnswer &answer)
-{
-    const Instant now = steadyNow();
-    const milliseconds asked = answer.pause.value_or(milliseconds(0));
-    const Instant until =
-            m_state.replicas.onPauseRequested(start.choice.id, start.choice.generation, asked, now);
-    m_state.log.line("pause")
-            .field("request", m_caller.name)
-            .field("replica", start.choice.id)
-            .field("asked_ms", std::int64_t(asked.count()))
-            .field("malformed", answer.malformedPause)
-            .field("paused_ms", std::max<Duration>(Duration::zero(), until - now));
+    if (const auto note = m_state.takeSignals(answer, source))
+        m_announcer.announceLimit(*note);
 }
 
 AttemptResult RequestFlow::endOf(const CallFailure &failure) const
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -77,10 +77,8 @@
                                             std::vector<StreamEvent> events);
     boost::asio::awaitable<bool> beginStream(const HttpResponseHead &head);
     void noteFirstByte(const StartRequest &start);
-    void noteLeaving(const StartRequest &start);
-    void noteLimit(const StartRequest &start, const ReplicaAnswer &answer);
+    void takeSignals(const StartRequest &start, const ReplicaAnswer &answer);
     void noteHead(const StartRequest &start);
-    void notePause(const StartRequest &start, const ReplicaAnswer &answer);
     AttemptResult endOf(const CallFailure &failure) const;
     void noteEnd(const StartRequest &start, AttemptResult end);
     Instant firstByteDeadline(const StartRequest &start) const;
--- a/src/net/httptypes.cpp
+++ b/src/net/httptypes.cpp
@@ -32,12 +32,16 @@
     return "unknown";
 }
 
+bool isNamed(const HttpHeader &header, std::string_view name)
+{
+    return boost::beast::iequals(header.name, { name.data(), name.size() });
+}
+
 std::optional<std::string> headerValue(const std::vector<HttpHeader> &headers,
                                        std::string_view name)
 {
-    const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto &header) {
-        return boost::beast::iequals(header.name, { name.data(), name.size() });
-    });
+    const auto found = std::find_if(headers.begin(), headers.end(),
+                                    [name](const auto &header) { return isNamed(header, name); });
     if (found == headers.end())
         return std::nullopt;
     return found->value;
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -4,7 +4,7 @@
 //   HttpHeader, HttpRequest, HttpResponseHead
 //   BodyDelimiter  what marks the end of an answer's body
 //   Status...      status codes that the programs send or tell apart
-//   headerValue    looks up a header
+//   isNamed, headerValue   look at a header and look one up
 //   queryValue     looks up a query parameter
 #pragma once
 
@@ -60,6 +60,9 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
 
+/// @param name a header's name, in any case
+bool isNamed(const HttpHeader &header, std::string_view name);
+
 /// @param headers headers of a request or an answer
 /// @param name a header's name, in any case
 /// @return the first value, or nothing
--- /dev/null
+++ b/tests/adapter/test_replicacontrol.cpp
@@ -0,0 +1,88 @@
+// Orders and report requests to model replicas over HTTP.
+#include "net/httpclient.h"
+#include "platform/replicacontrol.h"
+#include "support/scriptedserver.h"
+
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace burdock;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string Signals = "Server-Limit: 2.5\r\nServer-Leaving: 1\r\n";
+
+std::string answer(const std::string &status, const std::string &headers, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(ReplicaControl)
+{
+    asio::io_context io { 1 };
+    HttpClient http { io };
+    ReplicaControl control { http };
+
+    template <typename Answer>
+    Answer play(const std::string &script,
+                const std::function<asio::awaitable<Answer>(Endpoint, Instant)> &call)
+    {
+        ScriptedServer server(io, { script });
+        Answer result;
+        const auto run = [&]() -> asio::awaitable<void> {
+            result = co_await call(server.endpoint(), steadyNow() + 1s);
+        };
+        io.restart();
+        asio::co_spawn(io, run(), asio::detached);
+        io.run_for(300ms);
+        return result;
+    }
+
+    OrderAnswer order(const std::string &script)
+    {
+        return play<OrderAnswer>(script, [this](Endpoint replica, Instant deadline) {
+            return control.order(std::move(replica), EngineCommand {}, deadline);
+        });
+    }
+
+    ReportAnswer report(const std::string &script)
+    {
+        return play<ReportAnswer>(script, [this](Endpoint replica, Instant deadline) {
+            return control.report(std::move(replica), "i-1", deadline);
+        });
+    }
+};
+
+TEST(ReplicaControl, AnOrdersAnswerBringsWhatTheReplicaSaysOfItself)
+{
+    const OrderAnswer accepted = order(answer("202 Accepted", Signals, "{}"));
+    CHECK(accepted.result == OrderResult::Accepted);
+    DOUBLES_EQUAL(2.5, *accepted.signals.requestLimit, 1e-9);
+    CHECK(accepted.signals.leaving);
+    const OrderAnswer paused = order(answer("503 Busy", "Retry-After: 2\r\n", ""));
+    CHECK(*paused.signals.pause == 2s);
+}
+
+TEST(ReplicaControl, AReportBringsItToo)
+{
+    const ReportAnswer read = report(answer("200 OK", Signals, R"({"sequence":3})"));
+    CHECK_EQUAL(3U, read.report->ordersAccepted);
+    DOUBLES_EQUAL(2.5, *read.signals.requestLimit, 1e-9);
+    const ReportAnswer paused = report(answer("503 Busy", "Retry-After: 2\r\n", ""));
+    CHECK(!paused.report.has_value());
+    CHECK(*paused.signals.pause == 2s);
+}
+
+TEST(ReplicaControl, AnotherReplicaAtTheAddressSaysNothingOfThisOne)
+{
+    const std::string misdirected = answer("421 Misdirected", Signals, "");
+    CHECK(order(misdirected).result == OrderResult::OtherReplica);
+    CHECK(!order(misdirected).signals.leaving);
+    CHECK(!report(misdirected).signals.requestLimit.has_value());
+}
--- a/tests/adapter/test_requestlimits.cpp
+++ b/tests/adapter/test_requestlimits.cpp
@@ -136,13 +136,13 @@
 
 struct NoEngines : public EngineControl
 {
-    asio::awaitable<OrderResult> order(Endpoint, EngineCommand, Instant) override
+    asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant) override
     {
-        co_return OrderResult::Unanswered;
+        co_return OrderAnswer {};
     }
-    asio::awaitable<std::optional<EngineReport>> report(Endpoint, std::string, Instant) override
+    asio::awaitable<ReportAnswer> report(Endpoint, std::string, Instant) override
     {
-        co_return std::nullopt;
+        co_return ReportAnswer {};
     }
 };
 
