--- a/tests/adapter/test_requestlimits.cpp
+++ b/tests/adapter/test_requestlimits.cpp
@@ -4,6 +4,7 @@
 #include "net/coroutines.h"
 #include "platform/requestdialect.h"
 #include "support/limitjudge.h"
+#include "support/noengines.h"
 #include "support/unreachablestore.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -134,18 +135,6 @@
     std::map<std::string, std::string> addresses; // by replica
 };
 
-struct NoEngines : public EngineControl
-{
-    asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant) override
-    {
-        co_return OrderAnswer {};
-    }
-    asio::awaitable<ReportAnswer> report(Endpoint, std::string, Instant) override
-    {
-        co_return ReportAnswer {};
-    }
-};
-
 struct LimitedFleet : public Utest
 {
     asio::io_context io { 1 };
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -5,6 +5,7 @@
 #include "platform/requestdialect.h"
 #include "platform/storedecoder.h"
 #include "support/caller.h"
+#include "support/noengines.h"
 #include "support/scriptedserver.h"
 #include "support/unreachablestore.h"
 
@@ -17,19 +18,6 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-/// Engines that are never asked.
-struct NoEngines : public EngineControl
-{
-    asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant) override
-    {
-        co_return OrderAnswer {};
-    }
-    asio::awaitable<ReportAnswer> report(Endpoint, std::string, Instant) override
-    {
-        co_return ReportAnswer {};
-    }
-};
-
 struct NoNodes : public NodeAnnouncer
 {
     bool announcePrompt(const PromptNote &) override { return false; }
