--- a/tests/edge/test_requestlimits.cpp
+++ b/tests/edge/test_requestlimits.cpp
@@ -113,8 +113,14 @@
         }
     };
 
-    void at(Duration time, std::function<void()> action) { schedule(Start + time, action); }
-    void in(Duration time, std::function<void()> action) { schedule(m_now + time, action); }
+    void at(Duration time, std::function<void()> action)
+    {
+        schedule(Start + time, std::move(action));
+    }
+    void in(Duration time, std::function<void()> action)
+    {
+        schedule(m_now + time, std::move(action));
+    }
     void schedule(Instant time, std::function<void()> action)
     {
         m_queue.push({ time, m_order++, std::move(action) });
@@ -185,7 +191,7 @@
         } else if (event == Event::Freeze) {
             node.frozen = true;
             const std::uint64_t process = node.process;
-            in(time, [this, &node, process] {
+            in(time, [&node, process] {
                 if (node.process != process)
                     return;
                 node.frozen = false;
