--- a/tests/adapter/test_storeclient.cpp
+++ b/tests/adapter/test_storeclient.cpp
@@ -24,6 +24,13 @@
 const std::string Change =
         answer(200, R"({"at":7,"events":[{"object":)" + Object + R"(7},"spec":{}}}]})");
 
+/// An answer of a store that came back from an older copy.
+std::string ofNextEra(std::string text)
+{
+    const std::string line = "\r\n";
+    return text.insert(text.find(line) + line.size(), "Store-Era: 2" + line);
+}
+
 struct Follower : public StoreListener
 {
     void onList(ObjectKind, const std::vector<StoredItem> &items) override
@@ -120,3 +127,19 @@
     CHECK_EQUAL(7, follower.newest);
     CHECK_EQUAL(2, follower.lists);
 }
+
+// The store gave revision 5 out again, and what it lost below is not among the changes.
+TEST(StoreWatching, ChangesOfAStoreThatCameBackOlderAreListedAnew)
+{
+    const std::string noChange = ofNextEra(answer(200, R"({"at":6,"events":[]})"));
+    follow({ List, noChange, ofNextEra(NewerList) }, 2s);
+    CHECK_EQUAL(7, follower.newest);
+    CHECK_EQUAL(2, follower.lists);
+}
+
+TEST(StoreWatching, ARefusedWatchTellsThatTheStoreCameBackOlder)
+{
+    follow({ List, ofNextEra(answer(503, "")), ofNextEra(NewerList) }, 2s);
+    CHECK_EQUAL(7, follower.newest);
+    CHECK_EQUAL(2, follower.lists);
+}
--- a/tests/decide/test_lease.cpp
+++ b/tests/decide/test_lease.cpp
@@ -96,6 +96,24 @@
     CHECK(second.holds(now));
 }
 
+// A store that came back from an older copy does not have the lease; its holder does not know yet.
+TEST(Lease, LeaseThatDisappearedIsTakenOnlyOnceItsHolderHasStopped)
+{
+    FakeLeaseObject object;
+    Instant now(1s);
+    Lease first = makeLease("node-1");
+    Lease second = makeLease("node-2");
+    runLease(first, object, now, 5s);
+    runLease(second, object, now, 1s);
+    CHECK(first.holds(now));
+    object = {};
+    runLease(second, object, now, 3s);
+    CHECK(!second.holds(now));
+    runLease(second, object, now, 10s);
+    CHECK(second.holds(now));
+    CHECK(!first.holds(now));
+}
+
 TEST(Lease, WriteWithUnknownOutcomeIsConfirmedByReadingBack)
 {
     FakeLeaseObject object;
--- a/tests/fleet/test_nodedirectory.cpp
+++ b/tests/fleet/test_nodedirectory.cpp
@@ -148,6 +148,15 @@
     CHECK(directory.addressesFor("a", false, Start + 3s).empty());
 }
 
+// The start time comes from the time of day, which may have been set back before the restart.
+TEST(NodeDirectory, NodeThatRestartedWithItsClockSetBackIsLiveAgain)
+{
+    directory.onHeartbeat(makeHeartbeat("2", "a", 20'000), Start);
+    for (int number = 0; number < 20; ++number)
+        directory.onHeartbeat(makeHeartbeat("2", "a", 10'000), Start + 4s + number * 500ms);
+    CHECK(directory.isLive("2", Start + 14s));
+}
+
 TEST(NodeDirectory, HeartbeatOfAnEarlierProcessIsIgnored)
 {
     directory.onHeartbeat(makeHeartbeat("2", "a", 20), Start);
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -65,6 +65,20 @@
     CHECK(!table.isUsable(*table.find("r1"), Start + 1s));
 }
 
+TEST(ReplicaTable, AnnouncedDrainHoldsWhenAnOlderListShowsTheReplicaAsReady)
+{
+    ReplicaInfo info = replica("r1");
+    info.draining = true;
+    table.onAnnounced(info, Start);
+    table.onDelisted("r1", false, Start + 1s);
+    info.draining = false;
+    table.onAnnounced(info, Start + 2s);
+    CHECK(!table.isUsable(*table.find("r1"), Start + 2s));
+    info.startedMs = 2;
+    table.onAnnounced(info, Start + 3s);
+    CHECK(table.isUsable(*table.find("r1"), Start + 3s));
+}
+
 TEST(ReplicaTable, RestartUnderTheSameIdGetsANewGeneration)
 {
     table.onAnnounced(replica("r1"), Start);
