A node that restarted with its clock set back is heard again

Peers ignored its heartbeats for up to ten minutes: it got no heartbeats, no callers and no share, since the start time that tells processes apart comes from the time of day and was kept as rising only. A lower start time is now taken once the later process has been silent for longer than a delayed heartbeat takes.

--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -38,8 +38,11 @@
     if (heartbeat.sender.name == m_self.info.name)
         return false;
     Row &row = m_nodes[heartbeat.sender.name];
-    if (heartbeat.started < row.started)
-        return false; // a delayed heartbeat of an earlier process of the node
+    // Delayed heartbeats of an earlier process come while the later one is heard. Otherwise the
+    // node has restarted with its clock set back.
+    if (heartbeat.started < row.started
+        && now - row.lastHeartbeatAt < m_settings.slowLivenessTimeout)
+        return false;
     const bool isNewState = row.lastHeartbeatAt == Instant {} || heartbeat.started != row.started
             || heartbeat.leaving != row.leaving;
     row.info = heartbeat.sender;
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -120,7 +120,8 @@
     /// @param seed of the random choice of targets, named nodes and addresses
     NodeDirectory(NodeInfo self, DirectorySettings settings, std::uint64_t seed);
 
-    /// Takes a heartbeat. A heartbeat of an earlier process of the sender is ignored.
+    /// Takes a heartbeat. A heartbeat of an earlier process of the sender is ignored, unless the
+    /// later one has been silent for a while.
     /// @return whether this is the first heartbeat of that process, or its leaving flag has changed
     bool onHeartbeat(const NodeHeartbeat &heartbeat, Instant now);
 
