A refused takeover of the lease is tried again after the retry interval only

While the store answered 503 at once, a candidate sent one takeover after the other without a pause: a takeover is due by m_freeAt and ignored the time of the next call.

--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -51,6 +51,7 @@
         break;
     case WriteOutcome::Unavailable:
         scheduleRetry(now);
+        m_freeAt = std::max(m_freeAt, m_nextCallAt); // a takeover does not wait for m_nextCallAt
         break;
     case WriteOutcome::Conflict:
     case WriteOutcome::Unknown:
--- a/tests/decide/test_lease.cpp
+++ b/tests/decide/test_lease.cpp
@@ -114,6 +114,27 @@
     CHECK(!first.holds(now));
 }
 
+// A store that answers 503 at once got a takeover after the other, without a pause.
+TEST(Lease, RefusedTakeoverIsTriedAgainOnlyAfterTheRetryInterval)
+{
+    FakeLeaseObject object;
+    Instant now(1s);
+    Lease lease = makeLease("node-1");
+    lease.tick(now);
+    executeCalls(lease, object, now); // the read finds no lease object
+    int writes = 0;
+    for (const Instant end = now + 3s; now < end; now += 1ms) {
+        lease.tick(now);
+        for (const LeaseAction &action : lease.takeActions()) {
+            writes++;
+            lease.onWritten({ std::get<LeaseWrite>(action).callId, WriteOutcome::Unavailable, 0 },
+                            now);
+        }
+    }
+    CHECK_COMPARE(writes, >=, 2);
+    CHECK_COMPARE(writes, <=, 7); // one each 500 ms
+}
+
 TEST(Lease, WriteWithUnknownOutcomeIsConfirmedByReadingBack)
 {
     FakeLeaseObject object;
