What a replica says when it leaves is kept for its process, not in its row

Callers' requests reached replicas later than their drain time (DRAIN): the flag of an answer was lost when its replica's row was gone at that moment or had been made anew since the request was sent, and an announced drain was lost with the row when an older list showed the replica as ready again.

Marks are now kept by id and start time, whether there is a row or not, hold the announced drain too, and are what a row is made from. Replicas whose entry was removed by a calm store are not used for 5 s if the store comes back older and lists them again. The placement gets the same view of drains. replica_leaving says whether the replica was listed.

--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -256,7 +256,7 @@
     const ReplicaRow *row = m_state.replicas.find(replica);
     if (row == nullptr)
         return {};
-    return { replica, row->generation, row->info.startedMs, steadyNow(), "" };
+    return { replica, row->info.startedMs, steadyNow(), "" };
 }
 
 void CopyShell::takeSignals(const ReplicaSignals &signals, const SignalSource &source)
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -312,7 +312,7 @@
     if (row != nullptr && row->info.startedMs != replica.startedMs)
         m_state.chooser.onReplicaRemoved(row->generation);
     m_state.replicas.onAnnounced(replica, now);
-    m_copies.placement().onReplica(replica, now);
+    m_copies.placement().onReplica(m_state.replicas.find(replica.id)->info, now);
 }
 
 void EdgeProgram::dropReplica(const std::string &id, bool disturbed, Instant now)
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -125,10 +125,11 @@
 {
     const Instant now = steadyNow();
     const Instant drainedAt = now + Duration(profile.bounds.drainTime);
-    if (signals.leaving && replicas.onLeaving(source.replica, source.generation, drainedAt, now))
+    if (signals.leaving && replicas.onLeaving(source.replica, source.startedMs, drainedAt, now))
         log.line("replica_leaving")
                 .field("request", source.request)
                 .field("replica", source.replica)
+                .field("listed", replicas.find(source.replica) == nullptr ? "no" : "yes")
                 .field("drained_in_ms", drainedAt - now);
     takePause(signals, source);
     return takeLimit(signals, source);
@@ -140,7 +141,7 @@
         return;
     const Instant now = steadyNow();
     const auto asked = signals.pause.value_or(std::chrono::milliseconds(0));
-    const Instant until = replicas.onPauseRequested(source.replica, source.generation, asked, now);
+    const Instant until = replicas.onPauseRequested(source.replica, source.startedMs, asked, now);
     log.line("pause")
             .field("request", source.request)
             .field("replica", source.replica)
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -67,10 +67,9 @@
 struct SignalSource
 {
     std::string replica;
-    std::uint64_t generation = 0; // ReplicaRow::generation when the request was sent
-    std::uint64_t startedMs = 0;  // start of its process, as known then
-    Instant sentAt;               // when the request was sent
-    std::string request;          // name of the caller's request; empty: an order or report request
+    std::uint64_t startedMs = 0; // start of its process, as known when the request was sent
+    Instant sentAt;              // when the request was sent
+    std::string request;         // name of the caller's request; empty: an order or report request
 };
 
 struct NodeState
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -310,7 +310,6 @@
                            : steadyNow() - row->loadReceivedAt)
             .field("fresh_tokens", start.choice.freshTokens)
             .field("weighed", start.choice.comparedReplicas);
-    m_replicaStartedMs = row == nullptr ? 0 : row->info.startedMs;
     m_awaitsHead = true;
     m_firstByteSeen = false;
     m_hasAlternative = start.choice.comparedReplicas > 1;
@@ -417,8 +416,7 @@
 
 void RequestFlow::takeSignals(const StartRequest &start, const ReplicaAnswer &answer)
 {
-    const SignalSource source { start.choice.id, start.choice.generation, m_replicaStartedMs,
-                                m_sentAt, m_caller.name };
+    const SignalSource source { start.choice.id, start.choice.startedMs, m_sentAt, m_caller.name };
     if (answer.foreign || answer.otherReplica) {
         m_state.takePause(answer, source);
         return;
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -106,14 +106,13 @@
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
     Instant m_sentAt;
-    std::string m_failure;                // what ended the last attempt, as the connection told it
-    const char *m_delimiter = "";         // of the last answer's body; for the log
-    std::string m_replicaLimit;           // that the last answer stated; for the log
-    std::size_t m_unfinishedBytes = 0;    // of an event at the end of the last stream; for the log
-    std::uint64_t m_replicaStartedMs = 0; // of the replica's process in the current attempt
-    bool m_awaitsHead = false;     // in the current attempt; its limit counts it as unanswered
-    bool m_firstByteSeen = false;  // in the current attempt
-    bool m_hasAlternative = false; // another replica could have been chosen for it
+    std::string m_failure;             // what ended the last attempt, as the connection told it
+    const char *m_delimiter = "";      // of the last answer's body; for the log
+    std::string m_replicaLimit;        // that the last answer stated; for the log
+    std::size_t m_unfinishedBytes = 0; // of an event at the end of the last stream; for the log
+    bool m_awaitsHead = false;         // in the current attempt; its limit counts it as unanswered
+    bool m_firstByteSeen = false;      // in the current attempt
+    bool m_hasAlternative = false;     // another replica could have been chosen for it
     bool m_callerLeft = false;
     bool m_givenUp = false;
     Duration m_firstByteAfter {}; // of the whole request; for the log
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -176,6 +176,7 @@
     choice.id = best.row->info.id;
     choice.address = best.row->info.address;
     choice.generation = best.row->generation;
+    choice.startedMs = best.row->info.startedMs;
     choice.freshTokens = best.freshTokens;
     choice.load = m_table.estimatedLoad(*best.row, now);
     choice.comparedReplicas = static_cast<int>(holders.size());
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -44,6 +44,7 @@
     std::string id;                // id of the replica
     std::string address;           // "IP:PORT" at which it listens
     std::uint64_t generation = 0;  // ReplicaRow::generation at the time of the choice
+    std::uint64_t startedMs = 0;   // start of its process, Unix ms
     int freshTokens = 0;           // prompt tokens that the replica has to read
     double load = 0.0;             // estimated number of requests at the replica
     int comparedReplicas = 0;      // number of usable replicas that were compared
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 #include <utility>
 
 namespace burdock {
@@ -65,13 +64,18 @@
         row->info = info;
         index(*row);
         const auto mark = m_marks.find(info.id);
-        if (mark != m_marks.end() && mark->second.startedMs == info.startedMs)
-            std::tie(row->pausedUntil, row->drainedAt) =
-                    std::tie(mark->second.pausedUntil, mark->second.drainedAt);
+        if (mark != m_marks.end() && mark->second.startedMs == info.startedMs
+            && mark->second.wasDelisted) {
+            row->avoidUntil = m_revertedUntil;
+            mark->second.wasDelisted = now < m_revertedUntil;
+        }
+    }
+    if (info.draining) {
+        if (ProcessMark *mark = markOf(info.id, info.startedMs, now))
+            mark->hasDrained = true;
     }
-    const bool wasDraining = row->info.draining;
     row->info = info;
-    row->info.draining = info.draining || wasDraining; // a drain is not withdrawn
+    applyMark(*row);
     row->removeAt = {};
     row->coldUntil = now + info.coldRemaining;
     std::erase_if(row->loadingCopies,
@@ -94,10 +98,19 @@
             row->removeAt = now + m_settings.missingGrace;
         return;
     }
+    if (!sourceDisturbed) {
+        if (ProcessMark *mark = markOf(id, row->info.startedMs, now))
+            mark->wasDelisted = true;
+    }
     unindex(*row);
     m_rows.erase(id);
 }
 
+void ReplicaTable::onSourceReverted(Instant now)
+{
+    m_revertedUntil = now + m_settings.revertedListTime;
+}
+
 void ReplicaTable::extendGracePeriods(Instant now)
 {
     for (auto &[id, row] : m_rows) {
@@ -299,32 +312,58 @@
                        m_settings.maxAvoidAfterConnectFailure);
 }
 
-Instant ReplicaTable::onPauseRequested(const std::string &id, std::uint64_t generation,
+Instant ReplicaTable::onPauseRequested(const std::string &id, std::uint64_t startedMs,
                                        std::chrono::milliseconds pause, Instant now)
 {
-    ReplicaRow *row = findRow(id);
-    if (row == nullptr || row->generation != generation)
+    ProcessMark *mark = markOf(id, startedMs, now);
+    if (mark == nullptr)
         return {};
     const Duration bounded = std::min<Duration>(pause, m_settings.maxRequestedPause);
-    row->pausedUntil = std::max(row->pausedUntil, now + bounded);
-    noteMark(*row, now);
-    return row->pausedUntil;
+    mark->pausedUntil = std::max(mark->pausedUntil, now + bounded);
+    if (ReplicaRow *row = findRow(id))
+        applyMark(*row);
+    return mark->pausedUntil;
 }
 
-bool ReplicaTable::onLeaving(const std::string &id, std::uint64_t generation, Instant drainedAt,
+bool ReplicaTable::onLeaving(const std::string &id, std::uint64_t startedMs, Instant drainedAt,
                              Instant now)
 {
-    ReplicaRow *row = findRow(id);
-    if (row == nullptr || row->generation != generation || row->drainedAt != Instant {})
+    ProcessMark *mark = markOf(id, startedMs, now);
+    if (mark == nullptr || mark->drainedAt != Instant {})
         return false;
-    row->drainedAt = drainedAt;
-    noteMark(*row, now);
+    mark->drainedAt = drainedAt;
+    if (ReplicaRow *row = findRow(id))
+        applyMark(*row);
     return true;
 }
 
-void ReplicaTable::noteMark(const ReplicaRow &row, Instant now)
+/// @return the mark of a process, to be changed; null if a later process has its id
+ReplicaTable::ProcessMark *ReplicaTable::markOf(const std::string &id, std::uint64_t startedMs,
+                                                Instant now)
 {
-    m_marks[row.info.id] = { row.info.startedMs, row.pausedUntil, row.drainedAt, now };
+    const ReplicaRow *row = findRow(id);
+    if (row != nullptr && row->info.startedMs != startedMs)
+        return nullptr;
+    ProcessMark &mark = m_marks[id];
+    if (mark.startedMs != startedMs) {
+        if (row == nullptr && startedMs < mark.startedMs)
+            return nullptr;
+        mark = {};
+        mark.startedMs = startedMs;
+    }
+    mark.notedAt = now;
+    return &mark;
+}
+
+void ReplicaTable::applyMark(ReplicaRow &row) const
+{
+    const auto found = m_marks.find(row.info.id);
+    if (found == m_marks.end() || found->second.startedMs != row.info.startedMs)
+        return;
+    const ProcessMark &mark = found->second;
+    row.pausedUntil = mark.pausedUntil;
+    row.drainedAt = mark.drainedAt;
+    row.info.draining = mark.hasDrained; // a drain is not withdrawn
 }
 
 // ---- Queries ------------------------------------------------------------------------------------
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -19,9 +19,10 @@
 // A replica that disappears from the platform's list while the source of the list is unreliable is
 // kept for a grace period, because it may only have failed to renew its entry.
 //
-// A replica may ask for a pause, or say in a response that it is about to terminate. Both are kept
-// for its process, even while the list does not have it. It may also state a limit on the requests
-// of all nodes together, see serving/requestlimits.h.
+// A replica may ask for a pause, or say in a response or in its entry that it is about to
+// terminate. All three are kept for its process, also if the list does not have it, shows an older
+// state of it or has had it anew since the request was sent. It may also state a limit on the
+// requests of all nodes together, see serving/requestlimits.h.
 //
 // A copy is a model that is loaded at a replica, or an adapter on top of it. Texts that name a copy
 // have the form "model" or "model/adapter", see copyName(). Functions that take a replica id ignore
@@ -140,6 +141,10 @@
     // Time for which a newly loaded copy counts as held without being listed: two heartbeats, after
     // which the list shows it.
     Duration addedCopyTime = std::chrono::milliseconds(3'000);
+    // A replica that had ended is not used for this long when it is listed again after its source
+    // came back from an older copy: unless it is alive, the source removes it within three
+    // heartbeats.
+    Duration revertedListTime = std::chrono::seconds(5);
     // Time for which marks of replicas that are no longer listed are kept; longer than a process
     // that is about to terminate lives.
     Duration markLifetime = std::chrono::minutes(10);
@@ -175,6 +180,10 @@
     /// @param sourceDisturbed whether the source of the list was unreachable a short time ago
     void onDelisted(const std::string &id, bool sourceDisturbed, Instant now);
 
+    /// Records that the source of the list came back from an older copy: it may list replicas that
+    /// have ended, until it notices that they are silent.
+    void onSourceReverted(Instant now);
+
     /// Restarts all grace periods that have begun. Call it while the source of the list is
     /// unreachable, so that replicas stay until it is back and had time to list them again.
     void extendGracePeriods(Instant now);
@@ -232,18 +241,19 @@
     void onConnectFailed(const std::string &id, Instant now);
 
     /// Records that a replica turned a request away and asked for no further ones for a while. The
-    /// pause also holds if the replica leaves the list and returns as the same process.
-    /// @param generation of the row that the request was sent to; other generations are ignored
-    /// @return end of the pause; zero if the row is gone
-    Instant onPauseRequested(const std::string &id, std::uint64_t generation,
+    /// replica need not be listed.
+    /// @param startedMs start of its process; earlier processes are ignored
+    /// @return end of the pause; zero if the process has ended
+    Instant onPauseRequested(const std::string &id, std::uint64_t startedMs,
                              std::chrono::milliseconds pause, Instant now);
 
     /// Records that a replica said in an answer that it is about to terminate. The first such
-    /// answer of a process counts; later ones without it, the list and its gaps change nothing.
-    /// @param generation of the row that the request was sent to; other generations are ignored
+    /// answer of a process counts; later ones without it change nothing. The replica need not be
+    /// listed.
+    /// @param startedMs start of its process; earlier processes are ignored
     /// @param drainedAt from then on it gets no requests; until then only if no other has capacity
     /// @return whether this is new
-    bool onLeaving(const std::string &id, std::uint64_t generation, Instant drainedAt, Instant now);
+    bool onLeaving(const std::string &id, std::uint64_t startedMs, Instant drainedAt, Instant now);
 
     // ---- Queries ----
 
@@ -294,17 +304,21 @@
     const std::map<std::string, ReplicaRow> &rows() const { return m_rows; }
 
 private:
-    /// What a process asked for; outlives its row, since the list may lose a living replica.
+    /// What is known of a process for good; outlives its row, since the list may lose a living
+    /// replica or go back to an older state.
     struct ProcessMark
     {
         std::uint64_t startedMs = 0; // of the process
         Instant pausedUntil;
-        Instant drainedAt; // zero: it stays
-        Instant notedAt;   // when the mark was last changed
+        Instant drainedAt;        // said in an answer; zero: it stays
+        bool hasDrained = false;  // said in its entry
+        bool wasDelisted = false; // its entry was removed while the source was stable
+        Instant notedAt;          // when the mark was last changed
     };
 
     ReplicaRow *findRow(const std::string &id);
-    void noteMark(const ReplicaRow &row, Instant now);
+    ProcessMark *markOf(const std::string &id, std::uint64_t startedMs, Instant now);
+    void applyMark(ReplicaRow &row) const;
     void index(const ReplicaRow &row);
     void unindex(const ReplicaRow &row);
 
@@ -313,6 +327,7 @@
     std::unordered_map<std::string, std::vector<std::string>> m_byService; // replica ids
     std::unordered_map<std::string, ProcessMark> m_marks;                  // by replica id
     std::uint64_t m_nextGeneration = 1;
+    Instant m_revertedUntil; // the list may show replicas that have ended
     RequestLimits m_limits;
 };
 
--- a/tests/adapter/test_leavingreplicas.cpp
+++ b/tests/adapter/test_leavingreplicas.cpp
@@ -26,7 +26,7 @@
     SignalSource requestSentNow() const
     {
         const ReplicaRow *row = state->replicas.find("r1");
-        return { "r1", row->generation, row->info.startedMs, steadyNow(), "q1" };
+        return { "r1", row->info.startedMs, steadyNow(), "q1" };
     }
 
     void unlist() { state->replicas.onDelisted("r1", false, steadyNow()); }
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -293,7 +293,7 @@
 {
     for (const char *id : { "r1", "r2" }) {
         table.onAnnounced(engine(id, { { "m1", {} } }), Start);
-        table.onPauseRequested(id, table.find(id)->generation, 2s, Start);
+        table.onPauseRequested(id, table.find(id)->info.startedMs, 2s, Start);
     }
     std::set<std::chrono::milliseconds> times;
     for (std::uint64_t id = 1; id <= 20; ++id)
@@ -313,7 +313,7 @@
 {
     for (const char *id : { "r1", "r2" })
         table.onAnnounced(engine(id, { { "m1", {} } }), Start);
-    table.onPauseRequested("r1", table.find("r1")->generation, 2s, Start);
+    table.onPauseRequested("r1", table.find("r1")->info.startedMs, 2s, Start);
     for (std::uint64_t id = 1; id <= 5; ++id)
         scheduler.submit(modelRequest(id, 10, Start), {}, false, Start);
     const auto starts = actions<StartRequest>();
@@ -328,7 +328,7 @@
     table.onConnectFailed("r1", Start);
     scheduler.submit(modelRequest(1, 10, Start), {}, false, Start);
     CHECK_EQUAL(1, scheduler.queued());
-    table.onPauseRequested("r1", table.find("r1")->generation, 5s, Start);
+    table.onPauseRequested("r1", table.find("r1")->info.startedMs, 5s, Start);
     scheduler.tick(Start + 20ms);
     CHECK_EQUAL(1, actions<RefuseRequest>().size());
     CHECK_EQUAL(0, scheduler.queued());
@@ -338,12 +338,12 @@
 {
     for (const char *id : { "r1", "r2" })
         table.onAnnounced(engine(id, { { "m1", {} } }), Start);
-    table.onLeaving("r1", table.find("r1")->generation, Start + 2s, Start);
+    table.onLeaving("r1", table.find("r1")->info.startedMs, Start + 2s, Start);
     for (std::uint64_t id = 1; id <= 5; ++id)
         scheduler.submit(modelRequest(id, 10, Start), {}, false, Start);
     for (const StartRequest &start : actions<StartRequest>())
         CHECK_EQUAL(std::string("r2"), start.choice.id);
-    table.onLeaving("r2", table.find("r2")->generation, Start + 3s, Start);
+    table.onLeaving("r2", table.find("r2")->info.startedMs, Start + 3s, Start);
     scheduler.submit(modelRequest(6, 10, Start + 1s), {}, false, Start + 1s);
     CHECK_EQUAL(1, actions<StartRequest>().size()); // the whole service leaves
     scheduler.submit(modelRequest(7, 10, Start + 2'500ms), {}, false, Start + 2'500ms);
