A lease that was lost is free for nobody until its time has passed

A store that comes back from an older copy may not have the lease, or name an earlier holder. An object that disappeared, or was read in a later era, is now waited for like one that somebody renewed a moment ago, its own holder included, and terms stay above all that were seen.

--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -37,6 +37,13 @@
         scheduleRetry(now);
         return;
     }
+    if (isLost(result)) {
+        m_isLost = true;
+        m_lostUntil = now + m_settings.leaseTime;
+        m_termFloor = std::max(m_termFloor, m_value.term);
+        setHeld(false);
+    }
+    m_era = result.era;
     applyObject(result.version, result.value, now);
 }
 
@@ -128,13 +135,14 @@
 
 void Lease::sendWrite(LeaseValue value, Instant now)
 {
+    m_isLost = false;
     value.writeId = ++m_writeCount;
     m_pending = value;
     m_pendingSentAt = now;
     m_pendingActUntil = value.holder.empty() ? Instant {} : now + m_settings.holdTime;
     m_call = Call::Write;
     m_callTimeoutAt = now + m_settings.responseTimeout;
-    m_actions.emplace_back(LeaseWrite { ++m_callId, m_version, std::move(value) });
+    m_actions.emplace_back(LeaseWrite { ++m_callId, m_version, std::move(value), m_era });
 }
 
 std::uint64_t Lease::renewalTerm() const
@@ -147,6 +155,15 @@
     return std::max(m_value.term, m_termFloor) + 1;
 }
 
+/// @return whether a holder may exist whom the object no longer names
+bool Lease::isLost(const LeaseReadResult &read) const
+{
+    const bool isAbsent = read.version == 0;
+    if (!m_everRead)
+        return isAbsent && read.hasKnownHolder;
+    return read.era != m_era || (isAbsent && m_version != 0);
+}
+
 bool Lease::isOwnValue(const LeaseValue &value) const
 {
     return value.holder == m_node && value.incarnation == m_incarnation;
@@ -173,8 +190,9 @@
     m_value = value;
     if (changed)
         m_freeAt = value.holder.empty() ? now : now + m_settings.leaseTime;
+    m_freeAt = std::max(m_freeAt, m_lostUntil);
 
-    if (!isOwnValue(value)) {
+    if (!isOwnValue(value) || m_isLost) {
         m_releasing = false;
         setHeld(false);
         m_nextCallAt = now + readInterval();
--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -18,6 +18,10 @@
 // than the lease time, so a holder that is not suspended stops before another process can start. No
 // wall clock and no clock of another machine is compared.
 //
+// Lost objects. A store that comes back from an older copy, or an object that was deleted, has lost
+// who held the lease last, and that holder does not know yet. The lease is then free for nobody,
+// its holder of before included, until the lease time has passed.
+//
 // Limit. A process that is suspended between holds() and an effect acts late. Every effect must
 // therefore be fenced by the term: writes by conditional update, orders by their fencing number.
 #pragma once
@@ -69,16 +73,19 @@
     std::uint64_t callId = 0;          // to be copied into the result
     std::uint64_t expectedVersion = 0; // required object version; 0: create, only if absent
     LeaseValue value;                  // value to store
+    std::uint64_t era = 0;             // of the store, in which the version was read
 };
 
 using LeaseAction = std::variant<LeaseRead, LeaseWrite>;
 
 struct LeaseReadResult
 {
-    std::uint64_t callId = 0;  // LeaseRead::callId
-    bool available = false;    // false: the store did not respond, the fields below are not valid
-    std::uint64_t version = 0; // object version; 0: the object does not exist
-    LeaseValue value;          // stored value
+    std::uint64_t callId = 0;    // LeaseRead::callId
+    bool available = false;      // false: the store did not respond, the fields below are not valid
+    std::uint64_t version = 0;   // object version; 0: the object does not exist
+    LeaseValue value;            // stored value
+    std::uint64_t era = 0;       // of the store; rises when it comes back from an older copy
+    bool hasKnownHolder = false; // whether other nodes named a holder
 };
 
 struct LeaseWriteResult
@@ -144,6 +151,7 @@
     void sendRead(Instant now);
     void sendWrite(LeaseValue value, Instant now);
     void applyObject(std::uint64_t version, const LeaseValue &value, Instant now);
+    bool isLost(const LeaseReadResult &read) const;
     void setHeld(bool held);
     void scheduleRetry(Instant now);
     std::uint64_t renewalTerm() const;
@@ -159,7 +167,10 @@
     bool m_releasing = false;
     std::uint64_t m_termFloor = 0;
     std::uint64_t m_version = 0;    // object version when last seen
+    std::uint64_t m_era = 0;        // of the store when the object was last seen
     bool m_everRead = false;        // the object was seen at least once
+    bool m_isLost = false;          // what the object said was lost, and it is not free yet
+    Instant m_lostUntil;            // the lost lease is free from then on
     bool m_versionKnown = false;    // m_version may be current; false: read before the next write
     LeaseValue m_value;             // value of the object when last seen
     Instant m_freeAt;               // a candidate may take the lease if it is unchanged until then
