An entry without a start time shows no restart

Such an entry made the replica count as another process, so that what it had said when it leaves no longer held. The replica is now the process that is known under its id.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -333,10 +333,12 @@
                 .field("state", replica.draining ? "draining" : "ready")
                 .field("era", item.revision.era)
                 .field("revision", item.revision.number);
-    if (row != nullptr && row->info.startedMs != replica.startedMs)
-        m_state.chooser.onReplicaRemoved(row->generation);
+    const std::uint64_t earlier = row == nullptr ? 0 : row->generation;
     m_state.replicas.onAnnounced(replica, now);
-    m_copies.placement().onReplica(m_state.replicas.find(replica.id)->info, now);
+    row = m_state.replicas.find(replica.id);
+    if (earlier != 0 && row->generation != earlier)
+        m_state.chooser.onReplicaRemoved(earlier);
+    m_copies.placement().onReplica(row->info, now);
 }
 
 void EdgeProgram::dropReplica(const std::string &id, bool disturbed, Instant now)
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -46,8 +46,10 @@
     std::erase(m_byService[row.info.service], row.info.id);
 }
 
-void ReplicaTable::onAnnounced(const ReplicaInfo &info, Instant now)
+void ReplicaTable::onAnnounced(ReplicaInfo info, Instant now)
 {
+    if (info.startedMs == 0)
+        info.startedMs = knownProcess(info.id);
     m_limits.onReplicaStarted(info.id, info.startedMs);
     ReplicaRow *row = findRow(info.id);
     const bool restarted = row != nullptr
@@ -337,6 +339,15 @@
     return true;
 }
 
+/// @return start time of the latest process that is known under the id; 0: none is
+std::uint64_t ReplicaTable::knownProcess(const std::string &id) const
+{
+    if (const ReplicaRow *row = find(id))
+        return row->info.startedMs;
+    const auto mark = m_marks.find(id);
+    return mark == m_marks.end() ? 0 : mark->second.startedMs;
+}
+
 /// @return the mark of a process, to be changed; null if a later process has its id
 ReplicaTable::ProcessMark *ReplicaTable::markOf(const std::string &id, std::uint64_t startedMs,
                                                 Instant now)
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -55,7 +55,7 @@
     std::string service;         // name of the service that it belongs to
     std::string address;         // "IP:PORT"
     std::string zone;            // its availability zone
-    std::uint64_t startedMs = 0; // start time in Unix ms; shows a restart under the same id
+    std::uint64_t startedMs = 0; // start time in Unix ms; shows a restart; 0: not announced
     int slots = 0;               // requests that it serves at once; 0: not announced
     bool draining = false;       // whether it is about to terminate
     std::chrono::milliseconds coldRemaining { 0 }; // time until it reaches its normal speed
@@ -171,9 +171,10 @@
     // ---- Announcements ----
 
     /// Adds or updates a replica from its own announcement or from the platform's list. A new start
-    /// time, address or service shows a restart and gives the replica a new row and generation. A
-    /// replica that announced a drain counts as draining until it restarts.
-    void onAnnounced(const ReplicaInfo &info, Instant now);
+    /// time, address or service shows a restart and gives the replica a new row and generation;
+    /// without a start time it is the process that is known. A replica that announced a drain
+    /// counts as draining until it restarts.
+    void onAnnounced(ReplicaInfo info, Instant now);
 
     /// Handles that a replica is no longer in the platform's list: removes it or begins its grace
     /// period.
@@ -317,6 +318,7 @@
     };
 
     ReplicaRow *findRow(const std::string &id);
+    std::uint64_t knownProcess(const std::string &id) const;
     ProcessMark *markOf(const std::string &id, std::uint64_t startedMs, Instant now);
     void applyMark(ReplicaRow &row) const;
     void index(const ReplicaRow &row);
--- a/tests/adapter/test_leavingreplicas.cpp
+++ b/tests/adapter/test_leavingreplicas.cpp
@@ -91,7 +91,14 @@
 {
     state->takeSignals(leaving(), requestSentNow());
     unlist();
-    info.startedMs = 1;
+    listAgain();
+    CHECK(!isUsable());
+}
+
+TEST(LeavingReplicas, EntryWithoutAStartTimeShowsNoRestart)
+{
+    state->takeSignals(leaving(), requestSentNow());
+    info.startedMs = 0;
     listAgain();
     CHECK(!isUsable());
 }
