A version that is written again with another content is taken

A store that comes back older loses the newest version; the operator may write that number again with another content. Nodes that had seen the lost one kept it for good, beside nodes that took the new one. Contents are now told apart by a hash; config_older logs a version that is not taken.

--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -205,10 +205,14 @@
 
 void NodeState::applyConfig(ServingConfig next)
 {
-    if (next.version <= config->version)
+    const bool isSame = next.version == config->version && next.contentHash == config->contentHash;
+    if (next.version < config->version)
+        log.line("config_older").field("version", next.version).field("in_force", config->version);
+    if (next.version < config->version || isSame)
         return;
     log.line("config_applied")
             .field("version", next.version)
+            .field("content", next.contentHash)
             .field("earlier", config->version)
             .field("routes", std::int64_t(next.routes.size()))
             .field("services", std::int64_t(next.services.size()));
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -95,7 +95,7 @@
     /// Takes another node's news of a replica's limit.
     void takeLimitNote(const LimitNote &note);
 
-    /// Takes a configuration, unless it is not newer than the one in force.
+    /// Takes a configuration, unless it is older than the one in force or the same.
     void applyConfig(ServingConfig config);
 
     boost::asio::io_context &io;
--- a/src/serving/servingconfig.h
+++ b/src/serving/servingconfig.h
@@ -11,7 +11,8 @@
 //   chooseService()                selects a service of a route
 //
 // The structs hold plain data, independent of the interface that it was read from. A version is
-// applied as a whole, and a process never replaces it by an earlier one.
+// applied as a whole, and a process never replaces it by an earlier one. A version whose store lost
+// it may be written again with another content.
 #pragma once
 
 #include "base/instant.h"
@@ -99,7 +100,8 @@
 
 struct ServingConfig
 {
-    std::uint64_t version = 0; // increases, not always by 1; 0: no configuration received yet
+    std::uint64_t version = 0;     // increases, not always by 1; 0: no configuration received yet
+    std::uint64_t contentHash = 0; // tells two contents under one version apart
     std::vector<ServingRoute> routes;
     std::map<std::string, ServingService> services; // by name
     CallerLimits limits;
--- a/tests/adapter/test_returnedstore.cpp
+++ b/tests/adapter/test_returnedstore.cpp
@@ -90,6 +90,19 @@
     checkConfigWrittenBelowOldRevision(LargeFleet, true);
 }
 
+TEST(ReturnedStore, VersionWrittenAgainWithOtherContentIsInForce)
+{
+    startWithConfig(SmallFleet);
+    store.objects.save();
+    publish(2);
+    io.run_for(ApplyTime);
+    CHECK_EQUAL(nodes.size(), nodesServing(2));
+    returnStore(false);
+    publish(2, 3);
+    io.run_for(ApplyTime);
+    CHECK_EQUAL(nodes.size(), nodesServing(3));
+}
+
 TEST(ReturnedStore, DrainBelowAnOldRevisionIsKeptAfterCutWatches)
 {
     checkDrainWrittenBelowOldRevision(SmallFleet, false);
--- a/tests/support/returnedstorefleet.h
+++ b/tests/support/returnedstorefleet.h
@@ -104,10 +104,13 @@
 
     // ---- What others write ----
 
-    void publish(std::uint64_t version)
+    void publish(std::uint64_t version) { publish(version, version); }
+
+    /// @param routeCount it has the routes /v1/ to this number
+    void publish(std::uint64_t version, std::uint64_t routeCount)
     {
         boost::json::array routes;
-        for (std::uint64_t number = 1; number <= version; ++number) {
+        for (std::uint64_t number = 1; number <= routeCount; ++number) {
             const std::string prefix = "/v" + std::to_string(number) + "/";
             routes.push_back({ { "name", prefix },
                                { "host", "h.example" },
