--- a/standins/store/revisionstore.cpp
+++ b/standins/store/revisionstore.cpp
@@ -26,7 +26,7 @@
 void RevisionStore::note(const std::string &kind, StoredObject object, bool deleted)
 {
     ObjectEvent event { object.revision, kind, std::move(object), deleted };
-    m_written.emplace_back(m_era, event);
+    m_written.push_back({ m_era, event, std::chrono::steady_clock::now() });
     m_content.history.push_back(std::move(event));
 }
 
--- a/standins/store/revisionstore.h
+++ b/standins/store/revisionstore.h
@@ -9,6 +9,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -33,6 +34,14 @@
     bool deleted = false;
 };
 
+/// A change, also one that the store lost later.
+struct WrittenChange
+{
+    std::uint64_t era = 0;
+    ObjectEvent event;
+    std::chrono::steady_clock::time_point at;
+};
+
 class RevisionStore
 {
 public:
@@ -68,8 +77,8 @@
     std::uint64_t revision() const { return m_content.revision; }
     std::uint64_t era() const { return m_era; }
 
-    /// @return every change of all eras, with its era, in the order in which they were made
-    const std::vector<std::pair<std::uint64_t, ObjectEvent>> &written() const { return m_written; }
+    /// @return every change of all eras, in the order in which they were made
+    const std::vector<WrittenChange> &written() const { return m_written; }
 
 private:
     struct Content
@@ -84,7 +93,7 @@
     Content m_content;
     Content m_copy;
     std::uint64_t m_era = 1;
-    std::vector<std::pair<std::uint64_t, ObjectEvent>> m_written;
+    std::vector<WrittenChange> m_written;
 };
 
 } // namespace standin
--- a/standins/store/storeserver.cpp
+++ b/standins/store/storeserver.cpp
@@ -201,9 +201,14 @@
 json::value StoreServer::written() const
 {
     json::array changes;
-    for (const auto &[era, event] : objects.written())
-        changes.emplace_back(json::array { era, event.revision, event.kind, event.object.name,
-                                           event.deleted, event.object.spec });
+    for (const WrittenChange &change : objects.written()) {
+        const ObjectEvent &event = change.event;
+        const auto at =
+                std::chrono::duration_cast<std::chrono::milliseconds>(change.at.time_since_epoch());
+        changes.emplace_back(json::array { change.era, event.revision, event.kind,
+                                           event.object.name, event.deleted, event.object.spec,
+                                           at.count() });
+    }
     return changes;
 }
 
--- a/standins/store/storeserver.h
+++ b/standins/store/storeserver.h
@@ -3,7 +3,8 @@
 //   GET /objects/KIND[?watch=REVISION&wait_ms=N]   list, or wait for changes
 //   GET, POST, PUT, DELETE /objects/KIND[/NAME]    one object
 //   PUT /faults   {"away":"no"|"refuse"|"silent","save":bool,"restore":bool,"keep_watches":bool}
-//   GET /written  every change so far: [era, revision, kind, name, deleted, spec]
+//   GET /written  every change so far: [era, revision, kind, name, deleted, spec, at]; "at" in
+//                 milliseconds since some point
 //
 // Every answer of /objects names the store's era. A store that comes back from its copy cuts the
 // watches that wait, or with "keep_watches" goes on with them, as one does that knows only numbers.
