--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -1,8 +1,10 @@
 // Stand-in for a replica of a plain service of the users' platform.
 //
 //   any path       runs the request
-//   GET /arrivals  [[X-Node of the request, milliseconds of the monotonic clock], ...] since PUT
-//   /faults PUT /faults    {"leaving":bool,"limit":"2.5"}: what its answers say; "": no limit
+//   GET /arrivals  [[X-Node of the request, ms of the monotonic clock], ...] since PUT /faults
+//   PUT /faults    {"leaving":bool,"limit":"2.5","pause":"4"}: what its answers say; "": no limit,
+//   no
+//                  pause. With a pause it runs nothing and answers 503 with Retry-After.
 #include "net/coroutines.h"
 #include "net/httpserver.h"
 #include "net/runloop.h"
@@ -48,6 +50,12 @@
             co_await reply.send(421, std::move(headers), "");
             co_return;
         }
+        if (!m_pause.empty()) {
+            headers.push_back({ "Not-Executed", "1" });
+            headers.push_back({ "Retry-After", m_pause });
+            co_await reply.send(503, std::move(headers), "");
+            co_return;
+        }
         co_await burdock::sleepFor(ServiceTime);
         headers.push_back({ "Server-Seal", m_id });
         co_await reply.send(200, std::move(headers), m_id);
@@ -85,11 +93,14 @@
             m_isLeaving = leaving->get_bool();
         if (const auto *limit = fields.if_contains("limit"); limit && limit->is_string())
             m_limit = limit->get_string();
+        if (const auto *pause = fields.if_contains("pause"); pause && pause->is_string())
+            m_pause = pause->get_string();
     }
 
     std::string m_id;
     bool m_isLeaving = false;
     std::string m_limit; // requests a second; empty: none
+    std::string m_pause; // seconds; empty: none
     json::array m_arrivals;
 };
 
--- a/tests/process/returned_store.py
+++ b/tests/process/returned_store.py
@@ -14,6 +14,8 @@
   node; such an acknowledgement from a calm store also binds while the store is disturbed;
 - a replica that states a limit gets in no 4 s more than one and a half times that and 5 requests, from
   the nodes that passed it on half a second before and have not been disturbed since;
+- a replica that asks for a pause gets at most two requests of an undisturbed node from half a second
+  after it has asked that node to the end of the pause;
 - two holders of the lease are at least its time apart, and terms only rise;
 - no answer is a success without its replica's.
 
@@ -42,6 +44,9 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_ALLOWED = 1.5 * LIMIT * LIMIT_WINDOW_S + 5
 LIMIT_TOLD_S = 0.5
+PAUSE_S = 4.0  # that a replica asks for
+PAUSE_ALLOWED = 2
+PAUSE_TOLD_S = 0.5
 SLACK_S = 0.3  # of this machine, for a process to be scheduled
 HOST = "h.example"
 
@@ -185,6 +190,7 @@
         self.replicas = {}  # id: address
         self.acked = {}  # id: when the store acknowledged that it leaves, each time
         self.told = {}  # (node, id): when the node passed on that it leaves
+        self.paused = None  # the replica that asks for pauses
         self.limited = None  # the replica that states a limit
         self.limited_at = 0.0
         self.limit_told = {}  # node: when it first passed on the limit
@@ -303,15 +309,30 @@
         self.told = {key: at for key, at in self.told.items() if key[0] != node}
         self.limit_told.pop(node, None)
 
-    def set_limit(self):
-        """One replica states a limit, another than before."""
+    def set_needs(self):
+        """One replica states a limit and one asks for pauses; those before no longer do."""
         if self.limited is not None:
             call(self.replicas[self.limited], "PUT", "/faults", json.dumps({"limit": ""}))
-        self.limited = self.random.choice(self.present())
+        if self.paused is not None:
+            call(self.replicas[self.paused], "PUT", "/faults", json.dumps({"pause": ""}))
+        self.limited, self.paused = self.random.sample(self.present(), 2)
+        call(self.replicas[self.paused], "PUT", "/faults", json.dumps({"pause": str(PAUSE_S)}))
         self.limit_told = {}
         self.limited_at = time.monotonic()
         call(self.replicas[self.limited], "PUT", "/faults", json.dumps({"limit": str(LIMIT)}))
-        self.say(f"{self.limited} states a limit of {LIMIT}")
+        self.say(f"{self.limited} states a limit of {LIMIT}, {self.paused} asks for pauses")
+
+    def judge_pauses(self):
+        arrivals = json.loads(call(self.replicas[self.paused], "GET", "/arrivals")[2])
+        for node in self.fleet.running():
+            times = [ms / 1000 for name, ms in arrivals if name == node]
+            for asked in times:
+                begin, end = asked + PAUSE_TOLD_S, asked + PAUSE_S
+                count = sum(1 for at in times if begin <= at < end)
+                if count > PAUSE_ALLOWED and self.fleet.is_undisturbed(node, asked, end):
+                    self.break_rule(f"{node} sent {count} requests to {self.paused} in a pause")
+                    break
+        self.say(f"{self.paused} got {len(arrivals)} requests in all")
 
     def judge_limit(self):
         arrivals = json.loads(call(self.replicas[self.limited], "GET", "/arrivals")[2])
@@ -428,7 +449,7 @@
 
     def round(self):
         chance = self.random
-        self.set_limit()
+        self.set_needs()
         self.store.faults(save=True)
         if chance.random() < 0.7:
             self.publish()
@@ -465,6 +486,7 @@
         self.call_nodes(3.0)
         self.judge_regress()
         self.judge_limit()
+        self.judge_pauses()
 
 
 def main():
