--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -90,11 +90,11 @@
         return;
     }
     if (m_held && m_releasing)
-        sendWrite(LeaseValue { "", m_incarnation, m_value.term, 0 }, now);
+        sendWrite(LeaseValue { "", m_incarnation, m_value.term, 0, 0 }, now);
     else if (m_held)
-        sendWrite(LeaseValue { m_node, m_incarnation, renewalTerm(), 0 }, now);
+        sendWrite(LeaseValue { m_node, m_incarnation, renewalTerm(), 0, 0 }, now);
     else if (canTake)
-        sendWrite(LeaseValue { m_node, m_incarnation, takeoverTerm(), 0 }, now);
+        sendWrite(LeaseValue { m_node, m_incarnation, takeoverTerm(), 0, 0 }, now);
     else
         sendRead(now);
 }
@@ -137,12 +137,13 @@
 {
     m_isLost = false;
     value.writeId = ++m_writeCount;
+    value.era = m_era;
     m_pending = value;
     m_pendingSentAt = now;
     m_pendingActUntil = value.holder.empty() ? Instant {} : now + m_settings.holdTime;
     m_call = Call::Write;
     m_callTimeoutAt = now + m_settings.responseTimeout;
-    m_actions.emplace_back(LeaseWrite { ++m_callId, m_version, std::move(value), m_era });
+    m_actions.emplace_back(LeaseWrite { ++m_callId, m_version, std::move(value) });
 }
 
 std::uint64_t Lease::renewalTerm() const
@@ -160,7 +161,7 @@
 {
     const bool isAbsent = read.version == 0;
     if (!m_everRead)
-        return isAbsent && read.hasKnownHolder;
+        return isAbsent ? read.hasKnownHolder : read.value.era < read.era;
     return read.era != m_era || (isAbsent && m_version != 0);
 }
 
--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -59,6 +59,7 @@
     std::uint64_t incarnation = 0; // incarnation of the writing process
     std::uint64_t term = 0;        // increases with each takeover
     std::uint64_t writeId = 0;     // number of the write among those of the writing process
+    std::uint64_t era = 0;         // of the store in which it was written
 
     friend bool operator==(const LeaseValue &, const LeaseValue &) = default;
 };
@@ -72,8 +73,7 @@
 {
     std::uint64_t callId = 0;          // to be copied into the result
     std::uint64_t expectedVersion = 0; // required object version; 0: create, only if absent
-    LeaseValue value;                  // value to store
-    std::uint64_t era = 0;             // of the store, in which the version was read
+    LeaseValue value;                  // value to store; its era is also that of the version
 };
 
 using LeaseAction = std::variant<LeaseRead, LeaseWrite>;
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -60,7 +60,8 @@
     return { { "holder", value.holder },
              { "incarnation", value.incarnation },
              { "term", value.term },
-             { "write", value.writeId } };
+             { "write", value.writeId },
+             { "era", value.era } };
 }
 
 std::uint64_t numberIn(const json::value &value, const char *name)
@@ -82,6 +83,7 @@
     lease.incarnation = numberIn(value, "incarnation");
     lease.term = numberIn(value, "term");
     lease.writeId = numberIn(value, "write");
+    lease.era = numberIn(value, "era");
     return lease;
 }
 
@@ -201,12 +203,12 @@
 asio::awaitable<void> CopyShell::writeLease(LeaseWrite action)
 {
     const StoreWriteAnswer answer = co_await m_state.ports.store.write(
-            ObjectKind::Leases, LeaseName, { action.era, action.expectedVersion },
+            ObjectKind::Leases, LeaseName, { action.value.era, action.expectedVersion },
             leaseToJson(action.value));
     if (answer.outcome != WriteOutcome::Done)
         m_state.log.line("lease_write_failed")
                 .field("term", action.value.term)
-                .field("era", action.era)
+                .field("era", action.value.era)
                 .field("expected_revision", action.expectedVersion)
                 .field("failure", answer.message);
     m_lease.onWritten({ action.callId, answer.outcome, answer.revision.number }, leaseNow());
--- a/tests/decide/test_lease.cpp
+++ b/tests/decide/test_lease.cpp
@@ -18,6 +18,7 @@
 {
     std::uint64_t version = 0;
     LeaseValue value;
+    std::uint64_t era = 0;
 
     WriteOutcome write(const LeaseWrite &write)
     {
@@ -34,7 +35,7 @@
 {
     for (const LeaseAction &action : lease.takeActions()) {
         if (const auto *read = std::get_if<LeaseRead>(&action))
-            lease.onRead({ read->callId, true, object.version, object.value }, now);
+            lease.onRead({ read->callId, true, object.version, object.value, object.era }, now);
         if (const auto *write = std::get_if<LeaseWrite>(&action)) {
             const WriteOutcome status = object.write(*write);
             lease.onWritten({ write->callId, status, object.version }, now);
@@ -114,6 +115,36 @@
     CHECK(!first.holds(now));
 }
 
+// The copy named the node as holder, and another had taken over since; a new process of the node
+// took its own name for a lease that it held.
+TEST(Lease, NewProcessWaitsWhenAnOlderCopyNamesItsNodeAsHolder)
+{
+    FakeLeaseObject object;
+    object.era = 1;
+    Instant now(1s);
+    Lease earlier = makeLease("node-1");
+    runLease(earlier, object, now, 3s);
+    CHECK(earlier.holds(now));
+    object.era = 2;
+    Lease later = makeLease("node-1");
+    runLease(later, object, now, 8s);
+    CHECK(!later.holds(now));
+    runLease(later, object, now, 3s);
+    CHECK(later.holds(now));
+}
+
+TEST(Lease, NewProcessGoesOnWithTheLeaseOfItsNodeInTheSameEra)
+{
+    FakeLeaseObject object;
+    object.era = 1;
+    Instant now(1s);
+    Lease earlier = makeLease("node-1");
+    runLease(earlier, object, now, 3s);
+    Lease later = makeLease("node-1");
+    runLease(later, object, now, 1s);
+    CHECK(later.holds(now));
+}
+
 // A store that answers 503 at once got a takeover after the other, without a pause.
 TEST(Lease, RefusedTakeoverIsTriedAgainOnlyAfterTheRetryInterval)
 {
