--- a/tests/edge/test_changefeed.cpp
+++ b/tests/edge/test_changefeed.cpp
@@ -140,3 +140,37 @@
     CHECK_EQUAL(0, follower->store.watches[ObjectKind::Configuration]);
     CHECK_EQUAL(0, follower->store.watches[ObjectKind::Replicas]);
 }
+
+TEST(ChangeFeed, AnAskerOfAnEarlierEraListsAnew)
+{
+    ChangeCache cache;
+    cache.onList({}, { 2, 50 });
+    const FeedPage page = cache.page({ 1, 40 });
+    CHECK(page.historyGone);
+    CHECK(cache.page({ 1, 90 }).historyGone);
+    CHECK(!cache.page({ 2, 50 }).historyGone);
+}
+
+TEST(ChangeFeed, AnAskerOfALaterEraGetsNothingOfTheCache)
+{
+    ChangeCache cache;
+    cache.onList({}, { 1, 90 });
+    cache.onChanges({ { "r1", { 1, 95 }, false, {} } }, { 1, 95 });
+    const FeedPage page = cache.page({ 2, 10 });
+    CHECK(!page.historyGone);
+    CHECK(page.items.empty());
+    CHECK((page.revision == StoreRevision { 1, 95 }));
+}
+
+TEST(ChangeFeed, PagesKeepTheErasOfTheirRevisions)
+{
+    FeedPage page;
+    page.revision = { 2, 60 };
+    page.configRevision = { 1, 80 };
+    page.items = { { "r1", { 2, 55 }, false, {} } };
+    const auto decoded = decodeFeedPage(encodeFeedPage(page));
+    CHECK(decoded.has_value());
+    CHECK((decoded->revision == page.revision));
+    CHECK((decoded->configRevision == page.configRevision));
+    CHECK((decoded->items.at(0).revision == page.items.at(0).revision));
+}
