--- a/standins/plain/main.cpp
+++ b/standins/plain/main.cpp
@@ -5,6 +5,7 @@
 //   GET  /runs         {"KEY": runs, ...}: the judge of at most once
 //   GET  /attempts     ["NAME", ...]: X-Attempt of each run
 //   PUT  /faults       {"delay_ms":n,"lose_answers":bool}
+#include "jsonbody.h"
 #include "net/coroutines.h"
 #include "net/httpserver.h"
 #include "net/runloop.h"
@@ -56,9 +57,8 @@
 
 void PlainService::setFaults(const std::string &body)
 {
-    boost::system::error_code failure;
-    const json::value wanted = json::parse(body, failure);
-    if (failure || !wanted.is_object())
+    const json::value wanted = parseOrNull(body);
+    if (!wanted.is_object())
         return;
     m_delay = {};
     m_loseAnswers = false;
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -7,6 +7,7 @@
 //   POST /weights?kind=model|adapter   answers when the load is done
 //   PUT /faults                   {"outage":bool,"delay_ms":n,"lose_write_answers":bool}
 //   GET /counters                 calls by kind
+#include "jsonbody.h"
 #include "net/coroutines.h"
 #include "net/httpserver.h"
 #include "net/runloop.h"
@@ -81,13 +82,6 @@
     std::chrono::steady_clock::time_point m_windowEnd;
 };
 
-json::value parseOrNull(const std::string &text)
-{
-    boost::system::error_code failure;
-    json::value value = json::parse(text, failure);
-    return failure ? json::value() : value;
-}
-
 std::vector<HttpHeader> versionHeader(std::uint64_t version)
 {
     std::vector<HttpHeader> headers;
--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -2,9 +2,10 @@
 //
 //   any path       runs the request
 //   GET /arrivals  [[X-Node of the request, ms of the monotonic clock], ...] since PUT /faults
-//   PUT /faults    {"leaving":bool,"limit":"2.5","pause":"4"}: what its answers say; "": no limit,
-//   no
-//                  pause. With a pause it runs nothing and answers 503 with Retry-After.
+//   PUT /faults    {"leaving":bool,"limit":"2.5","pause":"4"}: what its answers say; "": nothing
+//
+// While it asks for pauses, it runs nothing and answers 503 with Retry-After.
+#include "jsonbody.h"
 #include "net/coroutines.h"
 #include "net/httpserver.h"
 #include "net/runloop.h"
@@ -84,9 +85,8 @@
     void setFaults(const std::string &body)
     {
         m_arrivals.clear();
-        boost::system::error_code failure;
-        const json::value wanted = json::parse(body, failure);
-        if (failure || !wanted.is_object())
+        const json::value wanted = parseOrNull(body);
+        if (!wanted.is_object())
             return; // the answer shows no change
         const json::object &fields = wanted.get_object();
         if (const auto *leaving = fields.if_contains("leaving"); leaving && leaving->is_bool())
--- a/standins/store/storeserver.cpp
+++ b/standins/store/storeserver.cpp
@@ -1,5 +1,6 @@
 #include "store/storeserver.h"
 
+#include "jsonbody.h"
 #include "net/coroutines.h"
 
 #include <boost/json.hpp>
@@ -16,13 +17,6 @@
 constexpr std::chrono::milliseconds PollInterval { 10 };
 constexpr const char *ObjectsPath = "/objects/";
 
-json::value parseOrNull(const std::string &text)
-{
-    boost::system::error_code failure;
-    json::value value = json::parse(text, failure);
-    return failure ? json::value() : value;
-}
-
 json::value toJson(const StoredObject &object)
 {
     return { { "metadata", { { "name", object.name }, { "revision", object.revision } } },
