Process test: watches are kept for one return only; arrivals are judged whole

Once a return had kept its watches, the stand-in kept them at all later ones, so that returns that cut them were rare; a replica that said that it leaves forgot the arrivals that its limit is judged by. Both made checks weaker than meant.

--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -1,7 +1,8 @@
 // Stand-in for a replica of a plain service of the users' platform.
 //
 //   any path       runs the request
-//   GET /arrivals  [[X-Node of the request, ms of the monotonic clock], ...] since PUT /faults
+//   GET /arrivals  [[X-Node of the request, ms of the monotonic clock], ...] since the limit or the
+//                  pause was set
 //   PUT /faults    {"leaving":bool,"limit":"2.5","pause":"4"}: what its answers say; "": nothing
 //
 // While it asks for pauses, it runs nothing and answers 503 with Retry-After.
@@ -84,13 +85,14 @@
 
     void setFaults(const std::string &body)
     {
-        m_arrivals.clear();
         const json::value wanted = parseOrNull(body);
         if (!wanted.is_object())
             return; // the answer shows no change
         const json::object &fields = wanted.get_object();
         if (const auto *leaving = fields.if_contains("leaving"); leaving && leaving->is_bool())
             m_isLeaving = leaving->get_bool();
+        if (fields.contains("limit") || fields.contains("pause"))
+            m_arrivals.clear();
         if (const auto *limit = fields.if_contains("limit"); limit && limit->is_string())
             m_limit = limit->get_string();
         if (const auto *pause = fields.if_contains("pause"); pause && pause->is_string())
--- a/standins/store/storeserver.cpp
+++ b/standins/store/storeserver.cpp
@@ -184,7 +184,8 @@
                 : how == "silent" ? StoreAbsence::Silent
                                   : StoreAbsence::None;
     }
-    keepsWatches = keepsWatches || flagIn(fields, "keep_watches");
+    if (fields.contains("keep_watches"))
+        keepsWatches = flagIn(fields, "keep_watches");
     if (flagIn(fields, "save"))
         objects.save();
     if (flagIn(fields, "restore"))
