A request is checked once more right before its first byte leaves

Cause: checks were made when a request was taken up.

Change: HttpExchange asks a SendCheck once its connection is open, and sends nothing after the deadline. RequestFlow looks again at the deadline, at the caller's connection itself, and at the replica. ProcessingDelay measures by the node's own timer how late events are handled: requests are dated back by it, and those that cannot be answered in time are refused at once. Log: events_late, events_in_time.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -34,6 +34,10 @@
 constexpr milliseconds BeatInterval { 500 };
 constexpr milliseconds IdleTick { 100 };
 constexpr milliseconds BusyTick { 12 }; // while requests wait
+/// Events that wait for longer are worth a line in the log, and another one when they wait less.
+constexpr milliseconds DelayNoted { 150 };
+constexpr milliseconds DelayOver { 30 };
+
 constexpr milliseconds FindInterval { 5'000 };
 constexpr milliseconds FindAfter { 1'500 }; // from the start: seeds have answered by then
 
@@ -502,9 +506,27 @@
 
 // ---- Time ---------------------------------------------------------------------------------------
 
+/// Logs when the node falls behind its events, and when it has caught up.
+void EdgeProgram::noteDelay(Instant now)
+{
+    if (m_nextTick == Instant {})
+        return;
+    m_state.delay.onTimer(m_nextTick, now);
+    const Duration delay = m_state.delay.current();
+    const bool isBehind = delay >= (m_isBehind ? DelayOver : DelayNoted);
+    if (isBehind == m_isBehind)
+        return;
+    m_isBehind = isBehind;
+    m_state.log.line(isBehind ? "events_late" : "events_in_time")
+            .field("delay_ms", delay)
+            .field("in_progress", m_callers.requestsInProgress())
+            .field("queued", std::int64_t(m_state.scheduler.queued()));
+}
+
 void EdgeProgram::tick()
 {
     const Instant now = steadyNow();
+    noteDelay(now);
     if (m_replicaWatch.unreachable())
         m_state.replicas.extendGracePeriods(now);
     for (const auto &[id, generation] : m_state.replicas.tick(now))
@@ -525,7 +547,9 @@
     if (m_state.leaving)
         continueStop();
     m_state.log.flush();
-    m_tickTimer.expires_after(m_state.scheduler.queued() > 0 ? BusyTick : IdleTick);
+    const milliseconds pause = m_state.scheduler.queued() > 0 ? BusyTick : IdleTick;
+    m_nextTick = steadyNow() + Duration(pause);
+    m_tickTimer.expires_after(pause);
     m_tickTimer.async_wait([this](boost::system::error_code failure) {
         if (!failure)
             tick();
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -94,6 +94,7 @@
     boost::asio::awaitable<void> registerNode();
     boost::asio::awaitable<void> findNodes();
 
+    void noteDelay(Instant now);
     void tick();
     BeatMessage ownBeat() const;
     void sendBeat();
@@ -124,6 +125,8 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
+    Instant m_nextTick;      // when the timer is due
+    bool m_isBehind = false; // events wait for long until they are handled
     Instant m_lastDemand;
     double m_requestRate = 0.0;           // of callers, a second, smoothed
     std::uint64_t m_requestsMeasured = 0; // counted in it
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -11,6 +11,7 @@
 #include "net/metrics.h"
 #include "placing/copyplacement.h"
 #include "serving/poisonrequests.h"
+#include "serving/processingdelay.h"
 #include "serving/promptclaims.h"
 #include "serving/replicachooser.h"
 #include "serving/scheduler.h"
@@ -113,6 +114,7 @@
     WaitingRequests waiting;
     PoisonRequests suspects;
     PromptClaims claims;
+    ProcessingDelay delay;
     CopyDemandMeter demand;
     NodeDirectory directory;
     Random random;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -17,6 +17,8 @@
 /// Until a new process has its configuration, or a stopping one's callers have moved on.
 constexpr milliseconds RetryWhileStarting { 300 };
 constexpr milliseconds RetryElsewhere { 100 };
+/// A request that has been here for longer may have lost its caller since.
+constexpr milliseconds CallerCheckAfter { 50 };
 /// A request that crashes replicas is not tried again sooner.
 constexpr milliseconds RetrySuspect { 3'000 };
 /// After the deadline: a replica answers by itself when its time is over, and that answer is on its
@@ -91,7 +93,7 @@
     , m_announcer(announcer)
     , m_raw(request)
     , m_reply(reply)
-    , m_arrived(steadyNow())
+    , m_arrived(steadyNow() - state.delay.current())
 {
     m_state.flows.insert(this);
 }
@@ -142,6 +144,10 @@
         co_return;
     }
     buildRequest();
+    if (!m_state.delay.canAnswer(m_request.deadline, steadyNow())) {
+        co_await answerOwn(StatusUnavailable, RetryElsewhere, "refused", "node_overloaded");
+        co_return;
+    }
     if (m_state.suspects.isPoison(m_fingerprint, m_arrived)) {
         co_await answerOwn(StatusUnavailable, RetrySuspect, "refused", "crashes_replicas");
         co_return;
@@ -346,6 +352,23 @@
     return std::min(last, m_sentAt + std::max(firstByteObjective, expected));
 }
 
+/// The last look before the first byte goes to a replica: the choice may be long past by then, on a
+/// node that is short of processor time or after a slow connection.
+bool RequestFlow::mayStillSend()
+{
+    const Instant now = steadyNow();
+    const ReplicaChoice &choice = m_start->choice;
+    const ReplicaRow *row = m_state.replicas.find(choice.id);
+    if (now >= m_request.deadline)
+        m_withheld = "deadline";
+    else if (m_callerLeft || (now >= m_arrived + CallerCheckAfter && m_reply.checkCallerLeft()))
+        m_withheld = "caller_left";
+    else if (row == nullptr || row->generation != choice.generation
+             || m_state.replicas.isDrained(*row, now))
+        m_withheld = "replica_left";
+    return *m_withheld == '\0';
+}
+
 asio::awaitable<AttemptResult> RequestFlow::exchangeOnce(const StartRequest &start)
 {
     const auto endpoint = parseEndpoint(start.choice.address);
@@ -366,10 +389,18 @@
     const bool fresh = !m_request.repeatable || m_keptFailed;
     m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
     const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
-    const auto result = co_await m_exchange->start(request, firstByteDeadline(start));
+    m_withheld = "";
+    m_start = &start;
+    const auto result = co_await m_exchange->start(request, firstByteDeadline(start), this);
     noteHead(start);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         m_failure = failure->message;
+        if (!failure->bytesSent && steadyNow() >= m_request.deadline)
+            co_return AttemptResult::TimedOut;
+        if (*m_withheld != '\0') {
+            m_failure += std::string(": ") + m_withheld;
+            co_return AttemptResult::NotRun;
+        }
         m_connectionBroke = !failure->timedOut && !failure->keptConnection;
         m_keptFailed = m_keptFailed || (failure->keptConnection && !failure->timedOut);
         if (failure->bytesSent) {
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -31,7 +31,7 @@
     virtual void announceLimit(const LimitNote &note) = 0;
 };
 
-class RequestFlow
+class RequestFlow : private SendCheck
 {
 public:
     /// @param state, request, reply outlive the flow
@@ -83,6 +83,7 @@
     void noteEnd(const StartRequest &start, AttemptResult end);
     Instant firstByteDeadline(const StartRequest &start) const;
     bool mayTryAnother() const;
+    bool mayStillSend() override;
 
     boost::asio::awaitable<void> answerOwn(int status, std::chrono::milliseconds retryAfter,
                                            const char *outcome, std::string reason);
@@ -102,6 +103,8 @@
     std::uint64_t m_fingerprint = 0;
     std::vector<std::string> m_excluded;
     std::shared_ptr<HttpExchange> m_exchange;
+    const StartRequest *m_start = nullptr; // of the current attempt
+    const char *m_withheld = "";           // why it sent nothing
     std::optional<StoredAnswer> m_errorAnswer;
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -24,7 +24,7 @@
                                        const HttpRequest &request, Instant deadline)
 {
     WholeAnswer answer;
-    auto head = co_await exchange->start(request, deadline);
+    auto head = co_await exchange->start(request, deadline, nullptr);
     if (const auto *failure = std::get_if<CallFailure>(&head)) {
         answer.end = endOf(*failure);
         answer.failure = failure->message;
@@ -82,7 +82,8 @@
     m_check.beginAttempt(attempt.number);
     if (m_check.delivered() > 0)
         attempt.request.headers.push_back({ "X-Resume-From", std::to_string(m_check.delivered()) });
-    auto head = co_await attempt.exchange->start(attempt.request, attempt.firstByteDeadline);
+    auto head = co_await attempt.exchange->start(attempt.request, attempt.firstByteDeadline,
+                                                       nullptr);
     if (const auto *failure = std::get_if<CallFailure>(&head)) {
         co_return breakOff(attempt.number, endOf(*failure), failure->message);
     }
--- a/src/loadgen/main.cpp
+++ b/src/loadgen/main.cpp
@@ -85,7 +85,7 @@
         const Instant began = steadyNow();
         const Instant deadline = began + CallTime;
         const auto exchange = m_http.exchange(m_endpoint, false);
-        const auto head = co_await exchange->start(request, deadline);
+        const auto head = co_await exchange->start(request, deadline, nullptr);
         const auto *answer = std::get_if<HttpResponseHead>(&head);
         const bool accepted = answer != nullptr && answer->status == StatusOk;
         const bool whole = accepted && co_await readStream(*exchange, began, deadline);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -178,8 +178,8 @@
     {
     }
 
-    asio::awaitable<CallResult<HttpResponseHead>> start(const HttpRequest &request,
-                                                        Instant deadline) override;
+    asio::awaitable<CallResult<HttpResponseHead>>
+    start(const HttpRequest &request, Instant deadline, SendCheck *check) override;
     asio::awaitable<CallResult<std::string>> readPart(Instant deadline) override;
     void cancel() override;
 
@@ -187,6 +187,7 @@
     asio::awaitable<std::optional<CallFailure>> connect(Instant deadline);
     HttpResponseHead takeHead();
     CallFailure failed(boost::system::error_code failure);
+    CallFailure withhold(bool timedOut);
     void sendRequest(const HttpRequest &request);
     void finish();
 
@@ -231,6 +232,16 @@
              std::move(message) };
 }
 
+/// Ends the exchange before a byte was sent.
+CallFailure BeastExchange::withhold(bool timedOut)
+{
+    if (m_connection)
+        m_connection->stream.close();
+    m_connection.reset();
+    m_closed = m_use == ConnectionUse::Own;
+    return { false, timedOut, false, toText(m_endpoint) + ": not sent any more" };
+}
+
 asio::awaitable<std::optional<CallFailure>> BeastExchange::connect(Instant deadline)
 {
     if (m_cancelled)
@@ -266,11 +277,15 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<CallResult<HttpResponseHead>> BeastExchange::start(const HttpRequest &request,
-                                                                   Instant deadline)
+asio::awaitable<CallResult<HttpResponseHead>>
+BeastExchange::start(const HttpRequest &request, Instant deadline, SendCheck *check)
 {
     if (auto failure = co_await connect(deadline))
         co_return std::move(*failure);
+    // A process that is short of processor time may be here long after the connection was opened.
+    const bool isTimely = steadyNow() < deadline;
+    if (!isTimely || (check != nullptr && !check->mayStillSend()) || m_cancelled)
+        co_return withhold(!isTimely);
 
     m_connection->stream.expires_at(toSteady(deadline));
     m_parser.reset();
@@ -439,7 +454,7 @@
                                                           Instant headDeadline, Instant deadline,
                                                           std::size_t maxBytes)
 {
-    auto head = co_await exchange.start(request, headDeadline);
+    auto head = co_await exchange.start(request, headDeadline, nullptr);
     if (const auto *failure = std::get_if<CallFailure>(&head))
         co_return *failure;
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -3,6 +3,7 @@
 // Index
 //   CallFailure     why a call failed, and whether any byte of it was sent
 //   HttpResponse    a whole answer, and a check whether it was cut off
+//   SendCheck       has the last word before a request leaves
 //   HttpExchange    one request over one connection, its answer read part by part
 //   readBody        the rest of an answer, within a bound
 //   HttpSession     several calls over one and the same connection
@@ -64,16 +65,27 @@
 
 // ---- Exchange -----------------------------------------------------------------------------------
 
+/// Asked right before the first byte of a request leaves, once its connection is open.
+class SendCheck
+{
+public:
+    virtual ~SendCheck() = default;
+
+    /// @return whether the request is still to be sent; if not, nothing of it leaves
+    virtual bool mayStillSend() = 0;
+};
+
 class HttpExchange
 {
 public:
     virtual ~HttpExchange() = default;
 
-    /// Sends the request and reads the answer's head.
+    /// Sends the request and reads the answer's head. Nothing is sent once the deadline has passed.
     /// @param request what to send
     /// @param deadline when to give up
-    virtual boost::asio::awaitable<CallResult<HttpResponseHead>> start(const HttpRequest &request,
-                                                                       Instant deadline) = 0;
+    /// @param check has the last word; null: the request is sent in any case
+    virtual boost::asio::awaitable<CallResult<HttpResponseHead>>
+    start(const HttpRequest &request, Instant deadline, SendCheck *check) = 0;
 
     /// Reads the next part of the body.
     /// @param deadline when to give up
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -13,6 +13,9 @@
 
 #include <glog/logging.h>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <set>
 
 namespace burdock {
@@ -92,6 +95,7 @@
     asio::awaitable<bool> finish() override;
     void onCallerLeft(std::function<void()> callback) override;
     bool callerLeft() const override { return m_callerLeft; }
+    bool checkCallerLeft() override;
     bool begun() const override { return m_begun; }
 
 private:
@@ -241,6 +245,18 @@
         callback();
 }
 
+bool HttpConnection::checkCallerLeft()
+{
+    if (m_callerLeft)
+        return true;
+    char next = 0;
+    const auto bytes = ::recv(m_stream.socket().native_handle(), &next, sizeof next,
+                              MSG_PEEK | MSG_DONTWAIT);
+    if (bytes == 0 || (bytes < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
+        noteCallerLeft();
+    return m_callerLeft;
+}
+
 void HttpConnection::onCallerLeft(std::function<void()> callback)
 {
     if (m_callerLeft && callback)
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -66,9 +66,13 @@
     /// @param callback what to do, e.g. cancel the work at the upstream; empty to forget it
     virtual void onCallerLeft(std::function<void()> callback) = 0;
 
-    /// @return whether the caller has left
+    /// @return whether the caller is known to have left
     virtual bool callerLeft() const = 0;
 
+    /// Looks at the connection itself: its close may have arrived and wait to be handled.
+    /// @return whether the caller has left; if so, the callback of onCallerLeft() has been called
+    virtual bool checkCallerLeft() = 0;
+
     /// @return whether a header was sent already
     virtual bool begun() const = 0;
 };
--- a/tests/net/test_httpclient.cpp
+++ b/tests/net/test_httpclient.cpp
@@ -26,6 +26,11 @@
     }
 };
 
+struct RefuseToSend : public SendCheck
+{
+    bool mayStillSend() override { return false; }
+};
+
 /// A server behind a link whose open connections can go silent.
 struct SilencedServer
 {
@@ -101,6 +106,53 @@
     }
 };
 
+// A node that was short of processor time came to send a request after its deadline, and the replica
+// ran what nobody waited for.
+TEST(HttpClient, NothingIsSentAfterTheDeadline)
+{
+    ScriptedServer server(io, { Plain, Plain });
+    HttpClient client(io);
+    const auto first = call(client, server.endpoint(), 1);
+    CHECK(std::holds_alternative<HttpResponse>(first.at(0)));
+    std::optional<CallFailure> failure;
+    const HttpRequest request;
+    const auto late = [&]() -> asio::awaitable<void> {
+        const Instant passed = steadyNow() - 1ms;
+        const auto result = co_await client.call(server.endpoint(), request, passed);
+        if (const auto *failed = std::get_if<CallFailure>(&result))
+            failure = *failed;
+    };
+    asio::co_spawn(io, late, asio::detached);
+    io.restart();
+    io.run_for(100ms);
+    CHECK(failure.has_value());
+    CHECK(!failure->bytesSent);
+    CHECK(failure->timedOut);
+    CHECK_EQUAL(1, server.next);
+}
+
+TEST(HttpClient, ASendThatIsNoLongerWantedIsWithheld)
+{
+    ScriptedServer server(io, { Plain });
+    HttpClient client(io);
+    std::optional<CallFailure> failure;
+    const auto exchange = client.exchange(server.endpoint(), true);
+    const HttpRequest request;
+    RefuseToSend check;
+    const auto send = [&]() -> asio::awaitable<void> {
+        const auto result = co_await exchange->start(request, steadyNow() + 2s, &check);
+        if (const auto *failed = std::get_if<CallFailure>(&result))
+            failure = *failed;
+    };
+    asio::co_spawn(io, send, asio::detached);
+    io.restart();
+    io.run_for(100ms);
+    CHECK(failure.has_value());
+    CHECK(!failure->bytesSent);
+    CHECK(!failure->timedOut);
+    CHECK_EQUAL(0, server.next);
+}
+
 TEST(HttpClient, KeepsAConnectionForTheNextCall)
 {
     ScriptedServer server(io, { Plain, Plain, Plain });
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -3,6 +3,9 @@
 
 #include "net/httpserver.h"
 
+#include <functional>
+#include <utility>
+
 namespace burdock {
 
 namespace asio = boost::asio;
@@ -37,10 +40,18 @@
         ended = true;
         co_return true;
     }
-    void onCallerLeft(std::function<void()>) override { }
-    bool callerLeft() const override { return false; }
+    void onCallerLeft(std::function<void()> callback) override { leftCallback = std::move(callback); }
+    bool callerLeft() const override { return hasLeft; }
+    bool checkCallerLeft() override
+    {
+        if (hasLeft && leftCallback)
+            std::exchange(leftCallback, nullptr)();
+        return hasLeft;
+    }
     bool begun() const override { return status != 0; }
 
+    bool hasLeft = false; // its connection is closed, which is noticed by checkCallerLeft() only
+    std::function<void()> leftCallback;
     int answers = 0;
     int status = 0;
     bool ended = false;
