Placing keeps up with hundreds of replicas and models

At 240 replicas and 416 models it used up a small VM. It now looks at each replica and model once to build its view. - Two loads at once, refilled at each plan: a holder that plans each 200 ms placed 130 of 416 models in 16 s. The burst now uses half of what the store's limit allows beyond the rate. - A new holder asked all replicas for a report at once, and was late for the answers. Now 32 at a time. - Where one copy of each model does not fit, those placed first stayed for good: requested models now replace idle ones, and after 5 s without a copy also others. - Nodes reported the 40 rows of demand with the highest figures; the holder took all others for idle. Rows are now reported by change and in turn, and the holder keeps totals. - A holder plans less often when plans take long.

Tried and dropped: idle models also make room for further copies of models in demand.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr std::size_t MostDemandRows = 40; // the largest; more do not fit a packet
 constexpr std::size_t MostDatagram = 8 * 1024;
 
 enum class MessageType : std::int64_t {
@@ -59,8 +58,8 @@
     std::sort(rows.begin(), rows.end(), [](const CopyDemand &left, const CopyDemand &right) {
         return left.tokensPerSecond > right.tokensPerSecond;
     });
-    if (rows.size() > MostDemandRows)
-        rows.resize(MostDemandRows);
+    if (rows.size() > MaxDemandRows)
+        rows.resize(MaxDemandRows);
     json::array demand;
     for (const CopyDemand &row : rows)
         demand.emplace_back(json::array { row.service, row.model, row.adapter,
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -1,7 +1,7 @@
 // Heartbeats and notes between nodes, as datagrams. They may be lost; what matters is repeated.
 //
 // Index
-//   PeerNote        what a datagram besides a heartbeat says
+//   BeatMessage, WantNote, CopyNote, ...   what a datagram says
 //   BeatListener    takes what arrives
 //   BeatLink        the socket
 #pragma once
@@ -22,6 +22,9 @@
 
 namespace burdock {
 
+/// Rows of demand that fit into one packet; of more, the largest are sent.
+constexpr std::size_t MaxDemandRows = 40;
+
 struct BeatMessage
 {
     NodeHeartbeat beat;
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <ctime>
 
 namespace burdock {
@@ -22,9 +23,14 @@
 /// After its start a node first hears who else is there; before, every node would be a candidate.
 constexpr std::chrono::milliseconds CandidateAfter { 2'000 };
 
-/// A plan looks at every model and replica: some milliseconds of the smallest VM's processor at 60
-/// replicas and 131 models, while an order takes about as long.
+/// A plan looks at every model and replica. On a small VM of a large fleet it takes long; then it
+/// is made less often, so that the node keeps time for its lease, its orders and its callers.
 constexpr std::chrono::milliseconds PlanInterval { 50 };
+constexpr int PlanPauseFactor = 5; // pause after a plan, in units of the time that it took
+
+/// Of the loads beyond the store's rate that its limit allows; the rest is the margin for orders
+/// that are delayed on their way.
+constexpr double UsedBurstShare = 0.5;
 
 /// A node's processes take over from each other: orders of one node are those of one holder.
 constexpr std::uint64_t NodeIncarnation = 1;
@@ -48,10 +54,14 @@
     return settings;
 }
 
-CopyPlacementSettings placementSettings(const std::string &node)
+CopyPlacementSettings placementSettings(const NodeProfile &profile)
 {
     CopyPlacementSettings settings;
-    settings.node = node;
+    settings.node = profile.name;
+    const double allowed = profile.bounds.loadBurstFactor - 1.0;
+    const auto window = double(Duration(profile.bounds.ceilingWindow).count());
+    settings.loadBurstTime = Duration(static_cast<Duration::rep>(std::max(0.0, allowed) * window
+                                                                 * UsedBurstShare));
     return settings;
 }
 
@@ -101,7 +111,7 @@
     : m_state(state)
     , m_link(link)
     , m_lease(leaseSettings(state.profile.bounds), state.profile.name, NodeIncarnation)
-    , m_placement(placementSettings(state.profile.name))
+    , m_placement(placementSettings(state.profile))
     , m_candidateFrom(steadyNow() + CandidateAfter)
 {
 }
@@ -126,9 +136,9 @@
     tickPlacement();
 }
 
-void CopyShell::onDemand(const std::string &node, std::vector<CopyDemand> demand)
+void CopyShell::onDemand(const std::string &node, const std::vector<CopyDemand> &demand)
 {
-    m_placement.onDemand(node, std::move(demand), steadyNow());
+    m_placement.onDemand(node, demand, steadyNow());
 }
 
 // ---- Lease --------------------------------------------------------------------------------------
@@ -230,8 +240,10 @@
 {
     const Instant now = steadyNow();
     if (now >= m_nextPlan) {
-        m_nextPlan = now + PlanInterval;
         m_placement.tick(now);
+        const Instant planned = steadyNow();
+        m_nextPlan = std::max<Instant>(now + PlanInterval,
+                                       planned + PlanPauseFactor * (planned - now));
     }
     for (PlacingAction &action : m_placement.takeActions()) {
         if (auto *send = std::get_if<SendCommand>(&action)) {
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -23,7 +23,7 @@
     /// Takes a want of this node or another. A node that does not hold the lease drops it.
     void onCopyRequest(const WantNote &want);
 
-    void onDemand(const std::string &node, std::vector<CopyDemand> demand);
+    void onDemand(const std::string &node, const std::vector<CopyDemand> &demand);
 
     CopyPlacement &placement() { return m_placement; }
 
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds RetryAtOnce { 50 };
 
 constexpr milliseconds BeatInterval { 500 };
+/// Rows of demand that a node reports with one heartbeat, in several datagrams.
+constexpr std::size_t DemandRowsPerBeat = 3 * MaxDemandRows;
+/// Below CopyPlacementSettings::demandLifetime by more than two lost reports.
+constexpr milliseconds DemandRefresh { 2'000 };
 constexpr milliseconds IdleTick { 100 };
 constexpr milliseconds BusyTick { 12 }; // while requests wait
 /// Events that wait for longer are worth a line in the log, and another one when they wait less.
@@ -163,6 +167,7 @@
     , m_readiness(io, {}, m_readinessHandler)
     , m_metricsServer(io, {}, m_metricsHandler)
     , m_feedServer(io, {}, m_followed)
+    , m_demandReport(DemandRefresh)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(io)
 {
@@ -465,7 +470,9 @@
     m_state.demand.update(now - m_lastDemand);
     measureRequests(now - m_lastDemand);
     m_lastDemand = now;
-    m_copies.onDemand(m_state.profile.name, demandNow());
+    const std::vector<CopyDemand> demand = demandNow();
+    if (m_copies.holds())
+        m_copies.onDemand(m_state.profile.name, demand);
 
     m_state.directory.setOwnState(m_requestRate, !m_replicaWatch.disturbed(now), now);
     m_state.replicas.limits().setNodes(
@@ -487,10 +494,20 @@
     m_link.send(message, targets.otherZones);
     message.beat.others = m_state.directory.nodesToAnnounce(false, now);
     m_link.send(message, targets.sameZone);
-    message.demand = demandNow();
+
     const HolderClaim &holder = message.beat.holder;
-    if (!message.demand.empty() && !holder.ip.empty() && holder.name != m_state.profile.name) {
-        message.beat.others.clear();
+    if (holder.ip.empty() || holder.name == m_state.profile.name)
+        return;
+    if (holder.term != m_demandTerm) {
+        m_demandTerm = holder.term;
+        m_demandReport.restart(); // a new holder knows nothing yet
+    }
+    message.beat.others.clear();
+    const auto report = m_demandReport.next(demand, DemandRowsPerBeat, now);
+    for (std::size_t first = 0; first < report.size(); first += MaxDemandRows) {
+        const std::size_t last = std::min(report.size(), first + MaxDemandRows);
+        message.demand.assign(report.begin() + static_cast<std::ptrdiff_t>(first),
+                              report.begin() + static_cast<std::ptrdiff_t>(last));
         m_link.send(message, { holder.ip });
     }
 }
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -122,6 +122,8 @@
     HttpServer m_readiness;
     HttpServer m_metricsServer;
     HttpServer m_feedServer;
+    DemandReporter m_demandReport;
+    std::uint64_t m_demandTerm = 0; // of the holder that the reports go to
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -41,6 +41,8 @@
         m_services[name] = service;
         LoadRateLimiterSettings limiter;
         limiter.loadsPerSecond = service.engine->loadsPerSecond;
+        limiter.burst = m_settings.loadBurst
+                + double(m_settings.loadBurstTime.count()) / 1e6 * service.engine->loadsPerSecond;
         m_loadLimiters[name].configure(limiter);
     }
 }
@@ -76,9 +78,11 @@
     m_engines.erase(id);
 }
 
-void CopyPlacement::onDemand(const std::string &node, std::vector<CopyDemand> demand, Instant now)
+void CopyPlacement::onDemand(const std::string &node, const std::vector<CopyDemand> &demand,
+                             Instant now)
 {
-    m_demand[node] = { std::move(demand), now + m_settings.demandLifetime };
+    m_demand.onReport(node, demand, m_settings.demandLifetime, now);
+    expireDemand(now);
 }
 
 void CopyPlacement::onCopyRequest(const std::string &service, const std::string &model,
@@ -159,6 +163,7 @@
         return;
     EngineRecord &engine = found->second;
     engine.nextReportAt = now + m_settings.reportTimeout;
+    engine.reportOpen = false;
     if (!report) {
         const int doublings = std::min(engine.failedReportRequests++, 3);
         engine.nextReportAt = now
@@ -208,34 +213,23 @@
     return canTakeOrder(engine) && inTransit < m_settings.maxAdapterLoadsPerReplica;
 }
 
-int CopyPlacement::openAdapterOrders() const
-{
-    return static_cast<int>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto &each) {
-        return each.second.openOrder && !each.second.openOrder->adapter.empty();
-    }));
-}
+// ---- Expiry -------------------------------------------------------------------------------------
 
-int CopyPlacement::modelLoadsInProgress(const std::string &service) const
+void CopyPlacement::expireDemand(Instant now)
 {
-    int count = 0;
-    for (const auto &[id, engine] : m_engines) {
-        if (engine.info.service != service)
-            continue;
-        count += static_cast<int>(engine.loading.size());
-        if (engine.openOrder && engine.openOrder->load && engine.openOrder->adapter.empty())
-            ++count;
-    }
-    return count;
+    if (now < m_nextDemandExpiry)
+        return;
+    m_nextDemandExpiry = now + m_settings.demandExpiryInterval;
+    m_demand.expire(now);
 }
 
-// ---- Expiry -------------------------------------------------------------------------------------
-
 void CopyPlacement::expire(Instant now)
 {
-    std::erase_if(m_demand, [&](const auto &entry) { return now >= entry.second.expiresAt; });
+    expireDemand(now);
     std::erase_if(m_requestedCopies,
                   [&](const auto &entry) { return now >= entry.second.expiresAt; });
     std::erase_if(m_preloadAllowedAt, [&](const auto &entry) { return now >= entry.second; });
+    int openReports = 0;
     for (auto &[id, engine] : m_engines) {
         if (engine.openOrder && now >= engine.openOrderDeadline) {
             engine.openOrder.reset();
@@ -247,11 +241,35 @@
             engine.orderCountKnown = false; // the load failed, or listings do not arrive
             engine.nextReportAt = now;
         }
+        if (now >= engine.nextReportAt)
+            engine.reportOpen = false;
+        openReports += engine.reportOpen ? 1 : 0;
+    }
+    requestReports(openReports, now);
+}
+
+/// Requests reports of replicas whose number of orders is unknown, those with the longest wait
+/// first.
+void CopyPlacement::requestReports(int open, Instant now)
+{
+    std::vector<EngineRecord *> due;
+    for (auto &[id, engine] : m_engines) {
         if (!engine.orderCountKnown && !engine.info.draining && now >= engine.nextReportAt
-            && m_services.contains(engine.info.service)) {
-            engine.nextReportAt = now + m_settings.reportTimeout;
-            m_actions.emplace_back(RequestReport { id, engine.info.address });
-        }
+            && m_services.contains(engine.info.service))
+            due.push_back(&engine);
+    }
+    const auto room = static_cast<std::size_t>(std::max(0, m_settings.maxOpenReports - open));
+    if (due.size() > room) {
+        std::stable_sort(due.begin(), due.end(),
+                         [](const EngineRecord *left, const EngineRecord *right) {
+                             return left->nextReportAt < right->nextReportAt;
+                         });
+        due.resize(room);
+    }
+    for (EngineRecord *engine : due) {
+        engine->nextReportAt = now + m_settings.reportTimeout;
+        engine->reportOpen = true;
+        m_actions.emplace_back(RequestReport { engine->info.id, engine->info.address });
     }
 }
 
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -1,7 +1,6 @@
 // Decides which models and adapters are loaded on which replicas, and issues the orders for it.
 //
 // Index
-//   CopyDemand                     demand of callers for a model or adapter, as nodes report it
 //   CopyPlacementSettings
 //   SendCommand, RequestReport, AnnounceCopyChange, PlacingAction
 //   CopyPlacement                  the decision module
@@ -15,7 +14,9 @@
 // second while the node holds the lease, and carries out the actions that takeActions() returns.
 //
 // Policy. Every model gets at least one copy. Models get more copies as their demand grows: first
-// in free memory, then in place of the copies that are needed least. Adapters are loaded ahead of
+// in free memory, then in place of the copies that are needed least. Where the replicas cannot hold
+// one copy of each model, a requested model without one replaces an idle one, and after
+// CopyPlacementSettings::maxMissingTime also one that is not idle. Adapters are loaded ahead of
 // demand while adapter slots are free; a requested adapter replaces an idle one.
 //
 // Orders with an unknown outcome. Each order carries the number of orders that the replica had
@@ -29,6 +30,7 @@
 // with the only copy of a model.
 #pragma once
 
+#include "placing/demandtable.h"
 #include "placing/enginerecord.h"
 #include "placing/loadratelimiter.h"
 #include "serving/servingconfig.h"
@@ -37,6 +39,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -44,14 +47,6 @@
 
 // ---- Input --------------------------------------------------------------------------------------
 
-struct CopyDemand
-{
-    std::string service;
-    std::string model;
-    std::string adapter;          // empty: all requests for the model
-    double tokensPerSecond = 0.0; // requested prompt tokens, smoothed
-};
-
 struct CopyPlacementSettings
 {
     std::string node; // name of this node, sent as the holder in orders
@@ -60,14 +55,22 @@
     /// can process, because a replica has other copies too.
     double tokensPerCopy = 8'000.0;
 
+    /// Loads from the weight store at once after a pause; its limit allows three.
+    double loadBurst = 2.0;
+    /// And as many more as the store's rate allows within this time: half of what its limit allows
+    /// beyond the rate, which leaves a margin for orders that are delayed on their way.
+    Duration loadBurstTime = std::chrono::milliseconds(250);
+
     /// Planning starts this long after the last new replica was listed. It covers one heartbeat, so
     /// that all replicas which start together are listed.
     Duration listSettleTime = std::chrono::milliseconds(1'500);
     /// Upper bound of that wait, from the first listed replica on.
     Duration maxListWait = std::chrono::seconds(5);
 
-    /// A node's demand report is dropped after this time.
-    Duration demandLifetime = std::chrono::seconds(3);
+    /// A row of a node's demand reports is dropped after this time.
+    Duration demandLifetime = std::chrono::seconds(4);
+    /// Rows are looked through for those that are too old this often.
+    Duration demandExpiryInterval = std::chrono::milliseconds(500);
     /// An order without a response counts as unanswered after this time.
     Duration orderTimeout = std::chrono::milliseconds(600);
     /// A report without a response is requested again after this time.
@@ -104,9 +107,19 @@
     /// Preloading pauses while this many adapter orders over all replicas have no response; the
     /// bound is low enough to keep each order fast.
     int maxOpenAdapterOrders = 6;
+    int replicasPerOpenAdapterOrder = 8; // large services: one more open order for each so many
     /// A copy that its model needs is evicted for a further copy of another model only if that
     /// model's demand per copy is more than this many times the demand per copy of its own model.
     double evictionDemandRatio = 2.0;
+    /// Tokens per second below which a model counts as idle.
+    double idleModelDemand = 25.0;
+    /// A model that requests have waited for this long without any copy may replace the only copy
+    /// of a model with more demand, so that no model is starved.
+    Duration maxMissingTime = std::chrono::seconds(5);
+    /// Models for which one planning pass looks for a copy to evict.
+    std::size_t maxEvictionsTried = 8;
+    /// Report requests that are open at the same time; a new holder needs a report of each replica.
+    int maxOpenReports = 32;
     /// Cost of a load from the weight store compared to a load from the replica's own host memory
     /// or disk, in units of tokensPerCopy: a load from the store takes several times as long.
     double storeLoadPenalty = 2.0;
@@ -160,8 +173,8 @@
     /// Takes the current listing of a replica; a new process under the same id starts empty.
     void onReplica(const ReplicaInfo &info, Instant now);
     void onReplicaRemoved(const std::string &id);
-    /// Replaces the last demand report of the node.
-    void onDemand(const std::string &node, std::vector<CopyDemand> demand, Instant now);
+    /// Takes a demand report of a node; earlier rows that it does not have stay for a while.
+    void onDemand(const std::string &node, const std::vector<CopyDemand> &demand, Instant now);
     /// Records that a request waits for the copy.
     /// @param adapter empty: the request needs only the model
     void onCopyRequest(const std::string &service, const std::string &model,
@@ -186,14 +199,15 @@
     std::vector<PlacingAction> takeActions();
 
 private:
-    struct ModelView; // one model over all replicas of its service, for one planning pass
+    struct EngineView; // one replica, for one planning pass
+    struct ModelView;  // one model over all replicas of its service, for one planning pass
     struct Plan;
-
-    struct NodeDemand
-    {
-        std::vector<CopyDemand> demand;
-        Instant expiresAt;
+    enum class PlaceResult {
+        Ordered,  // a load was ordered
+        Waits,    // the model fits, and waits for the weight store's limits or for adapters
+        NoMemory, // no replica that takes orders has memory for it
     };
+
     struct RequestedCopy
     {
         std::string service;
@@ -203,25 +217,30 @@
     };
 
     void expire(Instant now);
-    Plan makePlan(const ServingService &service, Instant now) const;
+    void expireDemand(Instant now);
+    void requestReports(int open, Instant now);
     void planService(const ServingService &service, Instant now);
-    void placeModels(Plan &plan, Instant now);
-    bool placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
-    bool evictForModel(Plan &plan, const ModelView &view, Instant now);
-    bool canReceiveCopy(const ModelView &view, const EngineRecord &engine, Instant now) const;
+    void addDemand(Plan &plan) const;
+    void addEngines(Plan &plan);
+    bool fitsAllModels(const Plan &plan) const;
     void collectHeldAdapters(Plan &plan) const;
     void reserveForAdapters(Plan &plan, Instant now) const;
+    void placeModels(Plan &plan, Instant now);
+    void noteMissing(Plan &plan, Instant now);
+    PlaceResult placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
+    bool canReceiveCopy(const ModelView &view, const EngineView &engine, Instant now) const;
+    bool mayReplaceLastCopy(const Plan &plan, const ModelView &view, const ModelView &victim,
+                            Instant now) const;
+    bool evictForModel(Plan &plan, const ModelView &view, Instant now);
     void placeAdapters(Plan &plan, Instant now);
     void preloadAdapters(Plan &plan, Instant now);
-    bool placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter,
+    bool placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
                       bool isRequested, Instant now);
     std::vector<std::pair<std::string, std::string>> loadedAdapters(const EngineRecord &engine,
                                                                     Instant now) const;
-    void evictIdleAdapter(Plan &plan, const EngineModel &model, Instant now);
+    void evictIdleAdapter(Plan &plan, const ModelView &model, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
-    int openAdapterOrders() const;
-    int modelLoadsInProgress(const std::string &service) const;
     bool canTakeAdapter(const EngineRecord &engine, Instant now) const;
 
     CopyPlacementSettings m_settings;
@@ -230,11 +249,14 @@
     std::map<std::string, ServingService> m_services;       // services with models
     std::map<std::string, LoadRateLimiter> m_loadLimiters;  // by service
     std::map<std::string, EngineRecord> m_engines;          // by replica
-    std::map<std::string, NodeDemand> m_demand;             // by node
+    DemandTable m_demand;
+    Instant m_nextDemandExpiry;
     std::map<std::string, RequestedCopy> m_requestedCopies; // by service and copy
     Instant m_firstReplicaAt;                               // zero: no replica has been listed yet
     Instant m_lastNewReplicaAt;                        // last time that a new replica was listed
     std::map<std::string, Instant> m_preloadAllowedAt; // by copy; evicted adapters only
+    /// By service and model: since when it has been requested without having a copy.
+    std::map<std::pair<std::string, std::string>, Instant> m_missingSince;
     std::vector<PlacingAction> m_actions;
 };
 
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -19,28 +21,60 @@
 
 // ---- Plan ---------------------------------------------------------------------------------------
 
+struct CopyPlacement::EngineView
+{
+    EngineRecord *record = nullptr;
+    double freeMb = 0.0;              // left for models
+    double load = 0.0;                // tokens per second
+    bool takesOrders = false;         // see canTakeOrder()
+    bool reservedForAdapters = false; // must take adapters and therefore gets no model loads
+
+    const std::string &id() const { return record->info.id; }
+};
+
 struct CopyPlacement::ModelView
 {
     const EngineModel *model = nullptr;
-    double demand = 0.0;           // tokens per second
-    bool isRequested = false;      // a request waits for the model
-    int copies = 0;                // resident or being loaded; without copies being unloaded
-    int ready = 0;                 // number of these copies that are resident
-    int desired = 1;               // copies needed for the demand
-    std::set<std::string> holders; // replicas that have the copies
+    double demand = 0.0;      // tokens per second
+    bool isRequested = false; // a request waits for the model
+    int copies = 0;           // resident or being loaded; without copies being unloaded
+    int ready = 0;            // number of these copies that are resident
+    int desired = 1;          // copies needed for the demand
+    std::vector<EngineView *> holders; // replicas that have the copies
+    std::vector<EngineView *> listed;  // replicas that list the model
+    std::vector<EngineView *> warm;    // replicas that need not read the weight store to load it
+
+    bool isHeldBy(const EngineView &engine) const { return contains(holders, &engine); }
+    double demandPerCopy() const { return copies == 0 ? 0.0 : demand / copies; }
+
+private:
+    static bool contains(const std::vector<EngineView *> &engines, const EngineView *engine)
+    {
+        return std::find(engines.begin(), engines.end(), engine) != engines.end();
+    }
 };
 
+/// What one planning pass works on: each replica and model is looked at once to build it, so that
+/// its cost grows with replicas plus models, not with their product.
 struct CopyPlacement::Plan
 {
-    const ServingService *service = nullptr;
-    const EngineLimits *limits = nullptr;
-    std::vector<EngineRecord *> engines;          // replicas of the service that are not draining
-    std::vector<ModelView> models;                // in the order of the configuration
-    std::map<std::string, double> adapterDemand;  // tokens per second by "model/adapter"
-    std::map<std::string, double> engineLoad;     // tokens per second by replica
-    std::unordered_set<std::string> heldAdapters; // held by any replica, or ordered
-    /// Replicas that must take adapters and therefore get no model loads.
-    std::set<std::string> reservedForAdapters;
+    explicit Plan(const ServingService &planned)
+        : service(planned)
+        , limits(*planned.engine)
+        , catalog(limits)
+    {
+    }
+
+    const ServingService &service;
+    const EngineLimits &limits;
+    ModelCatalog catalog;
+    std::vector<EngineView> engines; // replicas of the service that are not draining
+    std::vector<ModelView> models;   // in the order of the configuration
+    std::unordered_map<std::string, double> adapterDemand; // tokens per second by "model/adapter"
+    std::unordered_set<std::string> heldAdapters;          // held by any replica, or ordered
+    int loadsInProgress = 0;
+    int openAdapterOrders = 0;
+    bool fitsAllModels = true; // the replicas can hold a copy of each model at the same time
 
     /// @return demand for an adapter in tokens per second
     double demandOf(const std::string &model, const std::string &adapter) const
@@ -49,97 +83,122 @@
         return demand == adapterDemand.end() ? 0.0 : demand->second;
     }
 
+    ModelView *find(std::string_view model)
+    {
+        const auto index = catalog.indexOf(model);
+        return index ? &models[*index] : nullptr;
+    }
+
     /// Counts a copy of the model on the replica, at most once per replica.
     /// @param isReady the copy is resident
-    void count(const EngineRecord &engine, const std::string &model, bool isReady)
+    void count(EngineView &engine, const std::string &model, bool isReady)
     {
         ModelView *view = find(model);
-        if (view == nullptr || engine.unloading.contains(model)
-            || !view->holders.insert(engine.info.id).second)
+        if (view == nullptr || engine.record->unloading.contains(model) || view->isHeldBy(engine))
             return;
+        view->holders.push_back(&engine);
         view->copies++;
         view->ready += isReady ? 1 : 0;
     }
-
-    ModelView *find(const std::string &model)
-    {
-        const auto found = std::find_if(models.begin(), models.end(), [&](const ModelView &view) {
-            return view.model->name == model;
-        });
-        return found == models.end() ? nullptr : &*found;
-    }
 };
 
-CopyPlacement::Plan CopyPlacement::makePlan(const ServingService &service, Instant) const
+void CopyPlacement::addDemand(Plan &plan) const
 {
-    Plan plan;
-    plan.service = &service;
-    plan.limits = &*service.engine;
-    for (const EngineModel &model : service.engine->models) {
-        ModelView view;
-        view.model = &model;
-        plan.models.push_back(view);
-    }
-    for (const auto &[node, report] : m_demand) {
-        for (const CopyDemand &demand : report.demand) {
-            if (demand.service != service.name)
-                continue;
-            if (!demand.adapter.empty())
-                plan.adapterDemand[copyName(demand.model, demand.adapter)] +=
-                        demand.tokensPerSecond;
-            else if (ModelView *view = plan.find(demand.model))
-                view->demand += demand.tokensPerSecond;
-        }
+    for (const auto &[key, demand] : m_demand.totals()) {
+        if (demand.service != plan.service.name)
+            continue;
+        if (!demand.adapter.empty())
+            plan.adapterDemand[copyName(demand.model, demand.adapter)] = demand.tokensPerSecond;
+        else if (ModelView *view = plan.find(demand.model))
+            view->demand = demand.tokensPerSecond;
     }
     for (const auto &[key, request] : m_requestedCopies) {
-        if (request.service != service.name)
+        if (request.service != plan.service.name)
             continue;
         if (ModelView *view = plan.find(request.model))
             view->isRequested = true;
     }
-    return plan;
 }
 
-void CopyPlacement::planService(const ServingService &service, Instant now)
+void CopyPlacement::addEngines(Plan &plan)
 {
-    Plan plan = makePlan(service, now);
     for (auto &[id, engine] : m_engines) {
-        if (engine.info.service != service.name || engine.info.draining)
+        if (engine.info.service != plan.service.name)
             continue;
-        plan.engines.push_back(&engine);
-        for (const ModelCopy &copy : engine.info.models)
-            plan.count(engine, copy.model, true);
+        const bool isLoading = engine.openOrder && engine.openOrder->load;
+        plan.loadsInProgress += static_cast<int>(engine.loading.size());
+        plan.loadsInProgress += isLoading && engine.openOrder->adapter.empty() ? 1 : 0;
+        plan.openAdapterOrders += engine.openOrder && !engine.openOrder->adapter.empty() ? 1 : 0;
+        if (!engine.info.draining)
+            plan.engines.push_back({ &engine });
+    }
+    for (EngineView &view : plan.engines) {
+        const EngineRecord &engine = *view.record;
+        view.freeMb = freeMemory(engine, plan.catalog, m_settings.usableMemoryShare);
+        view.takesOrders = canTakeOrder(engine);
+        for (const ModelCopy &copy : engine.info.models) {
+            plan.count(view, copy.model, true);
+            if (ModelView *model = plan.find(copy.model))
+                model->listed.push_back(&view);
+        }
         for (const auto &[model, expiresAt] : engine.loading)
-            plan.count(engine, model, false);
+            plan.count(view, model, false);
         if (engine.openOrder && engine.openOrder->load && engine.openOrder->adapter.empty())
-            plan.count(engine, engine.openOrder->model, false);
+            plan.count(view, engine.openOrder->model, false);
     }
+}
+
+void CopyPlacement::planService(const ServingService &service, Instant now)
+{
+    Plan plan(service);
+    plan.models.resize(plan.limits.models.size());
+    for (std::size_t index = 0; index < plan.models.size(); ++index)
+        plan.models[index].model = &plan.limits.models[index];
+    addDemand(plan);
+    addEngines(plan);
     if (plan.engines.empty())
         return;
     for (ModelView &view : plan.models) {
         const double byDemand = std::ceil(view.demand / m_settings.tokensPerCopy);
         view.desired = std::max(1, static_cast<int>(byDemand));
         view.desired = std::min(view.desired, static_cast<int>(plan.engines.size()));
-        for (const std::string &holder : view.holders)
-            plan.engineLoad[holder] += view.demand / view.copies;
+        for (EngineView *holder : view.holders)
+            holder->load += view.demand / view.copies;
     }
+    plan.fitsAllModels = fitsAllModels(plan);
     collectHeldAdapters(plan);
     reserveForAdapters(plan, now);
     placeModels(plan, now);
     placeAdapters(plan, now);
 }
 
+/// By the mean size of the models: which of them share a replica is not known in advance.
+bool CopyPlacement::fitsAllModels(const Plan &plan) const
+{
+    double modelsMb = 0.0;
+    for (const ModelView &view : plan.models)
+        modelsMb += view.model->memoryMb;
+    const auto modelCount = static_cast<double>(plan.models.size());
+    const double usableMb = plan.limits.weightsMb * m_settings.usableMemoryShare
+            - plan.catalog.adapterSlotsMb();
+    const double perReplica = std::floor(std::max(0.0, usableMb) * modelCount / modelsMb);
+    return perReplica * static_cast<double>(plan.engines.size()) >= modelCount;
+}
+
 void CopyPlacement::collectHeldAdapters(Plan &plan) const
 {
-    for (const EngineRecord *engine : plan.engines) {
-        for (const auto *held : { &engine->info.models, &engine->reported }) {
+    for (const EngineView &view : plan.engines) {
+        const EngineRecord &engine = *view.record;
+        for (const auto *held : { &engine.info.models, &engine.reported }) {
             for (const ModelCopy &copy : *held) {
                 for (const std::string &adapter : copy.adapters)
                     plan.heldAdapters.insert(copyName(copy.model, adapter));
             }
         }
-        for (const auto &[name, orderedAt] : engine->pendingAdapters)
+        for (const auto &[name, orderedAt] : engine.pendingAdapters)
             plan.heldAdapters.insert(name);
+        if (engine.openOrder && !engine.openOrder->adapter.empty())
+            plan.heldAdapters.insert(copyName(engine.openOrder->model, engine.openOrder->adapter));
     }
 }
 
@@ -148,7 +207,7 @@
 void CopyPlacement::reserveForAdapters(Plan &plan, Instant now) const
 {
     const auto canTake = [&](const EngineRecord &engine) {
-        if (maxHeldAdapters(engine) < plan.limits->adapterSlots)
+        if (maxHeldAdapters(engine) < plan.limits.adapterSlots)
             return true;
         const auto loaded = loadedAdapters(engine, now);
         return std::any_of(loaded.begin(), loaded.end(), [&](const auto &held) {
@@ -156,23 +215,27 @@
         });
     };
     for (const auto &[key, request] : m_requestedCopies) {
-        if (request.service != plan.service->name || request.adapter.empty()
+        if (request.service != plan.service.name || request.adapter.empty()
             || plan.heldAdapters.contains(copyName(request.model, request.adapter)))
             continue;
-        const EngineRecord *only = nullptr;
+        const ModelView *model = plan.find(request.model);
+        if (model == nullptr)
+            continue;
+        EngineView *only = nullptr;
         int holders = 0;
-        for (const EngineRecord *engine : plan.engines) {
-            if (listedCopy(*engine, request.model) == nullptr || !canTakeOrder(*engine)
-                || !canTake(*engine))
+        for (EngineView *engine : model->listed) {
+            if (!engine->takesOrders || !canTake(*engine->record))
                 continue;
             only = engine;
             holders++;
         }
         if (holders == 1)
-            plan.reservedForAdapters.insert(only->info.id);
+            only->reservedForAdapters = true;
     }
 }
 
+// ---- Models -------------------------------------------------------------------------------------
+
 void CopyPlacement::placeModels(Plan &plan, Instant now)
 {
     std::vector<ModelView *> order;
@@ -180,6 +243,18 @@
         if (view.copies < view.desired)
             order.push_back(&view);
     }
+    noteMissing(plan, now);
+    if (order.empty())
+        return;
+    for (EngineView &engine : plan.engines) {
+        for (const auto *kept : { &engine.record->info.inHostMemory, &engine.record->info.onDisk }) {
+            for (const std::string &model : *kept) {
+                ModelView *view = plan.find(model);
+                if (view != nullptr && (view->warm.empty() || view->warm.back() != &engine))
+                    view->warm.push_back(&engine);
+            }
+        }
+    }
     // Models without copies first, and among them those with requests or demand; then the models
     // with the highest demand per copy.
     std::stable_sort(order.begin(), order.end(), [](const ModelView *left, const ModelView *right) {
@@ -193,139 +268,180 @@
         return left->demand / std::max(1, left->copies)
                 > right->demand / std::max(1, right->copies);
     });
+    std::vector<const ModelView *> withoutMemory;
     for (ModelView *view : order) {
         const char *reason = view->copies == 0 ? "missing" : "demand";
-        if (!placeModel(plan, *view, reason, now))
-            evictForModel(plan, *view, now);
+        if (placeModel(plan, *view, reason, now) == PlaceResult::NoMemory)
+            withoutMemory.push_back(view);
+    }
+    // Models that nobody asks for come last: they replace surplus copies only.
+    std::stable_partition(
+            withoutMemory.begin(), withoutMemory.end(),
+            [](const ModelView *view) { return view->isRequested || view->demand > 0.0; });
+    if (withoutMemory.size() > m_settings.maxEvictionsTried)
+        withoutMemory.resize(m_settings.maxEvictionsTried);
+    for (const ModelView *view : withoutMemory)
+        evictForModel(plan, *view, now);
+}
+
+/// Keeps since when each model has been requested without having a copy.
+void CopyPlacement::noteMissing(Plan &plan, Instant now)
+{
+    std::erase_if(m_missingSince, [&](const auto &entry) {
+        const auto &[service, model] = entry.first;
+        const ModelView *view = service == plan.service.name ? plan.find(model) : nullptr;
+        return view != nullptr && view->copies > 0;
+    });
+    for (const auto &[key, request] : m_requestedCopies) {
+        const ModelView *view =
+                request.service == plan.service.name ? plan.find(request.model) : nullptr;
+        if (view != nullptr && view->copies == 0)
+            m_missingSince.emplace(std::pair(request.service, request.model), now);
     }
 }
 
-bool CopyPlacement::placeModel(Plan &plan, ModelView &view, const char *reason, Instant now)
+CopyPlacement::PlaceResult CopyPlacement::placeModel(Plan &plan, ModelView &view,
+                                                     const char *reason, Instant now)
 {
-    LoadRateLimiter &limiter = m_loadLimiters[plan.service->name];
+    LoadRateLimiter &limiter = m_loadLimiters[plan.service.name];
     const double loadSeconds = double(view.model->storeLoadTime.count()) / 1e3;
     const int maxLoads =
-            std::max(2, static_cast<int>(std::ceil(plan.limits->loadsPerSecond * loadSeconds)));
-    const bool canLoadFromStore =
-            limiter.hasToken(now) && modelLoadsInProgress(plan.service->name) < maxLoads;
+            std::max(2, static_cast<int>(std::ceil(plan.limits.loadsPerSecond * loadSeconds)));
+    const bool canLoadFromStore = limiter.hasToken(now) && plan.loadsInProgress < maxLoads;
 
-    EngineRecord *best = nullptr;
+    std::map<std::string_view, int> copiesByZone;
+    for (const EngineView *holder : view.holders)
+        copiesByZone[holder->record->info.zone]++;
+    EngineView *best = nullptr;
     double bestCost = 0.0;
     bool bestNeedsStore = true;
-    for (EngineRecord *engine : plan.engines) {
-        const std::string &id = engine->info.id;
-        if (!canReceiveCopy(view, *engine, now) || plan.reservedForAdapters.contains(id)
-            || freeMemory(*engine, *plan.limits, m_settings.usableMemoryShare)
-                    < view.model->memoryMb)
+    bool fits = false;
+    for (EngineView &engine : plan.engines) {
+        if (!canReceiveCopy(view, engine, now) || engine.freeMb < view.model->memoryMb)
             continue;
-        const bool needsStore = loadsFromStore(*engine, view.model->name);
+        fits = true;
+        if (engine.reservedForAdapters)
+            continue;
+        const bool needsStore =
+                std::find(view.warm.begin(), view.warm.end(), &engine) == view.warm.end();
         if (needsStore && !canLoadFromStore)
             continue;
-        int sameZone = 0;
-        for (const EngineRecord *other : plan.engines) {
-            if (other->info.zone == engine->info.zone && view.holders.contains(other->info.id))
-                ++sameZone;
-        }
+        const auto sameZone = copiesByZone.find(engine.record->info.zone);
+        const int zoneCopies = sameZone == copiesByZone.end() ? 0 : sameZone->second;
         // Each copy that the zone already has costs a quarter of tokensPerCopy.
-        const double cost = plan.engineLoad[id]
+        const double cost = engine.load
                 + m_settings.tokensPerCopy
-                        * (0.25 * sameZone + (needsStore ? m_settings.storeLoadPenalty : 0.0));
+                        * (0.25 * zoneCopies + (needsStore ? m_settings.storeLoadPenalty : 0.0));
         if (best == nullptr || cost < bestCost) {
-            best = engine;
+            best = &engine;
             bestCost = cost;
             bestNeedsStore = needsStore;
         }
     }
     if (best == nullptr)
-        return false;
+        return fits ? PlaceResult::Waits : PlaceResult::NoMemory;
     if (bestNeedsStore)
         limiter.takeToken(now);
-    best->reservedFor.clear();
+    best->record->reservedFor.clear();
     EngineCommand command;
     command.model = view.model->name;
-    send(*best, std::move(command), reason, view.demand, view.copies, now);
-    best->openOrderUsesToken = bestNeedsStore;
+    send(*best->record, std::move(command), reason, view.demand, view.copies, now);
+    best->record->openOrderUsesToken = bestNeedsStore;
+    best->takesOrders = false;
+    best->freeMb -= view.model->memoryMb;
+    plan.loadsInProgress++;
     view.copies++;
-    view.holders.insert(best->info.id);
-    plan.engineLoad[best->info.id] += view.demand / view.copies;
-    return true;
+    view.holders.push_back(best);
+    best->load += view.demand / view.copies;
+    return PlaceResult::Ordered;
 }
 
 /// @return whether the replica may be ordered to load the model; does not check its memory
-bool CopyPlacement::canReceiveCopy(const ModelView &view, const EngineRecord &engine,
+bool CopyPlacement::canReceiveCopy(const ModelView &view, const EngineView &engine,
                                    Instant now) const
 {
-    const std::string &model = view.model->name;
-    const bool isReservedForOther = !engine.reservedFor.empty() && engine.reservedFor != model
-            && now < engine.reservationExpiresAt;
-    return canTakeOrder(engine) && !view.holders.contains(engine.info.id) && !isReservedForOther;
+    const EngineRecord &record = *engine.record;
+    const bool isReservedForOther = !record.reservedFor.empty()
+            && record.reservedFor != view.model->name && now < record.reservationExpiresAt;
+    return engine.takesOrders && !isReservedForOther && !view.isHeldBy(engine);
+}
+
+/// @return whether the only copy of a model may make room for a requested model without one: never
+///         if one copy of each fits; else if it is idle, or if callers have waited for long
+bool CopyPlacement::mayReplaceLastCopy(const Plan &plan, const ModelView &view,
+                                       const ModelView &victim, Instant now) const
+{
+    if (plan.fitsAllModels || victim.isRequested || !view.isRequested || view.copies > 0)
+        return false;
+    if (victim.demand < m_settings.idleModelDemand)
+        return true;
+    const auto since = m_missingSince.find(std::pair(plan.service.name, view.model->name));
+    return since != m_missingSince.end() && now >= since->second + m_settings.maxMissingTime;
 }
 
 /// Unloads the copy whose loss costs least, so that the model fits on its replica.
 /// @return whether an unload was ordered
 bool CopyPlacement::evictForModel(Plan &plan, const ModelView &view, Instant now)
 {
-    const double modelDemandPerCopy = view.copies == 0 ? 0.0 : view.demand / view.copies;
-    EngineRecord *best = nullptr;
-    std::string victimModel;
-    double bestCost = 0.0;
-    const bool hasDemand = view.isRequested || view.demand > 0.0;
-    for (const EngineRecord *engine : plan.engines) {
-        if (engine->reservedFor == view.model->name && now < engine->reservationExpiresAt)
+    for (const EngineView &engine : plan.engines) {
+        if (engine.record->reservedFor == view.model->name
+            && now < engine.record->reservationExpiresAt)
             return false; // a copy has been evicted for the model already
-        const bool fitsInMemory = canReceiveCopy(view, *engine, now)
-                && freeMemory(*engine, *plan.limits, m_settings.usableMemoryShare)
-                        >= view.model->memoryMb;
-        if (fitsInMemory)
-            return false; // the model fits; the load only waits for the weight store's limits
     }
-    for (EngineRecord *engine : plan.engines) {
-        if (!canReceiveCopy(view, *engine, now)
-            || plan.reservedForAdapters.contains(engine->info.id))
+    const bool hasDemand = view.isRequested || view.demand > 0.0;
+    EngineView *best = nullptr;
+    ModelView *bestVictim = nullptr;
+    double bestCost = 0.0;
+    for (EngineView &engine : plan.engines) {
+        if (!canReceiveCopy(view, engine, now) || engine.reservedForAdapters)
             continue;
-        const double missing = view.model->memoryMb
-                - freeMemory(*engine, *plan.limits, m_settings.usableMemoryShare);
-        for (const ModelCopy &copy : engine->info.models) {
-            const ModelView *victim = plan.find(copy.model);
-            if (victim == nullptr || victim->model->memoryMb < missing || victim->ready < 2)
+        const double missing = view.model->memoryMb - engine.freeMb;
+        const bool needsStore =
+                std::find(view.warm.begin(), view.warm.end(), &engine) == view.warm.end();
+        for (const ModelCopy &copy : engine.record->info.models) {
+            ModelView *victim = plan.find(copy.model);
+            if (victim == nullptr || victim->model->memoryMb < missing || victim->ready < 1)
                 continue;
-            const auto evictable = engine->evictableAt.find(copy.model);
+            const auto evictable = engine.record->evictableAt.find(copy.model);
             const bool isProtected =
-                    evictable != engine->evictableAt.end() && now < evictable->second;
-            if (isProtected && view.copies > 0)
+                    evictable != engine.record->evictableAt.end() && now < evictable->second;
+            const bool isLast = victim->ready < 2;
+            if (isProtected && (view.copies > 0 || isLast))
+                continue;
+            if (isLast && !mayReplaceLastCopy(plan, view, *victim, now))
                 continue;
-            const double victimDemandPerCopy = victim->demand / victim->copies;
+            const double victimDemandPerCopy = victim->demandPerCopy();
             const bool isSurplus = victim->copies > victim->desired;
             // A model without demand replaces only surplus copies.
             const bool isWorthEvicting = isSurplus || (view.copies == 0 && hasDemand)
-                    || modelDemandPerCopy > m_settings.evictionDemandRatio * victimDemandPerCopy;
+                    || view.demandPerCopy() > m_settings.evictionDemandRatio * victimDemandPerCopy;
             if (!isWorthEvicting)
                 continue;
-            const bool needsStore = loadsFromStore(*engine, view.model->name);
             const double cost = victimDemandPerCopy + (isSurplus ? 0.0 : m_settings.tokensPerCopy)
                     + (needsStore ? m_settings.storeLoadPenalty * m_settings.tokensPerCopy : 0.0)
                     + double(copy.adapters.size()) - double(victim->copies);
             if (best == nullptr || cost < bestCost) {
-                best = engine;
-                victimModel = copy.model;
+                best = &engine;
+                bestVictim = victim;
                 bestCost = cost;
             }
         }
     }
     if (best == nullptr)
         return false;
-    best->reservedFor = view.model->name;
-    best->reservationExpiresAt = now + m_settings.reservationTime;
+    best->record->reservedFor = view.model->name;
+    best->record->reservationExpiresAt = now + m_settings.reservationTime;
+    best->takesOrders = false;
     EngineCommand command;
     command.load = false;
-    command.model = victimModel;
-    ModelView *victim = plan.find(victimModel);
-    victim->copies--;
-    victim->ready--;
-    victim->holders.erase(best->info.id);
+    command.model = bestVictim->model->name;
+    bestVictim->copies--;
+    bestVictim->ready--;
+    std::erase(bestVictim->holders, best);
     m_actions.emplace_back(
-            AnnounceCopyChange { best->info.id, victimModel, CopyChange::Unloading, {} });
-    send(*best, std::move(command), "make_room", victim->demand, victim->copies + 1, now);
+            AnnounceCopyChange { best->id(), command.model, CopyChange::Unloading, {} });
+    send(*best->record, std::move(command), "make_room", bestVictim->demand, bestVictim->copies + 1,
+         now);
     return true;
 }
 
@@ -334,10 +450,9 @@
 void CopyPlacement::placeAdapters(Plan &plan, Instant now)
 {
     for (const auto &[key, request] : m_requestedCopies) {
-        if (request.service != plan.service->name || request.adapter.empty())
+        if (request.service != plan.service.name || request.adapter.empty())
             continue;
-        const EngineModel *model = findModel(*plan.limits, request.model);
-        if (model != nullptr)
+        if (const ModelView *model = plan.find(request.model))
             placeAdapter(plan, *model, request.adapter, true, now);
     }
     preloadAdapters(plan, now);
@@ -348,7 +463,7 @@
 {
     struct Missing
     {
-        const EngineModel *model = nullptr;
+        const ModelView *model = nullptr;
         std::string adapter;
         double demand = 0.0;
     };
@@ -359,14 +474,17 @@
             const std::string copy = copyName(view.model->name, adapter);
             if (plan.heldAdapters.contains(copy) || m_preloadAllowedAt.contains(copy))
                 continue;
-            missing.push_back({ view.model, adapter, plan.demandOf(view.model->name, adapter) });
+            missing.push_back({ &view, adapter, plan.demandOf(view.model->name, adapter) });
         }
     }
     std::stable_sort(missing.begin(), missing.end(), [](const Missing &left, const Missing &right) {
         return left.demand > right.demand;
     });
+    const int maxOpen = std::max(m_settings.maxOpenAdapterOrders,
+                                 static_cast<int>(plan.engines.size())
+                                         / m_settings.replicasPerOpenAdapterOrder);
     for (const Missing &each : missing) {
-        if (openAdapterOrders() >= m_settings.maxOpenAdapterOrders)
+        if (plan.openAdapterOrders >= maxOpen)
             return;
         placeAdapter(plan, *each.model, each.adapter, false, now);
     }
@@ -375,21 +493,19 @@
 /// @param isRequested a request waits for the adapter; if all slots are in use, an idle adapter is
 ///        evicted
 /// @return whether the adapter is held or ordered
-bool CopyPlacement::placeAdapter(Plan &plan, const EngineModel &model, const std::string &adapter,
+bool CopyPlacement::placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
                                  bool isRequested, Instant now)
 {
-    EngineRecord *best = nullptr;
+    const std::string copy = copyName(model.model->name, adapter);
+    if (plan.heldAdapters.contains(copy))
+        return true;
+    EngineView *best = nullptr;
     int bestCount = 0;
-    for (EngineRecord *engine : plan.engines) {
-        if (hasAdapter(*engine, model.name, adapter))
-            return true;
-        if (engine->openOrder && engine->openOrder->model == model.name
-            && engine->openOrder->adapter == adapter)
-            return true;
-        if (listedCopy(*engine, model.name) == nullptr || !canTakeAdapter(*engine, now))
+    for (EngineView *engine : model.listed) {
+        if (!engine->takesOrders || !canTakeAdapter(*engine->record, now))
             continue;
-        const int count = maxHeldAdapters(*engine);
-        if (count >= plan.limits->adapterSlots)
+        const int count = maxHeldAdapters(*engine->record);
+        if (count >= plan.limits.adapterSlots)
             continue;
         if (best == nullptr || count < bestCount) {
             best = engine;
@@ -398,10 +514,13 @@
     }
     if (best != nullptr) {
         EngineCommand command;
-        command.model = model.name;
+        command.model = model.model->name;
         command.adapter = adapter;
-        send(*best, std::move(command), isRequested ? "wanted" : "preload",
-             plan.demandOf(model.name, adapter), 0, now);
+        send(*best->record, std::move(command), isRequested ? "wanted" : "preload",
+             plan.demandOf(model.model->name, adapter), 0, now);
+        best->takesOrders = false;
+        plan.openAdapterOrders++;
+        plan.heldAdapters.insert(copy);
         return true;
     }
     if (isRequested)
@@ -428,16 +547,16 @@
 
 /// Unloads the idle adapter with the lowest demand, on the replicas that hold the model. Adapters
 /// in use stay: a replica would refuse other orders until their last request has ended.
-void CopyPlacement::evictIdleAdapter(Plan &plan, const EngineModel &model, Instant now)
+void CopyPlacement::evictIdleAdapter(Plan &plan, const ModelView &model, Instant now)
 {
-    EngineRecord *best = nullptr;
+    EngineView *best = nullptr;
     std::string victimModel;
     std::string victim;
     double lowestDemand = m_settings.idleAdapterDemand;
-    for (EngineRecord *engine : plan.engines) {
-        if (listedCopy(*engine, model.name) == nullptr || !canTakeAdapter(*engine, now))
+    for (EngineView *engine : model.listed) {
+        if (!engine->takesOrders || !canTakeAdapter(*engine->record, now))
             continue;
-        for (const auto &[heldModel, held] : loadedAdapters(*engine, now)) {
+        for (const auto &[heldModel, held] : loadedAdapters(*engine->record, now)) {
             const double demand = plan.demandOf(heldModel, held);
             if (demand >= lowestDemand)
                 continue;
@@ -451,12 +570,13 @@
         return;
     const std::string copy = copyName(victimModel, victim);
     m_preloadAllowedAt[copy] = now + m_settings.preloadCooldown;
-    m_actions.emplace_back(AnnounceCopyChange { best->info.id, copy, CopyChange::Unloading, {} });
+    m_actions.emplace_back(AnnounceCopyChange { best->id(), copy, CopyChange::Unloading, {} });
     EngineCommand command;
     command.load = false;
     command.model = victimModel;
     command.adapter = victim;
-    send(*best, std::move(command), "make_room", lowestDemand, 1, now);
+    send(*best->record, std::move(command), "make_room", lowestDemand, 1, now);
+    best->takesOrders = false;
 }
 
 } // namespace burdock
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -6,6 +6,23 @@
 
 namespace burdock {
 
+ModelCatalog::ModelCatalog(const EngineLimits &limits)
+    : m_limits(limits)
+{
+    double adapterMb = 0.0;
+    for (std::size_t index = 0; index < limits.models.size(); ++index) {
+        m_indexes.emplace(limits.models[index].name, index);
+        adapterMb = std::max(adapterMb, limits.models[index].adapterMb);
+    }
+    m_adapterSlotsMb = adapterMb * limits.adapterSlots;
+}
+
+std::optional<std::size_t> ModelCatalog::indexOf(std::string_view model) const
+{
+    const auto found = m_indexes.find(model);
+    return found == m_indexes.end() ? std::nullopt : std::optional(found->second);
+}
+
 void resetRecord(EngineRecord &engine, const ReplicaInfo &info)
 {
     engine = EngineRecord {};
@@ -60,29 +77,30 @@
                                                      : model->storeLoadTime;
 }
 
-double freeMemory(const EngineRecord &engine, const EngineLimits &limits, double usableShare)
+double freeMemory(const EngineRecord &engine, const ModelCatalog &catalog, double usableShare)
 {
-    double used = 0.0;
-    double adapterMb = 0.0;
-    std::set<std::string> models;
+    std::vector<std::string_view> models;
+    const auto add = [&](std::string_view model) {
+        if (std::find(models.begin(), models.end(), model) == models.end())
+            models.push_back(model);
+    };
     for (const ModelCopy &copy : engine.info.models)
-        models.insert(copy.model);
+        add(copy.model);
     for (const ModelCopy &copy : engine.reported)
-        models.insert(copy.model);
+        add(copy.model);
     for (const auto &[model, expiresAt] : engine.loading)
-        models.insert(model);
+        add(model);
     if (engine.openOrder && engine.openOrder->load && engine.openOrder->adapter.empty())
-        models.insert(engine.openOrder->model);
-    for (const std::string &name : models) {
-        const EngineModel *model = findModel(limits, name);
-        if (model == nullptr)
+        add(engine.openOrder->model);
+    // All adapter slots count: adapters may be loaded at any time.
+    double used = catalog.adapterSlotsMb();
+    for (const std::string_view name : models) {
+        const auto index = catalog.indexOf(name);
+        if (!index)
             return 0.0; // its size is unknown: nothing more may be loaded
-        used += model->memoryMb;
+        used += catalog.limits().models[*index].memoryMb;
     }
-    for (const EngineModel &model : limits.models)
-        adapterMb = std::max(adapterMb, model.adapterMb);
-    used += adapterMb * limits.adapterSlots; // all slots: adapters may be loaded at any time
-    return limits.weightsMb * usableShare - used;
+    return catalog.limits().weightsMb * usableShare - used;
 }
 
 bool canTakeOrder(const EngineRecord &engine)
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -1,6 +1,7 @@
 // State of one model replica as the holder of the placement lease knows it, and queries on it.
 //
 // Index
+//   ModelCatalog                             models of a service by name
 //   EngineRecord                             the state
 //   resetRecord                              starts the record of a new process
 //   listedCopy, hasAdapter, maxHeldAdapters  what the replica holds
@@ -11,14 +12,37 @@
 #include "placing/enginetypes.h"
 #include "serving/servingconfig.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace burdock {
 
+/// Models of a service by name. Refers to the limits that it was made of.
+class ModelCatalog
+{
+public:
+    explicit ModelCatalog(const EngineLimits &limits);
+
+    /// @return position of the model in EngineLimits::models; nothing if it is unknown
+    std::optional<std::size_t> indexOf(std::string_view model) const;
+
+    const EngineLimits &limits() const { return m_limits; }
+
+    /// @return megabytes that all adapter slots of a replica take together
+    double adapterSlotsMb() const { return m_adapterSlotsMb; }
+
+private:
+    const EngineLimits &m_limits;
+    std::unordered_map<std::string_view, std::size_t> m_indexes;
+    double m_adapterSlotsMb = 0.0;
+};
+
 struct EngineRecord
 {
     ReplicaInfo info;                 // as listed
@@ -43,6 +67,7 @@
     std::string reservedFor;      // model for which a copy was evicted here
     Instant reservationExpiresAt; // from then on other models may use the memory
 
+    bool reportOpen = false;      // a report was requested and has not come or failed yet
     Instant nextReportAt;         // earliest time of the next report request
     int failedReportRequests = 0; // consecutive ones without a response
     Instant lastOrderAt;          // when an order was last accepted
@@ -68,7 +93,7 @@
 /// @param usableShare share of the replica's weight memory that may be used
 /// @return megabytes left after all models, listed or ordered, and all adapter slots; 0 if the size
 ///         of a held model is unknown; negative if the limits are exceeded
-double freeMemory(const EngineRecord &engine, const EngineLimits &limits, double usableShare);
+double freeMemory(const EngineRecord &engine, const ModelCatalog &catalog, double usableShare);
 
 /// @return whether a load of the model would read the weight store
 bool loadsFromStore(const EngineRecord &engine, const std::string &model);
