Replicas are indexed by the models that they hold

Cause: for each request and each queued one the choice looked at every replica of the service and asked it by name for the model: at 240 replicas most of an ingress node's processor time while requests waited.

Change: ReplicaTable::replicasOfModel() names the few that may hold a model; the chooser and the queue's estimates ask those.

Shown: a property test compares the index with a search of all rows after each of 80 random events; it uses the new function and does not build before.

--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -131,7 +131,7 @@
     std::vector<const ReplicaRow *> holders;
     bool held = false;
     bool limited = false;
-    for (const std::string &id : m_table.replicasOfService(request.service)) {
+    for (const std::string &id : m_table.replicasOfModel(request.service, request.model)) {
         const ReplicaRow *row = m_table.find(id);
         if (row == nullptr)
             continue;
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -12,6 +12,11 @@
 
 const std::vector<std::string> NoReplicas;
 
+std::string modelKey(const std::string &service, const std::string &model)
+{
+    return service + "/" + model;
+}
+
 } // namespace
 
 std::string copyName(const std::string &model, const std::string &adapter)
@@ -44,6 +49,48 @@
 void ReplicaTable::unindex(const ReplicaRow &row)
 {
     std::erase(m_byService[row.info.service], row.info.id);
+    for (const std::string &model : modelsOf(row)) {
+        const auto entry = m_byModel.find(modelKey(row.info.service, model));
+        if (entry == m_byModel.end())
+            continue;
+        std::erase(entry->second, row.info.id);
+        if (entry->second.empty())
+            m_byModel.erase(entry);
+    }
+}
+
+/// @return models that the replica may hold: listed ones, and those of copies loaded since
+std::vector<std::string> ReplicaTable::modelsOf(const ReplicaRow &row)
+{
+    std::vector<std::string> models;
+    const auto add = [&](const std::string &model) {
+        if (!contains(models, model))
+            models.push_back(model);
+    };
+    for (const ModelCopy &copy : row.info.models)
+        add(copy.model);
+    for (const auto &[copy, usableAt] : row.addedCopies)
+        add(copy.substr(0, copy.find('/')));
+    return models;
+}
+
+/// Brings the index up to date after a change of the row.
+/// @param earlier modelsOf() the row before the change
+void ReplicaTable::updateModelIndex(const ReplicaRow &row, const std::vector<std::string> &earlier)
+{
+    const std::vector<std::string> models = modelsOf(row);
+    for (const std::string &model : earlier) {
+        if (contains(models, model))
+            continue;
+        const auto entry = m_byModel.find(modelKey(row.info.service, model));
+        std::erase(entry->second, row.info.id);
+        if (entry->second.empty())
+            m_byModel.erase(entry);
+    }
+    for (const std::string &model : models) {
+        if (!contains(earlier, model))
+            m_byModel[modelKey(row.info.service, model)].push_back(row.info.id);
+    }
 }
 
 void ReplicaTable::onAnnounced(ReplicaInfo info, Instant now)
@@ -52,6 +99,7 @@
         info.startedMs = knownProcess(info.id);
     m_limits.onReplicaStarted(info.id, info.startedMs);
     ReplicaRow *row = findRow(info.id);
+    std::vector<std::string> earlierModels;
     const bool restarted = row != nullptr
             && (row->info.startedMs != info.startedMs || row->info.address != info.address
                 || row->info.service != info.service);
@@ -71,6 +119,8 @@
             row->avoidUntil = m_revertedUntil;
             mark->second.wasDelisted = now < m_revertedUntil;
         }
+    } else {
+        earlierModels = modelsOf(*row);
     }
     if (info.draining) {
         if (ProcessMark *mark = markOf(info.id, info.startedMs, now))
@@ -88,6 +138,7 @@
     std::erase_if(row->addedCopies, [&](const auto &entry) {
         return now >= entry.second + m_settings.addedCopyTime;
     });
+    updateModelIndex(*row, earlierModels);
 }
 
 void ReplicaTable::onDelisted(const std::string &id, Instant sourceReturnedAt, Instant now)
@@ -128,8 +179,10 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr)
         return;
+    const auto earlierModels = modelsOf(*row);
     row->addedCopies[copy] = usableAt;
     row->unavailableCopies.erase(copy);
+    updateModelIndex(*row, earlierModels);
 }
 
 void ReplicaTable::onCopyDenied(const std::string &id, const std::string &copy, Instant now)
@@ -137,8 +190,10 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr)
         return;
+    const auto earlierModels = modelsOf(*row);
     row->unavailableCopies[copy] = now + m_settings.deniedCopyTime;
     row->addedCopies.erase(copy);
+    updateModelIndex(*row, earlierModels);
 }
 
 void ReplicaTable::onCopyLoading(const std::string &id, const std::string &copy, Instant expectedAt)
@@ -168,8 +223,10 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr)
         return;
+    const auto earlierModels = modelsOf(*row);
     row->unavailableCopies[copy] = now + m_settings.unloadingCopyTime;
     row->addedCopies.erase(copy);
+    updateModelIndex(*row, earlierModels);
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> ReplicaTable::tick(Instant now)
@@ -393,6 +450,15 @@
     return found == m_byService.end() ? NoReplicas : found->second;
 }
 
+const std::vector<std::string> &ReplicaTable::replicasOfModel(const std::string &service,
+                                                              const std::string &model) const
+{
+    if (model.empty())
+        return replicasOfService(service);
+    const auto found = m_byModel.find(modelKey(service, model));
+    return found == m_byModel.end() ? NoReplicas : found->second;
+}
+
 bool ReplicaTable::isUsable(const ReplicaRow &row, Instant now) const
 {
     return !isDrained(row, now) && now >= row.avoidUntil && now >= row.pausedUntil;
@@ -416,7 +482,7 @@
                                const std::string &adapter, Instant now) const
 {
     Instant earliest;
-    for (const std::string &id : replicasOfService(service)) {
+    for (const std::string &id : replicasOfModel(service, model)) {
         const ReplicaRow *row = find(id);
         if (isDrained(*row, now) || (!model.empty() && !holds(*row, model, adapter, now)))
             continue;
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -266,6 +266,12 @@
     /// @return ids of a service's replicas, including those that are draining
     const std::vector<std::string> &replicasOfService(const std::string &service) const;
 
+    /// @param model empty: a plain service
+    /// @return ids of the service's replicas that may hold the model, which are few; all others do
+    ///         not hold it. Each is to be asked by holds().
+    const std::vector<std::string> &replicasOfModel(const std::string &service,
+                                                    const std::string &model) const;
+
     /// @return whether new requests may be sent to the replica
     bool isUsable(const ReplicaRow &row, Instant now) const;
 
@@ -325,10 +331,13 @@
     void applyMark(ReplicaRow &row) const;
     void index(const ReplicaRow &row);
     void unindex(const ReplicaRow &row);
+    static std::vector<std::string> modelsOf(const ReplicaRow &row);
+    void updateModelIndex(const ReplicaRow &row, const std::vector<std::string> &earlier);
 
     ReplicaTableSettings m_settings;
     std::map<std::string, ReplicaRow> m_rows;
     std::unordered_map<std::string, std::vector<std::string>> m_byService; // replica ids
+    std::unordered_map<std::string, std::vector<std::string>> m_byModel;   // by modelKey()
     std::unordered_map<std::string, ProcessMark> m_marks;                  // by replica id
     std::uint64_t m_nextGeneration = 1;
     Instant m_revertedUntil; // the list may show replicas that have ended
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -137,7 +137,7 @@
     const ReplicaRow *holder = nullptr;
     int holders = 0;
     Duration minPrefillAhead = Duration::max();
-    for (const std::string &id : m_table.replicasOfService(request.service)) {
+    for (const std::string &id : m_table.replicasOfModel(request.service, request.model)) {
         const ReplicaRow *row = m_table.find(id);
         if (!m_table.isUsable(*row, now)
             || !m_table.holds(*row, request.model, request.adapter, now))
@@ -364,7 +364,7 @@
     Instant earliest = Instant::max();
     double sharePerSecond = 0.0;
     Duration interval = Duration::max(); // between the requests of all nodes
-    for (const std::string &id : m_table.replicasOfService(request.service)) {
+    for (const std::string &id : m_table.replicasOfModel(request.service, request.model)) {
         const ReplicaRow *row = m_table.find(id);
         if (!m_table.isUsable(*row, now) || contains(waiting.excluded, id)
             || (!request.model.empty()
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -1,8 +1,13 @@
 #include "serving/replicatable.h"
 #include "support/replicas.h"
 
+#include <rapidcheck.h>
+
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <set>
+
 using namespace burdock;
 using namespace std::chrono_literals;
 
@@ -212,3 +217,64 @@
     table.onAnnounced(restarted, Start + 4s);
     CHECK(table.isUsable(*table.find("r1"), Start + 4s));
 }
+
+// With 240 replicas the choice looked at each of them for every request and every queued one.
+TEST(ReplicaTable, OnlyReplicasThatMayHoldAModelAreLookedAt)
+{
+    for (int number = 0; number < 240; ++number)
+        table.onAnnounced(replica("r" + std::to_string(number),
+                                  { { "m" + std::to_string(number % 80), {} } }),
+                          Start);
+    CHECK_EQUAL(3, table.replicasOfModel("pool", "m7").size());
+    CHECK(table.replicasOfModel("pool", "unknown").empty());
+    CHECK_EQUAL(240, table.replicasOfModel("pool", "").size());
+}
+
+TEST(ReplicaTable, EveryReplicaThatHoldsAModelIsLookedAt)
+{
+    CHECK(rc::check("the index by model agrees with a search of all rows", [] {
+        ReplicaTable checked;
+        Instant now = Start;
+        for (int step = 0; step < 80; ++step) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(1, 900));
+            const std::string id = "r" + std::to_string(*rc::gen::inRange(0, 4));
+            const std::string model = "m" + std::to_string(*rc::gen::inRange(0, 3));
+            const std::string copy = copyName(model, *rc::gen::inRange(0, 2) == 0 ? "" : "a1");
+            switch (*rc::gen::inRange(0, 6)) {
+            case 0: {
+                ReplicaInfo info = replica(id, { { model, { "a1" } }, { "m0", {} } });
+                info.startedMs = static_cast<std::uint64_t>(*rc::gen::inRange(1, 3));
+                checked.onAnnounced(info, now);
+                break;
+            }
+            case 1:
+                checked.onAnnounced(replica(id), now);
+                break;
+            case 2:
+                checked.onDelisted(id, {}, now);
+                break;
+            case 3:
+                checked.onCopyAdded(id, copy, now);
+                break;
+            case 4:
+                checked.onCopyDenied(id, copy, now);
+                break;
+            default:
+                checked.onCopyUnloading(id, copy, now);
+                break;
+            }
+            for (const char *each : { "m0", "m1", "m2" }) {
+                const auto &found = checked.replicasOfModel("pool", each);
+                const std::set<std::string> ids(found.begin(), found.end());
+                RC_ASSERT(ids.size() == found.size());
+                for (const std::string &one : found)
+                    RC_ASSERT(checked.find(one) != nullptr);
+                for (const auto &[one, row] : checked.rows()) {
+                    const bool holds = checked.holds(row, each, "", now)
+                            || checked.holds(row, each, "a1", now);
+                    RC_ASSERT(!holds || ids.contains(one));
+                }
+            }
+        }
+    }));
+}
