Roles go to the VMs that can carry them, and the holder takes no callers

Cause: ingress nodes, store watchers and lease candidates were the first by a hash of the name.

Change: what a VM bears is read from its settings (processor, memory, link), becomes a number of requests a second and is told in heartbeats and in the node's entry. Nodes are ranked by it, then by the hash; as many ingress nodes as together bear the traffic. Where a zone has others, the holder is the last of its zone. Nodes that are no hubs send every second heartbeat in large zones. Choices among all nodes are kept for 250 ms or until the table changes; each announced prompt sorted all nodes anew.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace burdock {
 
@@ -35,7 +36,7 @@
 
 json::array nodeToJson(const NodeInfo &node)
 {
-    return { node.name, node.ip, node.zone };
+    return { node.name, node.ip, node.zone, static_cast<std::int64_t>(std::lround(node.capacity)) };
 }
 
 std::string textAt(const json::array &list, std::size_t index)
@@ -46,7 +47,10 @@
 NodeInfo nodeFromJson(const json::value &value)
 {
     const auto &list = value.as_array();
-    return { textAt(list, 0), textAt(list, 1), textAt(list, 2) };
+    NodeInfo node { textAt(list, 0), textAt(list, 1), textAt(list, 2) };
+    if (list.size() > 3) // nodes of earlier versions state no capacity
+        node.capacity = std::max(0.0, list.at(3).to_number<double>());
+    return node;
 }
 
 json::array toJson(const BeatMessage &message)
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -207,6 +207,7 @@
     m_state.log.line("start")
             .field("callers", toText(profile.callers))
             .field("zone", profile.zone)
+            .field("capacity", m_state.directory.self().capacity)
             .field("store", toText(profile.store));
     m_lastDemand = steadyNow();
     m_nextFind = steadyNow() + FindAfter;
@@ -221,7 +222,9 @@
 asio::awaitable<void> EdgeProgram::registerNode()
 {
     const NodeProfile &profile = m_state.profile;
-    const boost::json::value content { { "ip", profile.ip }, { "zone", profile.zone } };
+    const boost::json::value content { { "ip", profile.ip },
+                                       { "zone", profile.zone },
+                                       { "capacity", requestCapacity(profile.limits) } };
     const StoreWriteAnswer answer =
             co_await m_state.ports.store.write(ObjectKind::Nodes, profile.name, {}, content);
     // A conflict means that an earlier process of this node has written it.
@@ -242,10 +245,14 @@
         const auto *content = item.content.if_object();
         const auto *ip = content == nullptr ? nullptr : content->if_contains("ip");
         const auto *zone = content == nullptr ? nullptr : content->if_contains("zone");
-        if (ip != nullptr && ip->is_string() && zone != nullptr && zone->is_string())
-            m_state.directory.onIndirectReport(
-                    { item.name, std::string(ip->get_string()), std::string(zone->get_string()) },
-                    steadyNow());
+        if (ip == nullptr || !ip->is_string() || zone == nullptr || !zone->is_string())
+            continue;
+        const auto *capacity = content->if_contains("capacity");
+        boost::system::error_code unstated;
+        m_state.directory.onIndirectReport(
+                { item.name, std::string(ip->get_string()), std::string(zone->get_string()),
+                  capacity == nullptr ? 0.0 : capacity->to_number<double>(unstated) },
+                steadyNow());
     }
 }
 
@@ -455,7 +462,7 @@
 BeatMessage EdgeProgram::ownBeat() const
 {
     BeatMessage message;
-    message.beat.sender = { m_state.profile.name, m_state.profile.ip, m_state.profile.zone };
+    message.beat.sender = m_state.directory.self();
     message.beat.started = m_state.started;
     message.beat.leaving = m_state.leaving;
     message.beat.holder = m_state.directory.holder();
--- a/src/edge/nodeprofile.h
+++ b/src/edge/nodeprofile.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/instant.h"
+#include "fleet/vmcapacity.h"
 #include "net/endpoint.h"
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     Endpoint store;                 // the platform's store
     ServingBounds bounds;
     std::size_t descriptors = 1'024; // file descriptors that the process may open
+    VmLimits limits;                 // what the VM bears
 };
 
 } // namespace burdock
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -98,7 +98,8 @@
     , chooser(replicas, chooserSettings(profile), hashText(profile.name) ^ started)
     , scheduler(replicas, chooser)
     , waiting(io, scheduler)
-    , directory({ profile.name, profile.ip, profile.zone }, {}, hashText(profile.name) + started)
+    , directory({ profile.name, profile.ip, profile.zone, requestCapacity(profile.limits) }, {},
+                hashText(profile.name) + started)
     , random(hashText(profile.ip) ^ started)
 {
 }
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -14,6 +14,8 @@
 /// A node with less traffic does not count as serving callers: its few requests come from callers
 /// that still use an outdated address answer. A zone with less traffic counts as having none.
 constexpr double MinTraffic = 1.0; // requests per second
+/// Callers ask for one node or two by turns.
+constexpr std::size_t MinKeptChoice = 4;
 
 void addAddress(std::vector<std::string> &addresses, const std::string &ip)
 {
@@ -45,6 +47,11 @@
         return false;
     const bool isNewState = row.lastHeartbeatAt == Instant {} || heartbeat.started != row.started
             || heartbeat.leaving != row.leaving;
+    const bool changesChoices = isNewState || row.storeReached != heartbeat.storeReached
+            || row.info.capacity != heartbeat.sender.capacity
+            || heartbeat.holder.term > m_holder.term
+            || (heartbeat.requestsPerSecond >= MinTraffic) != hasTraffic(row);
+    m_version += changesChoices ? 1 : 0;
     row.info = heartbeat.sender;
     row.rank = hashText(heartbeat.sender.name);
     row.leaving = heartbeat.leaving;
@@ -66,9 +73,12 @@
         return;
     Row &row = m_nodes[node.name];
     if (row.info.name.empty()) {
+        ++m_version;
         row.info = node;
         row.rank = hashText(node.name);
     }
+    if (row.info.capacity <= 0.0)
+        row.info.capacity = node.capacity;
     row.lastMentionedAt = now;
 }
 
@@ -81,17 +91,23 @@
 
 void NodeDirectory::setHolder(const HolderClaim &claim)
 {
-    if (claim.term >= m_holder.term)
-        m_holder = claim;
+    if (claim.term < m_holder.term)
+        return;
+    m_version += claim.name != m_holder.name ? 1 : 0;
+    m_holder = claim;
 }
 
 void NodeDirectory::setOwnState(double requestsPerSecond, bool storeReached, Instant now)
 {
+    if (m_self.storeReached != storeReached)
+        ++m_version;
     m_self.requestsPerSecond = requestsPerSecond;
     m_self.storeReached = storeReached;
     for (const auto &[zone, live] : nodesByZone(true, now)) {
         const std::size_t ingressCount = ingressCountForTraffic(live);
         HeldIngressCount &stored = m_ingressCounts[zone];
+        if (ingressCount != stored.count)
+            ++m_version;
         if (ingressCount >= stored.count || now >= stored.expiresAt)
             stored = { ingressCount, now + m_settings.ingressReductionDelay };
     }
@@ -138,12 +154,29 @@
 
 void NodeDirectory::sortByRank(Rows &rows)
 {
-    std::sort(rows.begin(), rows.end(),
-              [](const Row *left, const Row *right) { return left->rank < right->rank; });
+    std::sort(rows.begin(), rows.end(), [](const Row *left, const Row *right) {
+        if (left->info.capacity != right->info.capacity)
+            return left->info.capacity > right->info.capacity;
+        return left->rank < right->rank;
+    });
+}
+
+bool NodeDirectory::isHolder(const Row &row) const
+{
+    return !m_holder.name.empty() && row.info.name == m_holder.name;
+}
+
+/// @param zoneRows nodes of one zone, sorted by rank
+void NodeDirectory::putHolderLast(Rows &zoneRows) const
+{
+    if (zoneRows.size() <= m_settings.minIngressNodes)
+        return;
+    std::stable_partition(zoneRows.begin(), zoneRows.end(),
+                          [&](const Row *row) { return !isHolder(*row); });
 }
 
 /// @param onlyLive false: also nodes known only by a recent indirect report
-/// @return nodes by zone, sorted by rank; includes zones without such nodes
+/// @return nodes by zone, sorted by rank, the holder last; includes zones without such nodes
 std::map<std::string, NodeDirectory::Rows> NodeDirectory::nodesByZone(bool onlyLive,
                                                                       Instant now) const
 {
@@ -153,12 +186,14 @@
         if (isIncluded(row, onlyLive, now))
             rows.push_back(&row);
     }
-    for (auto &[zone, rows] : zones)
+    for (auto &[zone, rows] : zones) {
         sortByRank(rows);
+        putHolderLast(rows);
+    }
     return zones;
 }
 
-/// @return nodes of one zone, sorted by rank
+/// @return nodes of one zone, sorted by rank, the holder last
 NodeDirectory::Rows NodeDirectory::rankedNodes(const std::string &zone, bool onlyLive,
                                                Instant now) const
 {
@@ -170,6 +205,7 @@
             rows.push_back(&row);
     }
     sortByRank(rows);
+    putHolderLast(rows);
     return rows;
 }
 
@@ -193,31 +229,45 @@
 
 std::vector<std::string> NodeDirectory::leaseCandidates(std::size_t count, Instant now) const
 {
-    Rows rows;
-    for (const auto &[zone, ofZone] : nodesByZone(false, now))
-        rows.insert(rows.end(), ofZone.begin(), ofZone.end());
-    sortByRank(rows);
-    std::vector<std::string> names;
-    // In an outage no node reaches the store, and a candidate must take the lease when it ends.
-    for (const Row *row : storeReachableFirst(std::move(rows), count))
-        names.push_back(row->info.name);
-    return names;
+    if (!m_keptCandidates.holds(count, m_version, now)) {
+        Rows rows;
+        for (const auto &[zone, ofZone] : nodesByZone(false, now))
+            rows.insert(rows.end(), ofZone.begin(), ofZone.end());
+        sortByRank(rows);
+        const std::size_t kept = std::max(count, MinKeptChoice);
+        m_keptCandidates = { {}, kept, m_version, now + m_settings.choiceLifetime };
+        // In an outage no node reaches the store, and a candidate must take the lease when it ends.
+        for (const Row *row : storeReachableFirst(std::move(rows), kept))
+            m_keptCandidates.chosen.push_back(row->info.name);
+    }
+    return m_keptCandidates.first(count);
 }
 
 std::vector<NodeInfo> NodeDirectory::storeWatchers(std::size_t count, Instant now) const
 {
-    Rows rows = rankedNodes(m_self.info.zone, false, now);
-    // The spare hubs go first: the links of the ingress nodes already carry the callers' traffic.
-    const std::size_t ingress = std::min(ingressNodeCount(m_self.info.zone, now), rows.size());
-    const std::size_t hubsEnd = std::min(ingress + m_settings.spareHubs, rows.size());
-    std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(ingress),
-                rows.begin() + static_cast<std::ptrdiff_t>(hubsEnd));
-    return infosOf(storeReachableFirst(std::move(rows), count));
+    if (!m_keptWatchers.holds(count, m_version, now)) {
+        Rows rows = rankedNodes(m_self.info.zone, false, now);
+        // Among equals the spare hubs go first: the links of the ingress nodes already carry the
+        // callers' traffic.
+        const std::size_t ingress =
+                std::min(ingressNodeCount(m_self.info.zone, now), rows.size());
+        const std::size_t hubsEnd = std::min(ingress + m_settings.spareHubs, rows.size());
+        std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(ingress),
+                    rows.begin() + static_cast<std::ptrdiff_t>(hubsEnd));
+        std::stable_sort(rows.begin(), rows.end(), [](const Row *left, const Row *right) {
+            return left->info.capacity > right->info.capacity;
+        });
+        putHolderLast(rows);
+        const std::size_t kept = std::max(count, MinKeptChoice);
+        m_keptWatchers = { infosOf(storeReachableFirst(std::move(rows), kept)), kept, m_version,
+                           now + m_settings.choiceLifetime };
+    }
+    return m_keptWatchers.first(count);
 }
 
 // ---- Ingress ------------------------------------------------------------------------------------
 
-/// @param live live nodes of one zone
+/// @param live live nodes of one zone, sorted by rank
 std::size_t NodeDirectory::ingressCountForTraffic(const Rows &live) const
 {
     double requestsPerSecond = 0.0;
@@ -225,8 +275,12 @@
         requestsPerSecond += row->requestsPerSecond;
     if (requestsPerSecond < MinTraffic)
         return m_settings.initialIngressNodes;
-    const double nodes = std::ceil(requestsPerSecond / m_settings.requestsPerSecondPerIngress);
-    return std::max(m_settings.minIngressNodes, static_cast<std::size_t>(nodes));
+    std::size_t count = 0;
+    for (double planned = 0.0; count < live.size() && planned < requestsPerSecond; ++count) {
+        const double capacity = live[count]->info.capacity;
+        planned += capacity > 0.0 ? capacity : m_settings.requestsPerSecondPerIngress;
+    }
+    return std::max(m_settings.minIngressNodes, count);
 }
 
 std::size_t NodeDirectory::ingressNodeCount(const std::string &zone, Instant now) const
@@ -238,6 +292,8 @@
 
 std::vector<std::string> NodeDirectory::ingressAddresses(Instant now) const
 {
+    if (m_keptIngress.holds(0, m_version, now))
+        return m_keptIngress.chosen;
     std::vector<std::string> addresses;
     for (const auto &[zone, live] : nodesByZone(true, now)) {
         const std::size_t ingressCount = ingressNodeCount(zone, now);
@@ -247,6 +303,7 @@
                 addresses.push_back(live[rank]->info.ip);
         }
     }
+    m_keptIngress = { addresses, 0, m_version, now + m_settings.choiceLifetime };
     return addresses;
 }
 
@@ -319,7 +376,7 @@
             addAddress(targets.sameZone, zone[each]->info.ip);
     }
     for (const Row *row : hubRows) {
-        if (row != &m_self)
+        if (row != &m_self && (isHub || isSmall || includesSlowPeers))
             addAddress(targets.sameZone, row->info.ip);
     }
     if (!zone.empty())
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -9,11 +9,14 @@
 //   NodeDirectory             the table
 //
 // Ingress nodes. Every node can serve callers, but in each availability zone callers are given only
-// as many addresses as the zone's traffic needs: the ingress nodes, which are the nodes with
-// the lowest ranks; a node's rank is a hash of its name. With fewer ingress nodes, each one handles
-// more of the traffic: it knows the replicas' load from more recent responses, reuses connections,
-// and announces every prompt to the other ingress nodes, which would not scale to all nodes of a
-// large fleet.
+// as many addresses as the zone's traffic needs: the ingress nodes, which are the first nodes in the
+// order of capacity and, among VMs that bear the same, of a hash of the name. With fewer ingress
+// nodes, each one handles more of the traffic: it knows the replicas' load from more recent
+// responses, reuses connections, and announces every prompt to the other ingress nodes, which would
+// not scale to all nodes of a large fleet.
+//
+// Holder. Plans over a large fleet take long, and their holder would be late for its callers. Where
+// a zone has other nodes for its callers, the holder is the last of its zone.
 //
 // Hubs. The ingress nodes and a few spare nodes are the hubs of their zone. Hubs send heartbeats to
 // all nodes of the zone; the other nodes send heartbeats to the hubs only. Between zones the
@@ -31,6 +34,8 @@
 #include "base/instant.h"
 #include "base/random.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,6 +48,7 @@
     std::string name;
     std::string ip;
     std::string zone;
+    double capacity = 0.0; // see requestCapacity(); 0: not stated
 };
 
 /// The holder of the placement lease as far as the sender knows; the claim with the highest term is
@@ -92,8 +98,7 @@
 
     std::size_t minIngressNodes = 3;     // per zone; after the loss of one, two are left
     std::size_t initialIngressNodes = 4; // per zone, while the zone has almost no traffic
-    /// Planned requests per second of one ingress node: about a sixth of the capacity of the
-    /// smallest VM's processor, which leaves capacity for a burst.
+    /// Planned requests per second of an ingress node that states no capacity.
     double requestsPerSecondPerIngress = 25.0;
     /// The number of ingress nodes is lowered only this long after traffic has decreased, because
     /// moving callers to other nodes costs connections.
@@ -110,6 +115,9 @@
     /// Nodes named in one heartbeat to another zone, where traffic is expensive.
     std::size_t maxAnnouncedToOtherZones = 2;
 
+    /// A choice among the nodes may be this old, unless a node has come, left or changed its state.
+    Duration choiceLifetime = std::chrono::milliseconds(250);
+
     std::size_t maxAddresses = 16; // in one address answer to a caller
     std::size_t minAddresses = 2;  // with fewer in the zone, nodes of other zones are added
 };
@@ -136,6 +144,9 @@
 
     const HolderClaim &holder() const { return m_holder; }
 
+    /// @return this node, as its heartbeats name it
+    const NodeInfo &self() const { return m_self.info; }
+
     /// Sets the state that this node announces in its own heartbeats, and updates the number of
     /// ingress nodes of each zone.
     /// @param requestsPerSecond requests of callers, smoothed
@@ -161,14 +172,16 @@
     bool isAlone(Instant now) const;
 
     /// @return names of the nodes that should try to take the placement lease: the first ones of
-    ///         all zones by rank. Includes nodes known only by a recent indirect report, since not
+    ///         all zones in the order of capacity. Includes nodes known only by a recent indirect report, since not
     ///         every node gets heartbeats from every other. Nodes that do not reach the store come
     ///         last.
     std::vector<std::string> leaseCandidates(std::size_t count, Instant now) const;
 
     /// @return nodes of this availability zone, possibly this node, that watch the store for the
-    ///         others. Spare hubs come first, since a response to each other node takes much of the
-    ///         bandwidth of a narrow link; nodes that do not reach the store come last.
+    ///         others: those with the most capacity, since every other node of the zone asks them.
+    ///         Among nodes of equal capacity spare hubs come first: a response to each other node
+    ///         takes much of the bandwidth of a narrow link. The holder comes after all others, and
+    ///         nodes that do not reach the store come last.
     std::vector<NodeInfo> storeWatchers(std::size_t count, Instant now) const;
 
     /// @return IP addresses of the other nodes, in all zones, that are ingress nodes or still have
@@ -198,7 +211,7 @@
     struct Row
     {
         NodeInfo info;
-        std::uint64_t rank = 0; // hash of the name; the lowest of a zone are its ingress nodes
+        std::uint64_t rank = 0; // hash of the name; the lowest first among equal capacities
         std::uint64_t started = 0;
         bool leaving = false;
         double requestsPerSecond = 0.0;
@@ -214,6 +227,26 @@
         Instant expiresAt;
     };
 
+    /// A choice among all nodes, kept for a short time: requests ask for some of them each time.
+    template <typename T>
+    struct KeptChoice
+    {
+        std::vector<T> chosen;     // in the order of preference
+        std::size_t count = 0;     // that were asked for; fewer may exist
+        std::uint64_t version = 0; // of the table
+        Instant expiresAt;
+
+        bool holds(std::size_t asked, std::uint64_t tableVersion, Instant now) const
+        {
+            return now < expiresAt && version == tableVersion && asked <= count;
+        }
+        std::vector<T> first(std::size_t asked) const
+        {
+            const auto end = std::min(asked, chosen.size());
+            return { chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(end) };
+        }
+    };
+
     bool isLive(const Row &row, Instant now) const;
     bool isMentioned(const Row &row, Instant now) const;
     bool isIncluded(const Row &row, bool onlyLive, Instant now) const;
@@ -224,6 +257,8 @@
     std::size_t ingressCountForTraffic(const Rows &live) const;
     static Rows storeReachableFirst(Rows rows, std::size_t count);
     static void sortByRank(Rows &rows);
+    bool isHolder(const Row &row) const;
+    void putHolderLast(Rows &zoneRows) const;
     static std::vector<NodeInfo> infosOf(const Rows &rows);
 
     Row m_self; // always live
@@ -233,6 +268,10 @@
     std::uint64_t m_heartbeatCount = 0;
     std::map<std::string, Row> m_nodes;
     HolderClaim m_holder;
+    std::uint64_t m_version = 1; // counts changes that choices depend on, besides the passing of time
+    mutable KeptChoice<std::string> m_keptIngress; // addresses
+    mutable KeptChoice<std::string> m_keptCandidates;
+    mutable KeptChoice<NodeInfo> m_keptWatchers;
 };
 
 } // namespace burdock
--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -13,7 +13,7 @@
 TEST(PeerMessages, ABeatArrivesAsItWasSent)
 {
     BeatMessage message;
-    message.beat.sender = { "n1", "10.0.0.1", "z" };
+    message.beat.sender = { "n1", "10.0.0.1", "z", 105.0 };
     message.beat.started = 1'779'462'125'018;
     message.beat.leaving = true;
     message.beat.holder = { "n2", "10.0.0.2", 4 };
@@ -23,12 +23,22 @@
     CHECK(back.has_value());
     const auto &beat = std::get<BeatMessage>(*back);
     CHECK_EQUAL(message.beat.started, beat.beat.started);
+    CHECK_EQUAL(105.0, beat.beat.sender.capacity);
     CHECK(beat.beat.leaving);
     CHECK_EQUAL(4, beat.beat.holder.term);
     CHECK_EQUAL(std::string("n3"), beat.beat.others.at(0).name);
     CHECK_EQUAL(std::string("m"), beat.demand.at(0).model);
 }
 
+// Nodes of two versions run side by side while a fleet is replaced.
+TEST(PeerMessages, ABeatOfAnEarlierVersionStatesNoCapacity)
+{
+    const auto beat = decodePeerMessage(
+            R"([1,["n","10.0.0.1","z"],1,false,["","",0],[["m","10.0.0.2","z"]],[],0,true])");
+    CHECK(beat.has_value());
+    CHECK_EQUAL(0.0, std::get<BeatMessage>(*beat).beat.sender.capacity);
+}
+
 TEST(PeerMessages, NotesArriveAsTheyWereSent)
 {
     const auto copy = std::get<CopyNote>(*decodePeerMessage(
--- a/tests/fleet/test_nodedirectory.cpp
+++ b/tests/fleet/test_nodedirectory.cpp
@@ -34,14 +34,17 @@
 /// A simulated fleet in which heartbeats arrive without loss or delay, except at failed nodes.
 struct Fleet
 {
-    Fleet(int count, int zones)
+    /// @param strong how many of the nodes, the last ones, have four times the others' capacity
+    Fleet(int count, int zones, int strong = 0)
     {
         for (int number = 0; number < count; ++number) {
             const std::string name = "n" + std::to_string(number);
             const std::string zone = "z" + std::to_string(number % zones);
-            nodes.push_back(std::make_unique<NodeDirectory>(NodeInfo { name, "ip-" + name, zone },
-                                                            DirectorySettings {}, number));
-            infos.push_back({ name, "ip-" + name, zone });
+            NodeInfo info { name, "ip-" + name, zone };
+            if (strong > 0)
+                info.capacity = number >= count - strong ? StrongCapacity : WeakCapacity;
+            nodes.push_back(std::make_unique<NodeDirectory>(info, DirectorySettings {}, number));
+            infos.push_back(info);
             rates.push_back(0.0);
         }
         // At the start each node knows only the first one.
@@ -111,6 +114,9 @@
     std::vector<double> rates; // requests per second of each node
     std::set<std::size_t> failed;
     std::size_t sent = 0;
+
+    static constexpr double WeakCapacity = 25.0;
+    static constexpr double StrongCapacity = 100.0;
 };
 
 } // namespace
@@ -313,3 +319,50 @@
     CHECK(contains(allTargets(directory, Start), "10.0.0.9"));
     CHECK(!directory.isLive("9", Start)); // it has sent no heartbeat itself
 }
+
+// The fleet of 295 nodes gave callers, the watch on the store and the lease to its smallest VMs, the
+// first by a hash of the name, while 15 VMs with four times the processor were idle.
+TEST(NodeDirectory, RolesGoToTheNodesWithTheMostCapacity)
+{
+    Fleet fleet(90, 3, 9);
+    fleet.run(5s);
+    fleet.rates.assign(90, 8.0); // 240 requests per second in each zone
+    fleet.run(10s);
+    const auto isStrong = [&](const std::string &ip) {
+        return std::any_of(fleet.infos.end() - 9, fleet.infos.end(),
+                           [&](const NodeInfo &info) { return info.ip == ip; });
+    };
+    for (const char *zone : { "z0", "z1", "z2" }) {
+        const auto addresses = fleet.advertisedAddresses(zone);
+        CHECK_EQUAL(3, addresses.size());
+        CHECK(std::all_of(addresses.begin(), addresses.end(), isStrong));
+    }
+    CHECK(isStrong(fleet.nodes[0]->storeWatchers(1, fleet.now).at(0).ip));
+    for (const std::string &name : fleet.nodes[0]->leaseCandidates(2, fleet.now))
+        CHECK(isStrong("ip-" + name));
+}
+
+// The holder of the lease planned for 140 replicas while it also served callers, and sent a request
+// 1.2 s after its deadline.
+TEST(NodeDirectory, TheHolderTakesNoCallersWhileOthersCan)
+{
+    Fleet fleet(90, 3, 9);
+    fleet.run(5s);
+    const NodeInfo holder = fleet.infos.back();
+    for (auto &node : fleet.nodes)
+        node->setHolder({ holder.name, holder.ip, 1 });
+    fleet.rates.assign(90, 8.0);
+    fleet.run(10s);
+    const auto addresses = fleet.advertisedAddresses(holder.zone);
+    CHECK(!addresses.contains(holder.ip));
+    CHECK_EQUAL(4, addresses.size()); // two with much capacity and two with little
+    CHECK(fleet.nodes[89]->storeWatchers(1, fleet.now).at(0).ip != holder.ip);
+}
+
+TEST(NodeDirectory, TheHolderOfASmallZoneTakesCallersToo)
+{
+    directory.onHeartbeat(makeHeartbeat("2", "a"), Start);
+    directory.onHeartbeat(makeHeartbeat("3", "a"), Start);
+    directory.setHolder({ "2", "10.0.0.2", 1 });
+    CHECK(contains(directory.addressesFor("a", true, Start), "10.0.0.2"));
+}
