Watches, polls and what counts as stale follow the bound of the deployment

Change: followers' polls are held for 400 ms, below what counts as stale; where drain_ms and config_apply_ms are longer than 2 s, watches, polls, the pause after changes and the age that counts as stale grow with them.

--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -18,6 +18,9 @@
 constexpr const char *FeedPath = "/changes";
 /// A follower's configuration question looks this often whether a source has named a newer one.
 constexpr milliseconds ConfigGlance { 40 };
+/// The times of FollowSettings fit this bound; docs/PLATFORM.md has the sums.
+constexpr milliseconds LeastNoticeTime { 2'000 };
+constexpr milliseconds MostSpareTime { 2'000 };
 /// During the start a node looks this often whether it is one of those that watch.
 constexpr milliseconds StartGlance { 100 };
 
@@ -126,6 +129,19 @@
 
 // ---- Roles --------------------------------------------------------------------------------------
 
+FollowSettings followSettings(milliseconds noticeTime)
+{
+    FollowSettings settings;
+    const milliseconds spare =
+            std::clamp(noticeTime - LeastNoticeTime, milliseconds(0), MostSpareTime);
+    settings.watcherWait += spare / 4;
+    settings.fallbackWait += spare / 4;
+    settings.pollWait += spare / 4;
+    settings.pollTimeout += spare / 4;
+    settings.mostAge += spare / 2;
+    return settings;
+}
+
 FollowedStore::FollowedStore(asio::io_context &io, ObjectStore &store, HttpClient &http,
                              NodeDirectory &directory, EventLog &log, NodeInfo self,
                              std::uint16_t feedPort, FollowSettings settings)
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -3,7 +3,7 @@
 // Index
 //   ChangeCache        what a node has seen of the replicas, for nodes that ask
 //   FeedPage           one answer of a node to another
-//   FollowSettings
+//   FollowSettings, followSettings()
 //   FollowedStore      an ObjectStore that asks other nodes first
 //
 // In each availability zone one node (NodeDirectory::storeWatchers) watches the store with short
@@ -89,13 +89,15 @@
     std::chrono::milliseconds watcherWait { 600 };  // of a watcher's calls; bounds its age
     std::chrono::milliseconds answerWay { 200 };    // of an answer from the store, at most
     std::chrono::milliseconds fallbackWait { 700 }; // of a follower's own call without a source
-    std::chrono::milliseconds pollWait { 500 };     // a source holds a follower's question
+    std::chrono::milliseconds pollWait { 400 };     // a source holds a follower's question
     std::chrono::milliseconds pollTimeout { 900 };  // then the connection is silent, or the source
     // For the same question on another connection, which is not held: without an answer the source
     // has failed.
     std::chrono::milliseconds checkTimeout { 400 };
-    std::chrono::milliseconds mostAge { 1'100 }; // with a poll and a call below the 2 s in which a
-                                                 // change must be in force
+    // Knowledge that is older counts as stale, and a follower asks the store itself. Above
+    // watcherWait and pollWait together, which it reaches while all is well; with a poll and a call
+    // below the time in which a change must be in force.
+    std::chrono::milliseconds mostAge { 1'100 };
     std::chrono::milliseconds sourceRest { 1'500 }; // a source that failed is not asked
     // After the start a node waits before its first watch, which then brings what was missed: by
     // then it has heard how many others there are.
@@ -103,6 +105,11 @@
     std::chrono::milliseconds followAfter { 2'200 }; // its source has watched once
 };
 
+/// @param noticeTime within which a change must be in force at every node
+/// @return settings that use what this is beyond the least that they are made for, 2 s: calls are
+///         held for longer, so that a large fleet needs fewer of them
+FollowSettings followSettings(std::chrono::milliseconds noticeTime);
+
 class FollowedStore : public ObjectStore, public HttpHandler
 {
 public:
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -154,10 +154,13 @@
     , m_copies(m_state, m_link)
     , m_feedHttp(io, { FeedConnectTimeout, FeedIdleLimit, FeedSilence })
     , m_followed(io, ports.store, m_feedHttp, m_state.directory, m_state.log,
-                 { m_state.profile.name, m_state.profile.ip, m_state.profile.zone },
-                 m_state.profile.feedPort)
-    , m_configWatch(io, m_followed, m_state.log, *this, ObjectKind::Configuration)
-    , m_replicaWatch(io, m_followed, m_state.log, *this, ObjectKind::Replicas)
+                 m_state.directory.self(),
+                 m_state.profile.feedPort,
+                 followSettings(noticeTime(m_state.profile.bounds)))
+    , m_configWatch(io, m_followed, m_state.log, *this, ObjectKind::Configuration,
+                    storeWatchSettings(noticeTime(m_state.profile.bounds)))
+    , m_replicaWatch(io, m_followed, m_state.log, *this, ObjectKind::Replicas,
+                     storeWatchSettings(noticeTime(m_state.profile.bounds)))
     , m_callerHandler(m_state, *this)
     , m_directoryHandler(m_state)
     , m_readinessHandler(m_state)
@@ -425,7 +428,7 @@
             m_link.send(welcome, { message.beat.sender.ip });
         }
     }
-    // Most heartbeats carry none; what a node asked for before lapses by itself.
+    // Most heartbeats carry none.
     if (!message.demand.empty())
         m_copies.onDemand(sender, message.demand);
 }
--- a/src/edge/nodeprofile.h
+++ b/src/edge/nodeprofile.h
@@ -5,6 +5,7 @@
 #include "fleet/vmcapacity.h"
 #include "net/endpoint.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 {
     std::chrono::milliseconds graceTime { 8'000 }; // from SIGTERM until the process is killed
     std::chrono::milliseconds drainTime { 2'000 }; // a leaving replica may be used this long
+    std::chrono::milliseconds configApplyTime { 2'000 }; // a version is in force this soon
     std::chrono::milliseconds leaseTime { 3'000 }; // holders may not take turns within it
     std::chrono::milliseconds answerLifetimeMax { 5'000 }; // callers keep address answers this long
     std::chrono::milliseconds ceilingWindow { 5'000 }; // loads from the weight store count in it
@@ -24,6 +26,12 @@
     double retrySlack = 50; // and this many more, in the budget's window, over all nodes
 };
 
+/// @return time within which a change in the store must be in force at every node
+inline std::chrono::milliseconds noticeTime(const ServingBounds &bounds)
+{
+    return std::min(bounds.drainTime, bounds.configApplyTime);
+}
+
 struct NodeProfile
 {
     std::string name;               // unique among the nodes
--- a/src/edge/storewatch.cpp
+++ b/src/edge/storewatch.cpp
@@ -5,10 +5,25 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace burdock {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr int NoticePauses = 8; // pauses that fit into the time in which a change must be in force
+
+} // namespace
+
+StoreWatchSettings storeWatchSettings(std::chrono::milliseconds noticeTime)
+{
+    StoreWatchSettings settings;
+    settings.batchPause = std::max(settings.batchPause, noticeTime / NoticePauses);
+    return settings;
+}
+
 StoreWatch::StoreWatch(asio::io_context &io, ObjectStore &store, EventLog &log,
                        StoreListener &listener, ObjectKind kind, StoreWatchSettings settings)
     : m_io(io)
--- a/src/edge/storewatch.h
+++ b/src/edge/storewatch.h
@@ -40,14 +40,18 @@
     std::chrono::milliseconds firstWait { 200 };
     std::chrono::milliseconds firstPause { 100 }; // after a failure; doubles
     std::chrono::milliseconds lastPause { 800 }; // up to this: the store's return is noticed within
-    std::chrono::milliseconds batchPause {
-        250
-    }; // after changes: those that follow come together;
-       // far below the 2 s within which they must be in force
+    // After changes: those that follow come together. Far below the time within which they must be
+    // in force.
+    std::chrono::milliseconds batchPause { 250 };
     Duration calmAfter =
             std::chrono::seconds(5); // without failures the store counts as undisturbed
 };
 
+/// @param noticeTime within which a change must be in force
+/// @return settings with a longer pause after changes where there is time for it: in a large fleet
+///         there is nearly always a change to report
+StoreWatchSettings storeWatchSettings(std::chrono::milliseconds noticeTime);
+
 class StoreWatch
 {
 public:
