--- a/src/fleet/vmcapacity.cpp
+++ b/src/fleet/vmcapacity.cpp
@@ -1,6 +1,7 @@
 #include "fleet/vmcapacity.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdock {
 
@@ -22,7 +23,7 @@
     bound(limits.processor * RequestsPerCore);
     bound(limits.linkMbps * RequestsPerMbps);
     bound(limits.memoryMb * RequestsPerMb);
-    return capacity;
+    return std::floor(capacity);
 }
 
 } // namespace burdock
