A watcher's knowledge is never older than its hold time, also after a pause between calls

Cause: after changes a watch pauses, and its next call was held for the whole time again: with changes all the time the age of what it told followers passed the bound from which on they ask the store themselves.

Change: the call is held until what the watcher knows has the age that it may reach, at least 50 ms.

--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -21,6 +21,8 @@
 /// The times of FollowSettings fit this bound; docs/PLATFORM.md has the sums.
 constexpr milliseconds LeastNoticeTime { 2'000 };
 constexpr milliseconds MostSpareTime { 2'000 };
+/// A watcher's call is held at least this long: changes come together, and calls cost.
+constexpr milliseconds ShortestWatch { 50 };
 /// During the start a node looks this often whether it is one of those that watch.
 constexpr milliseconds StartGlance { 100 };
 
@@ -279,8 +281,14 @@
     const bool isSmall = m_directory.nodeCount() <= m_settings.smallFleet;
     if (!followed || isSmall)
         co_return co_await watchStore(kind, revision, wait);
-    if (watches())
-        co_return co_await watchStore(kind, revision, std::min(wait, m_settings.watcherWait));
+    if (watches()) {
+        // What a watcher knows is never older than watcherWait, also after a pause between calls.
+        const Instant confirmed =
+                kind == ObjectKind::Replicas ? m_replicasConfirmed : m_configConfirmed;
+        const milliseconds left = m_settings.watcherWait - elapsed(confirmed);
+        co_return co_await watchStore(kind, revision,
+                                      std::min(wait, std::max(left, ShortestWatch)));
+    }
     const Instant until = steadyNow() + wait;
     if (kind == ObjectKind::Replicas)
         co_return co_await followReplicas(revision, until);
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -86,7 +86,7 @@
     std::size_t smallFleet = 12; // up to here every node watches the store
     std::size_t watchersPerZone = 1;
     std::size_t sourcesPerZone = 2; // asked when the first fails; it follows too until then
-    std::chrono::milliseconds watcherWait { 600 };  // of a watcher's calls; bounds its age
+    std::chrono::milliseconds watcherWait { 600 };  // age that a watcher's knowledge reaches
     std::chrono::milliseconds answerWay { 200 };    // of an answer from the store, at most
     std::chrono::milliseconds fallbackWait { 700 }; // of a follower's own call without a source
     std::chrono::milliseconds pollWait { 400 };     // a source holds a follower's question
