--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -60,8 +60,8 @@
     settings.node = profile.name;
     const double allowed = profile.bounds.loadBurstFactor - 1.0;
     const auto window = double(Duration(profile.bounds.ceilingWindow).count());
-    settings.loadBurstTime = Duration(static_cast<Duration::rep>(std::max(0.0, allowed) * window
-                                                                 * UsedBurstShare));
+    settings.loadBurstTime =
+            Duration(static_cast<Duration::rep>(std::max(0.0, allowed) * window * UsedBurstShare));
     return settings;
 }
 
@@ -242,8 +242,8 @@
     if (now >= m_nextPlan) {
         m_placement.tick(now);
         const Instant planned = steadyNow();
-        m_nextPlan = std::max<Instant>(now + PlanInterval,
-                                       planned + PlanPauseFactor * (planned - now));
+        m_nextPlan =
+                std::max<Instant>(now + PlanInterval, planned + PlanPauseFactor * (planned - now));
     }
     for (PlacingAction &action : m_placement.takeActions()) {
         if (auto *send = std::get_if<SendCommand>(&action)) {
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -154,8 +154,7 @@
     , m_copies(m_state, m_link)
     , m_feedHttp(io, { FeedConnectTimeout, FeedIdleLimit, FeedSilence })
     , m_followed(io, ports.store, m_feedHttp, m_state.directory, m_state.log,
-                 m_state.directory.self(),
-                 m_state.profile.feedPort,
+                 m_state.directory.self(), m_state.profile.feedPort,
                  followSettings(noticeTime(m_state.profile.bounds)))
     , m_configWatch(io, m_followed, m_state.log, *this, ObjectKind::Configuration,
                     storeWatchSettings(noticeTime(m_state.profile.bounds)))
--- a/src/edge/nodeprofile.h
+++ b/src/edge/nodeprofile.h
@@ -15,10 +15,10 @@
 /// Promises of the deployment, as the node's settings state them.
 struct ServingBounds
 {
-    std::chrono::milliseconds graceTime { 8'000 }; // from SIGTERM until the process is killed
-    std::chrono::milliseconds drainTime { 2'000 }; // a leaving replica may be used this long
+    std::chrono::milliseconds graceTime { 8'000 };       // from SIGTERM until the process is killed
+    std::chrono::milliseconds drainTime { 2'000 };       // a leaving replica may be used this long
     std::chrono::milliseconds configApplyTime { 2'000 }; // a version is in force this soon
-    std::chrono::milliseconds leaseTime { 3'000 }; // holders may not take turns within it
+    std::chrono::milliseconds leaseTime { 3'000 };       // holders may not take turns within it
     std::chrono::milliseconds answerLifetimeMax { 5'000 }; // callers keep address answers this long
     std::chrono::milliseconds ceilingWindow { 5'000 }; // loads from the weight store count in it
     double loadBurstFactor = 1.1;                      // over the store's rate, in that window
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -82,8 +82,8 @@
     m_check.beginAttempt(attempt.number);
     if (m_check.delivered() > 0)
         attempt.request.headers.push_back({ "X-Resume-From", std::to_string(m_check.delivered()) });
-    auto head = co_await attempt.exchange->start(attempt.request, attempt.firstByteDeadline,
-                                                       nullptr);
+    auto head =
+            co_await attempt.exchange->start(attempt.request, attempt.firstByteDeadline, nullptr);
     if (const auto *failure = std::get_if<CallFailure>(&head)) {
         co_return breakOff(attempt.number, endOf(*failure), failure->message);
     }
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -249,8 +249,7 @@
         Rows rows = rankedNodes(m_self.info.zone, false, now);
         // Among equals the spare hubs go first: the links of the ingress nodes already carry the
         // callers' traffic.
-        const std::size_t ingress =
-                std::min(ingressNodeCount(m_self.info.zone, now), rows.size());
+        const std::size_t ingress = std::min(ingressNodeCount(m_self.info.zone, now), rows.size());
         const std::size_t hubsEnd = std::min(ingress + m_settings.spareHubs, rows.size());
         std::rotate(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(ingress),
                     rows.begin() + static_cast<std::ptrdiff_t>(hubsEnd));
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -9,9 +9,9 @@
 //   NodeDirectory             the table
 //
 // Ingress nodes. Every node can serve callers, but in each availability zone callers are given only
-// as many addresses as the zone's traffic needs: the ingress nodes, which are the first nodes in the
-// order of capacity and, among VMs that bear the same, of a hash of the name. With fewer ingress
-// nodes, each one handles more of the traffic: it knows the replicas' load from more recent
+// as many addresses as the zone's traffic needs: the ingress nodes, which are the first nodes in
+// the order of capacity and, among VMs that bear the same, of a hash of the name. With fewer
+// ingress nodes, each one handles more of the traffic: it knows the replicas' load from more recent
 // responses, reuses connections, and announces every prompt to the other ingress nodes, which would
 // not scale to all nodes of a large fleet.
 //
@@ -172,9 +172,9 @@
     bool isAlone(Instant now) const;
 
     /// @return names of the nodes that should try to take the placement lease: the first ones of
-    ///         all zones in the order of capacity. Includes nodes known only by a recent indirect report, since not
-    ///         every node gets heartbeats from every other. Nodes that do not reach the store come
-    ///         last.
+    ///         all zones in the order of capacity. Includes nodes known only by a recent indirect
+    ///         report, since not every node gets heartbeats from every other. Nodes that do not
+    ///         reach the store come last.
     std::vector<std::string> leaseCandidates(std::size_t count, Instant now) const;
 
     /// @return nodes of this availability zone, possibly this node, that watch the store for the
@@ -268,7 +268,8 @@
     std::uint64_t m_heartbeatCount = 0;
     std::map<std::string, Row> m_nodes;
     HolderClaim m_holder;
-    std::uint64_t m_version = 1; // counts changes that choices depend on, besides the passing of time
+    std::uint64_t m_version =
+            1; // counts changes that choices depend on, besides the passing of time
     mutable KeptChoice<std::string> m_keptIngress; // addresses
     mutable KeptChoice<std::string> m_keptCandidates;
     mutable KeptChoice<NodeInfo> m_keptWatchers;
--- a/src/fleet/vmcapacity.h
+++ b/src/fleet/vmcapacity.h
@@ -15,8 +15,9 @@
 };
 
 /// @return requests per second that the VM is planned for, by what runs out first; about a sixth of
-///         what its processor can do, which leaves room for a burst; 0 if nothing is stated. A whole
-///         number, as heartbeats tell it: nodes rank themselves by what the others know of them.
+///         what its processor can do, which leaves room for a burst; 0 if nothing is stated. A
+///         whole number, as heartbeats tell it: nodes rank themselves by what the others know of
+///         them.
 double requestCapacity(const VmLimits &limits);
 
 } // namespace burdock
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -250,8 +250,8 @@
     if (m_callerLeft)
         return true;
     char next = 0;
-    const auto bytes = ::recv(m_stream.socket().native_handle(), &next, sizeof next,
-                              MSG_PEEK | MSG_DONTWAIT);
+    const auto bytes =
+            ::recv(m_stream.socket().native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
     if (bytes == 0 || (bytes < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
         noteCallerLeft();
     return m_callerLeft;
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -246,9 +246,9 @@
     CopyPlacementSettings m_settings;
     bool m_isHolder = false;
     std::uint64_t m_term = 0;
-    std::map<std::string, ServingService> m_services;       // services with models
-    std::map<std::string, LoadRateLimiter> m_loadLimiters;  // by service
-    std::map<std::string, EngineRecord> m_engines;          // by replica
+    std::map<std::string, ServingService> m_services;      // services with models
+    std::map<std::string, LoadRateLimiter> m_loadLimiters; // by service
+    std::map<std::string, EngineRecord> m_engines;         // by replica
     DemandTable m_demand;
     Instant m_nextDemandExpiry;
     std::map<std::string, RequestedCopy> m_requestedCopies; // by service and copy
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -35,11 +35,11 @@
 struct CopyPlacement::ModelView
 {
     const EngineModel *model = nullptr;
-    double demand = 0.0;      // tokens per second
-    bool isRequested = false; // a request waits for the model
-    int copies = 0;           // resident or being loaded; without copies being unloaded
-    int ready = 0;            // number of these copies that are resident
-    int desired = 1;          // copies needed for the demand
+    double demand = 0.0;               // tokens per second
+    bool isRequested = false;          // a request waits for the model
+    int copies = 0;                    // resident or being loaded; without copies being unloaded
+    int ready = 0;                     // number of these copies that are resident
+    int desired = 1;                   // copies needed for the demand
     std::vector<EngineView *> holders; // replicas that have the copies
     std::vector<EngineView *> listed;  // replicas that list the model
     std::vector<EngineView *> warm;    // replicas that need not read the weight store to load it
@@ -179,8 +179,8 @@
     for (const ModelView &view : plan.models)
         modelsMb += view.model->memoryMb;
     const auto modelCount = static_cast<double>(plan.models.size());
-    const double usableMb = plan.limits.weightsMb * m_settings.usableMemoryShare
-            - plan.catalog.adapterSlotsMb();
+    const double usableMb =
+            plan.limits.weightsMb * m_settings.usableMemoryShare - plan.catalog.adapterSlotsMb();
     const double perReplica = std::floor(std::max(0.0, usableMb) * modelCount / modelsMb);
     return perReplica * static_cast<double>(plan.engines.size()) >= modelCount;
 }
@@ -247,7 +247,8 @@
     if (order.empty())
         return;
     for (EngineView &engine : plan.engines) {
-        for (const auto *kept : { &engine.record->info.inHostMemory, &engine.record->info.onDisk }) {
+        for (const auto *kept :
+             { &engine.record->info.inHostMemory, &engine.record->info.onDisk }) {
             for (const std::string &model : *kept) {
                 ModelView *view = plan.find(model);
                 if (view != nullptr && (view->warm.empty() || view->warm.back() != &engine))
@@ -275,9 +276,9 @@
             withoutMemory.push_back(view);
     }
     // Models that nobody asks for come last: they replace surplus copies only.
-    std::stable_partition(
-            withoutMemory.begin(), withoutMemory.end(),
-            [](const ModelView *view) { return view->isRequested || view->demand > 0.0; });
+    std::stable_partition(withoutMemory.begin(), withoutMemory.end(), [](const ModelView *view) {
+        return view->isRequested || view->demand > 0.0;
+    });
     if (withoutMemory.size() > m_settings.maxEvictionsTried)
         withoutMemory.resize(m_settings.maxEvictionsTried);
     for (const ModelView *view : withoutMemory)
--- a/src/placing/demandtable.cpp
+++ b/src/placing/demandtable.cpp
@@ -21,7 +21,7 @@
 // ---- Reports ------------------------------------------------------------------------------------
 
 std::vector<CopyDemand> DemandReporter::next(const std::vector<CopyDemand> &rows,
-                                           std::size_t maxRows, Instant now)
+                                             std::size_t maxRows, Instant now)
 {
     struct Candidate
     {
--- a/src/serving/processingdelay.h
+++ b/src/serving/processingdelay.h
@@ -1,4 +1,5 @@
-// How late this process handles events, for decisions that depend on when something really happened.
+// How late this process handles events, for decisions that depend on when something really
+// happened.
 //
 // On a VM whose processor is used up, a request waits unread in its socket, and the close of a
 // caller's connection is seen late as well. The process's own timer shows by how much: whatever is
@@ -20,7 +21,8 @@
     /// @return how long events currently wait until they are handled
     Duration current() const { return m_delay; }
 
-    /// @return whether a request can still be answered: it takes several events, each of which waits
+    /// @return whether a request can still be answered: it takes several events, each of which
+    /// waits
     bool canAnswer(Instant deadline, Instant now) const;
 
 private:
--- a/tests/adapter/test_latenode.cpp
+++ b/tests/adapter/test_latenode.cpp
@@ -30,15 +30,13 @@
 
 } // namespace
 
-TEST_GROUP_BASE(LateNode, RequestFlowFixture)
-{
+TEST_GROUP_BASE(LateNode, RequestFlowFixture) {
     /// The node handles events this late.
-    void setDelay(Duration delay)
-    {
-        const Instant now = steadyNow();
-        state->delay.onTimer(now - delay, now);
-    }
-};
+    void setDelay(Duration delay) { const Instant now = steadyNow();
+state->delay.onTimer(now - delay, now);
+}
+}
+;
 
 TEST(LateNode, NothingIsSentToAReplicaThatWasRemovedAfterItWasChosen)
 {
--- a/tests/edge/test_changefeed.cpp
+++ b/tests/edge/test_changefeed.cpp
@@ -208,3 +208,15 @@
     CHECK((decoded->configRevision == page.configRevision));
     CHECK((decoded->items.at(0).revision == page.items.at(0).revision));
 }
+
+// While all was well what followers knew grew as old as counts as stale between two answers of
+// their source, and they asked the store themselves.
+TEST(ChangeFeed, KnowledgeIsNotStaleWhileAllIsWell)
+{
+    for (const auto noticeTime : { 2'000ms, 3'000ms, 4'000ms, 10'000ms }) {
+        const FollowSettings settings = followSettings(noticeTime);
+        CHECK(settings.watcherWait + settings.pollWait + 50ms <= settings.mostAge);
+        CHECK(settings.mostAge + settings.pollWait + 100ms <= noticeTime);
+        CHECK(settings.pollWait + 300ms <= settings.pollTimeout);
+    }
+}
--- a/tests/fleet/test_nodedirectory.cpp
+++ b/tests/fleet/test_nodedirectory.cpp
@@ -320,8 +320,8 @@
     CHECK(!directory.isLive("9", Start)); // it has sent no heartbeat itself
 }
 
-// The fleet of 295 nodes gave callers, the watch on the store and the lease to its smallest VMs, the
-// first by a hash of the name, while 15 VMs with four times the processor were idle.
+// The fleet of 295 nodes gave callers, the watch on the store and the lease to its smallest VMs,
+// the first by a hash of the name, while 15 VMs with four times the processor were idle.
 TEST(NodeDirectory, RolesGoToTheNodesWithTheMostCapacity)
 {
     Fleet fleet(90, 3, 9);
--- a/tests/fleet/test_vmcapacity.cpp
+++ b/tests/fleet/test_vmcapacity.cpp
@@ -27,8 +27,8 @@
     CHECK_EQUAL(25.0, requestCapacity({ 0.0, 0.0, 10.0 }));
 }
 
-// Heartbeats tell whole numbers. Each node took itself for a little stronger than its equals, and two
-// nodes of each zone watched the store.
+// Heartbeats tell whole numbers. Each node took itself for a little stronger than its equals, and
+// two nodes of each zone watched the store.
 TEST(VmCapacity, IsAWholeNumber)
 {
     for (const double processor : { 0.12, 0.25, 0.333, 0.5 }) {
--- a/tests/net/test_httpclient.cpp
+++ b/tests/net/test_httpclient.cpp
@@ -106,8 +106,8 @@
     }
 };
 
-// A node that was short of processor time came to send a request after its deadline, and the replica
-// ran what nobody waited for.
+// A node that was short of processor time came to send a request after its deadline, and the
+// replica ran what nobody waited for.
 TEST(HttpClient, NothingIsSentAfterTheDeadline)
 {
     ScriptedServer server(io, { Plain, Plain });
--- a/tests/placing/test_largefleet.cpp
+++ b/tests/placing/test_largefleet.cpp
@@ -152,9 +152,8 @@
 
     bool holds(const std::string &model) const
     {
-        return std::any_of(replicas.begin(), replicas.end(), [&](const auto &each) {
-            return each.second.models.contains(model);
-        });
+        return std::any_of(replicas.begin(), replicas.end(),
+                           [&](const auto &each) { return each.second.models.contains(model); });
     }
 
     std::size_t modelsHeld() const
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -40,7 +40,10 @@
         ended = true;
         co_return true;
     }
-    void onCallerLeft(std::function<void()> callback) override { leftCallback = std::move(callback); }
+    void onCallerLeft(std::function<void()> callback) override
+    {
+        leftCallback = std::move(callback);
+    }
     bool callerLeft() const override { return hasLeft; }
     bool checkCallerLeft() override
     {
