--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -38,7 +38,7 @@
     RequestFlow(NodeState &state, NodeAnnouncer &announcer, const HttpRequest &request,
                 HttpReply &reply);
 
-    ~RequestFlow();
+    ~RequestFlow() override;
     RequestFlow(const RequestFlow &) = delete;
     RequestFlow &operator=(const RequestFlow &) = delete;
 
--- a/tests/placing/test_demandtable.cpp
+++ b/tests/placing/test_demandtable.cpp
@@ -18,6 +18,7 @@
 std::vector<CopyDemand> makeRows(int count)
 {
     std::vector<CopyDemand> rows;
+    rows.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         rows.push_back({ "pool", "m" + std::to_string(number), "", 10.0 + number });
     return rows;
--- a/tests/placing/test_largefleet.cpp
+++ b/tests/placing/test_largefleet.cpp
@@ -57,7 +57,7 @@
         std::uint64_t accepted = 0;
     };
 
-    Pool(ServingConfig config, int replicaCount)
+    Pool(const ServingConfig &config, int replicaCount)
     {
         CopyPlacementSettings settings;
         settings.node = "node-1";
@@ -229,6 +229,7 @@
 {
     Pool pool(makeConfig(10, 3.6), 3);
     std::vector<CopyDemand> demand;
+    demand.reserve(9);
     for (int model = 0; model < 9; ++model)
         demand.push_back({ "pool", "m" + std::to_string(model), "", 3'000.0 + 100.0 * model });
     const auto run = [&](int seconds, bool asked) {
