--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -268,8 +268,8 @@
     std::uint64_t m_heartbeatCount = 0;
     std::map<std::string, Row> m_nodes;
     HolderClaim m_holder;
-    std::uint64_t m_version =
-            1; // counts changes that choices depend on, besides the passing of time
+    /// Counts changes that choices depend on, besides the passing of time.
+    std::uint64_t m_version = 1;
     mutable KeptChoice<std::string> m_keptIngress; // addresses
     mutable KeptChoice<std::string> m_keptCandidates;
     mutable KeptChoice<NodeInfo> m_keptWatchers;
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -54,8 +54,8 @@
     }
 };
 
-/// What one planning pass works on: each replica and model is looked at once to build it, so that
-/// its cost grows with replicas plus models, not with their product.
+/// What one planning pass works on. Each replica and model is looked at once to build it; after
+/// that only models that lack copies are compared with replicas.
 struct CopyPlacement::Plan
 {
     explicit Plan(const ServingService &planned)
