Reread: two dead functions go, one piece of code for the index, warm copies and the key of a copy

hasAdapter() and loadsFromStore() were left without a caller when the plan began to keep what replicas hold. Removing a replica from the index by model, the search of the warm replicas and the key of a copy each stood twice. The comment of DemandRefresh promised more than it keeps: it is half of the rows' lifetime.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -34,7 +34,7 @@
 constexpr milliseconds BeatInterval { 500 };
 /// Rows of demand that a node reports with one heartbeat, in several datagrams.
 constexpr std::size_t DemandRowsPerBeat = 3 * MaxDemandRows;
-/// Below CopyPlacementSettings::demandLifetime by more than two lost reports.
+/// Half of CopyPlacementSettings::demandLifetime.
 constexpr milliseconds DemandRefresh { 2'000 };
 constexpr milliseconds IdleTick { 100 };
 constexpr milliseconds BusyTick { 12 }; // while requests wait
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -45,6 +45,7 @@
     std::vector<EngineView *> warm;    // replicas that need not read the weight store to load it
 
     bool isHeldBy(const EngineView &engine) const { return contains(holders, &engine); }
+    bool needsStore(const EngineView &engine) const { return !contains(warm, &engine); }
     double demandPerCopy() const { return copies == 0 ? 0.0 : demand / copies; }
 
 private:
@@ -323,8 +324,7 @@
         fits = true;
         if (engine.reservedForAdapters)
             continue;
-        const bool needsStore =
-                std::find(view.warm.begin(), view.warm.end(), &engine) == view.warm.end();
+        const bool needsStore = view.needsStore(engine);
         if (needsStore && !canLoadFromStore)
             continue;
         const auto sameZone = copiesByZone.find(engine.record->info.zone);
@@ -397,8 +397,7 @@
         if (!canReceiveCopy(view, engine, now) || engine.reservedForAdapters)
             continue;
         const double missing = view.model->memoryMb - engine.freeMb;
-        const bool needsStore =
-                std::find(view.warm.begin(), view.warm.end(), &engine) == view.warm.end();
+        const bool needsStore = view.needsStore(engine);
         for (const ModelCopy &copy : engine.record->info.models) {
             ModelView *victim = plan.find(copy.model);
             if (victim == nullptr || victim->model->memoryMb < missing || victim->ready < 1)
--- a/src/placing/demandtable.cpp
+++ b/src/placing/demandtable.cpp
@@ -1,5 +1,7 @@
 #include "placing/demandtable.h"
 
+#include "serving/replicatable.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,8 +16,7 @@
 
 std::string demandKey(const CopyDemand &row)
 {
-    std::string key = row.service + "/" + row.model;
-    return row.adapter.empty() ? key : key + "/" + row.adapter;
+    return row.service + "/" + copyName(row.model, row.adapter);
 }
 
 // ---- Reports ------------------------------------------------------------------------------------
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -36,14 +36,6 @@
     return found == engine.info.models.end() ? nullptr : &*found;
 }
 
-bool hasAdapter(const EngineRecord &engine, const std::string &model, const std::string &adapter)
-{
-    if (engine.pendingAdapters.contains(copyName(model, adapter)))
-        return true;
-    const std::string name = copyName(model, adapter);
-    return holdsCopy(engine.info.models, name) || holdsCopy(engine.reported, name);
-}
-
 int maxHeldAdapters(const EngineRecord &engine)
 {
     std::set<std::string> names;
@@ -62,11 +54,6 @@
     return static_cast<int>(names.size());
 }
 
-bool loadsFromStore(const EngineRecord &engine, const std::string &model)
-{
-    return !contains(engine.info.inHostMemory, model) && !contains(engine.info.onDisk, model);
-}
-
 Duration loadTime(const EngineRecord &engine, const EngineModel *model)
 {
     if (model == nullptr)
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -4,9 +4,9 @@
 //   ModelCatalog                             models of a service by name
 //   EngineRecord                             the state
 //   resetRecord                              starts the record of a new process
-//   listedCopy, hasAdapter, maxHeldAdapters  what the replica holds
+//   listedCopy, maxHeldAdapters              what the replica holds
 //   canTakeOrder, freeMemory                 whether the replica can take more
-//   loadsFromStore, loadTime                 cost of a load
+//   loadTime                                 cost of a load
 #pragma once
 
 #include "placing/enginetypes.h"
@@ -79,9 +79,6 @@
 /// @return the listed copy of a model; null if there is none
 const ModelCopy *listedCopy(const EngineRecord &engine, const std::string &model);
 
-/// @return whether the adapter is listed, was reported, or was ordered and will soon be listed
-bool hasAdapter(const EngineRecord &engine, const std::string &model, const std::string &adapter);
-
 /// @return upper bound of the number of adapters that the replica holds, from the listing, the last
 ///         report and the orders
 int maxHeldAdapters(const EngineRecord &engine);
@@ -95,9 +92,6 @@
 ///         of a held model is unknown; negative if the limits are exceeded
 double freeMemory(const EngineRecord &engine, const ModelCatalog &catalog, double usableShare);
 
-/// @return whether a load of the model would read the weight store
-bool loadsFromStore(const EngineRecord &engine, const std::string &model);
-
 /// @param model null if the model is unknown; the result is then zero
 /// @return expected duration of a load, by where the replica has the weights
 Duration loadTime(const EngineRecord &engine, const EngineModel *model);
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -49,14 +49,18 @@
 void ReplicaTable::unindex(const ReplicaRow &row)
 {
     std::erase(m_byService[row.info.service], row.info.id);
-    for (const std::string &model : modelsOf(row)) {
-        const auto entry = m_byModel.find(modelKey(row.info.service, model));
-        if (entry == m_byModel.end())
-            continue;
-        std::erase(entry->second, row.info.id);
-        if (entry->second.empty())
-            m_byModel.erase(entry);
-    }
+    for (const std::string &model : modelsOf(row))
+        unindexModel(row, model);
+}
+
+void ReplicaTable::unindexModel(const ReplicaRow &row, const std::string &model)
+{
+    const auto entry = m_byModel.find(modelKey(row.info.service, model));
+    if (entry == m_byModel.end())
+        return;
+    std::erase(entry->second, row.info.id);
+    if (entry->second.empty())
+        m_byModel.erase(entry);
 }
 
 /// @return models that the replica may hold: listed ones, and those of copies loaded since
@@ -80,12 +84,8 @@
 {
     const std::vector<std::string> models = modelsOf(row);
     for (const std::string &model : earlier) {
-        if (contains(models, model))
-            continue;
-        const auto entry = m_byModel.find(modelKey(row.info.service, model));
-        std::erase(entry->second, row.info.id);
-        if (entry->second.empty())
-            m_byModel.erase(entry);
+        if (!contains(models, model))
+            unindexModel(row, model);
     }
     for (const std::string &model : models) {
         if (!contains(earlier, model))
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -332,6 +332,7 @@
     void index(const ReplicaRow &row);
     void unindex(const ReplicaRow &row);
     static std::vector<std::string> modelsOf(const ReplicaRow &row);
+    void unindexModel(const ReplicaRow &row, const std::string &model);
     void updateModelIndex(const ReplicaRow &row, const std::vector<std::string> &earlier);
 
     ReplicaTableSettings m_settings;
