Log: a run that lost its connection names the parts of its prompt

The logs of the incident could not tell whether one part was in the last requests of each replica that ended, nor show losses on kept connections.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -515,6 +515,17 @@
         break;
     }
     const bool lost = end == AttemptResult::Lost || end == AttemptResult::StreamCut;
+    if (lost) {
+        std::string parts;
+        for (const PromptPart &part : m_caller.prompt)
+            parts += (parts.empty() ? "" : ",") + hashToHex(part.id);
+        m_state.log.line("connection_ended")
+                .field("request", m_caller.name)
+                .field("replica", id)
+                .field("connection_broke", m_connectionBroke ? "yes" : "no")
+                .field("failure", m_failure)
+                .field("parts", parts);
+    }
     if (lost && m_connectionBroke && m_state.suspects.onReplicaLost(m_fingerprint, id, now))
         m_announcer.announceLoss(m_fingerprint, id);
     m_state.replicas.onFinished(id, start.choice.generation, outcome, now);
