Messages that crash engines are found behind the product's own interface, too

Requests that shared instructions which crash engines were no two alike for the quarantine, which knows a request by all of its content: each cost engines anew and none was ever refused.

The messages of a prompt but its last are keys of the same search that the node on the users' platform has (suspects/); notes travel as gossip records and are repeated for nodes that start. The quarantine goes on seeing to whole requests.

--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -113,6 +113,7 @@
         m_state.fleet.tick();
         m_state.orders.tick();
         m_state.quarantine.tick();
+        m_state.suspects.tick();
         m_state.drain.tick(steadyNow());
         carryOutDrain();
         co_await sleepFor(FleetTick);
--- a/src/entry/entrystate.cpp
+++ b/src/entry/entrystate.cpp
@@ -1,8 +1,11 @@
 #include "entry/entrystate.h"
 
+#include "base/hashing.h"
+#include "base/wallclock.h"
 #include "node/configjson.h"
 #include "peer.pb.h"
 #include "peer/ledgerwire.h"
+#include "suspects/suspecttext.h"
 
 #include <glog/logging.h>
 
@@ -12,6 +15,10 @@
 
 namespace {
 
+/// Gossip records of notes on parts of prompts; their key is the part's.
+constexpr const char *SuspectTopic = "suspect part";
+constexpr std::chrono::seconds SuspectRepeatInterval { 5 };
+
 RouterSettings routerSettings(const NodeSettings &settings)
 {
     RouterSettings router;
@@ -77,6 +84,7 @@
     , fleet(io, link, objects, log, *this, fleetSettings(settings, incarnation))
     , orders(io, fleet, objects, log, { settings.name, processOf(incarnation) })
     , quarantine(io, fleet, log, settings.name)
+    , suspects(io, http, *this)
     , feed(http, upstreams, prefixes)
     , addresses(addressSettings(settings), settings.seed)
     , drain(drainSettings(settings))
@@ -129,6 +137,13 @@
 
 void EntryState::onNote(const GossipRecord &note)
 {
+    if (note.topic == SuspectTopic) {
+        if (const auto suspect = suspectFromText(note.key, note.payload))
+            suspects.onNotes({ *suspect });
+        else
+            LOG(WARNING) << "a note on a suspect cannot be read: " << note.payload;
+        return;
+    }
     if (note.topic != UpstreamLeavingTopic)
         return;
     leaving.onLeavingRecord(note.key);
@@ -151,6 +166,51 @@
     updateUpstreams();
 }
 
+// ---- Suspects -----------------------------------------------------------------------------------
+
+bool EntryState::isOwner(std::uint64_t key, Instant) const
+{
+    const auto order = rendezvousOrder(hashToHex(key), fleet.runningNodes());
+    return !order.empty() && order.front() == settings.name;
+}
+
+void EntryState::sendSuspectNotes(const std::vector<SuspectNote> &notes, bool toAll)
+{
+    // Gossip reaches all nodes that run now; what is repeated is for others.
+    const Instant now = steadyNow();
+    if (!toAll && now < m_repeatSuspectsAt)
+        return;
+    m_repeatSuspectsAt = now + Duration(SuspectRepeatInterval);
+    const auto number = static_cast<std::uint64_t>(unixTime().count());
+    for (const SuspectNote &note : notes)
+        fleet.disseminateRecord(
+                { SuspectTopic, hashToHex(note.key.id), number, suspectText(note) });
+}
+
+void EntryState::logVerdict(const RunVerdict &verdict)
+{
+    static constexpr const char *Fates[] = { "ended", "alive", "unknown" };
+    DecisionLine line("connection_ended");
+    line.field("run", verdict.run.request)
+            .field("upstream", verdict.run.replica)
+            .field("upstream_is", Fates[static_cast<std::size_t>(verdict.fate)])
+            .reason(verdict.reason);
+    log.write(line);
+}
+
+void EntryState::logSuspect(const SuspectNote &note, bool isRefused, const char *source)
+{
+    DecisionLine line("suspect_part");
+    line.field("key", hashToHex(note.key.id))
+            .field("crashes", std::int64_t(note.crashes.size()))
+            .field("trials", note.trials)
+            .field("source", source)
+            .reason(isRefused                      ? "refused"
+                            : note.crashes.empty() ? "cleared by a whole answer"
+                                                   : "sent one at a time");
+    log.write(line);
+}
+
 // ---- Tables -------------------------------------------------------------------------------------
 
 void EntryState::updateUpstreams()
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -20,6 +20,7 @@
 #include "peer/peerlink.h"
 #include "platform/objectclient.h"
 #include "settings/nodesettings.h"
+#include "suspects/suspectshell.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -32,7 +33,7 @@
 class ViewRequest;
 }
 
-struct EntryState : public PeerHandler, public FleetListener
+struct EntryState : public PeerHandler, public FleetListener, private SuspectFleet
 {
     EntryState(boost::asio::io_context &context, NodeSettings nodeSettings);
 
@@ -76,6 +77,7 @@
     FleetShell fleet;           // who runs, and which configuration is in force
     OrderShell orders;          // the at-most-once ledger
     QuarantineShell quarantine; // requests that crash their upstreams
+    SuspectShell suspects;      // parts of prompts that do
     DemandMeter demand;         // what callers ask of each model
     UpstreamFeed feed;          // keeps the upstream table up to date
     LeavingUpstreams leaving;   // upstreams that get no new work
@@ -83,7 +85,14 @@
     NodeDrain drain;            // the planned stop of this node
 
 private:
+    bool isOwner(std::uint64_t key, Instant now) const override;
+    void sendSuspectNotes(const std::vector<SuspectNote> &notes, bool toAll) override;
+    void onRefusalsChanged() override { } // attempts ask before each send
+    void logVerdict(const RunVerdict &verdict) override;
+    void logSuspect(const SuspectNote &note, bool isRefused, const char *source) override;
     void updateUpstreams();
+
+    Instant m_repeatSuspectsAt; // to all nodes, for those that have started or missed some
 };
 
 } // namespace burdock
--- a/src/entry/modelproxy.cpp
+++ b/src/entry/modelproxy.cpp
@@ -1,3 +1,4 @@
+#include "base/hashing.h"
 #include "entry/relay.h"
 #include "entry/requestrun.h"
 #include "entry/serviceproxy.h"
@@ -48,6 +49,23 @@
     return prompt;
 }
 
+/// @return a hash for each message, in order; callers share messages, such as instructions
+std::vector<std::uint64_t> partsOf(const ModelCall &call)
+{
+    std::vector<std::uint64_t> parts;
+    const json::value *messages = call.body.if_contains("messages");
+    if (messages == nullptr || !messages->is_array())
+        return parts;
+    const std::uint64_t model = hashText(call.model);
+    for (const json::value &message : messages->as_array()) {
+        if (message.is_object())
+            parts.push_back(hashPair(model,
+                                     textOf(message.as_object(), "role") + "\n"
+                                             + textOf(message.as_object(), "content")));
+    }
+    return parts;
+}
+
 std::optional<Error> checkAdapter(const ModelEntry &entry, const std::string &adapter)
 {
     if (adapter.empty())
@@ -109,6 +127,7 @@
         , m_model(model)
         , m_relay(reply, m_queued.routing.id, requestName())
     {
+        setPromptParts(partsOf(model));
     }
 
 private:
--- a/src/entry/requestrun.cpp
+++ b/src/entry/requestrun.cpp
@@ -1,5 +1,7 @@
 #include "entry/requestrun.h"
 
+#include "base/hashing.h"
+
 namespace burdock {
 
 namespace asio = boost::asio;
@@ -7,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds PermitRetryAfter { 2'000 };
+constexpr const char *MayHaveCrashed = "the request may have crashed an upstream";
 
 } // namespace
 
@@ -53,12 +56,15 @@
 asio::awaitable<void> RequestRun::runAttempts()
 {
     // A known suspect goes where little else is at stake from its first attempt on.
+    if (co_await refusedAsSuspect())
+        co_return;
     m_queued.routing.preferIdleUpstream = m_state.quarantine.isSuspect(m_fingerprint);
     RequestDecision decision = co_await m_state.board.submit(m_queued);
     while (const auto *send = std::get_if<SendRequest>(&decision)) {
         if (!co_await permitted(*send))
             co_return;
         const AttemptEnd end = co_await attempt(*send);
+        co_await endSuspectRun(*send, end);
         report(*send, runName(*send), end);
         if (end == AttemptEnd::Done || end == AttemptEnd::CallerLeft)
             co_return;
@@ -77,20 +83,71 @@
     const RunPermit permit =
             co_await m_state.quarantine.ask(runName(send), m_fingerprint, m_mayHaveRun);
     const auto *refused = std::get_if<RefuseRun>(&permit);
-    if (refused == nullptr)
+    m_suspectRun = { m_partKeys, {}, {}, {} };
+    if (refused == nullptr && m_state.suspects.tryStart(m_suspectRun))
         co_return true;
     m_state.dispatcher.onCancelled(m_queued.routing.id, steadyNow());
     m_state.board.carryOut();
-    const bool final = refused->reason == RunRefusal::Quarantined;
-    const Error error = final
-            ? Error { ResultCode::RefusedQuarantined,
-                      "given up: the request crashed each upstream that ran it" }
-            : Error { ResultCode::UpstreamFailed, "the request may have crashed an upstream" };
-    m_state.board.countRefusal(error.code);
-    co_await giveUp(error, final ? std::chrono::milliseconds(0) : PermitRetryAfter);
+    if (refused == nullptr) {
+        m_state.quarantine.onAbandoned(runName(send));
+        if (!co_await refusedAsSuspect())
+            co_await refuse(false, MayHaveCrashed);
+        co_return false;
+    }
+    if (refused->reason == RunRefusal::Quarantined)
+        co_await refuse(true, "given up: the request crashed each upstream that ran it");
+    else
+        co_await refuse(false, MayHaveCrashed);
     co_return false;
 }
 
+asio::awaitable<void> RequestRun::refuse(bool isFinal, const char *reason)
+{
+    const Error error { isFinal ? ResultCode::RefusedQuarantined : ResultCode::UpstreamFailed,
+                        reason };
+    m_state.board.countRefusal(error.code);
+    co_await giveUp(error, isFinal ? std::chrono::milliseconds(0) : PermitRetryAfter);
+}
+
+void RequestRun::setPromptParts(const std::vector<std::uint64_t> &parts)
+{
+    m_partKeys = m_state.suspects.keysOf(m_fingerprint, parts);
+    m_partKeys.erase(m_partKeys.begin()); // the quarantine sees to the request as a whole
+}
+
+/// @return whether the request was refused because of a part of its prompt
+asio::awaitable<bool> RequestRun::refusedAsSuspect()
+{
+    const auto key = m_state.suspects.blockingKey(m_partKeys);
+    if (!key)
+        co_return false;
+    const bool isFinal = m_state.suspects.isRefused(*key);
+    DecisionLine line("quarantine");
+    line.field("request", m_requestName).field("part", hashToHex(*key));
+    line.reason(isFinal ? "a part of the prompt crashes upstreams" : "the part is under trial");
+    m_state.log.write(line);
+    co_await refuse(isFinal,
+                    isFinal ? "given up: a part of the prompt crashes upstreams" : MayHaveCrashed);
+    co_return true;
+}
+
+asio::awaitable<void> RequestRun::endSuspectRun(const SendRequest &send, AttemptEnd end)
+{
+    const std::string &upstream = send.choice.upstream;
+    const UpstreamRow *row = m_state.upstreams.find(upstream);
+    const auto endpoint = parseEndpoint(send.choice.address);
+    if (end == AttemptEnd::Done) {
+        m_state.suspects.onServed(std::move(m_suspectRun));
+    } else if (end == AttemptEnd::Lost && row != nullptr && isOk(endpoint)
+               && m_state.leaving.mayReceive(upstream)) {
+        BrokenRun broken { upstream, row->info.incarnation, std::move(m_suspectRun), false,
+                           runName(send) };
+        co_await m_state.suspects.onConnectionEnded(std::move(broken), valueOf(endpoint));
+    } else {
+        m_state.suspects.onEnded(std::move(m_suspectRun));
+    }
+}
+
 asio::awaitable<void> RequestRun::giveUp(const Error &error, std::chrono::milliseconds retryAfter)
 {
     co_await sendError(m_reply, error, retryAfter);
--- a/src/entry/requestrun.h
+++ b/src/entry/requestrun.h
@@ -26,6 +26,9 @@
     boost::asio::awaitable<void> run();
 
 protected:
+    /// @param parts hashes of the parts of the prompt, in order
+    void setPromptParts(const std::vector<std::uint64_t> &parts);
+
     /// Makes one attempt and, when it succeeds, answers the caller.
     virtual boost::asio::awaitable<AttemptEnd> attempt(const SendRequest &send) = 0;
 
@@ -53,12 +56,17 @@
 private:
     boost::asio::awaitable<void> runAttempts();
     boost::asio::awaitable<bool> permitted(const SendRequest &send);
+    boost::asio::awaitable<bool> refusedAsSuspect();
+    boost::asio::awaitable<void> endSuspectRun(const SendRequest &send, AttemptEnd end);
+    boost::asio::awaitable<void> refuse(bool isFinal, const char *reason);
     void report(const SendRequest &send, const std::string &run, AttemptEnd end);
     std::string runName(const SendRequest &send) const;
 
     std::uint64_t m_fingerprint;
     std::string m_requestName;
-    bool m_mayHaveRun = false; // bytes of it have been sent
+    bool m_mayHaveRun = false;          // bytes of it have been sent
+    std::vector<SuspectKey> m_partKeys; // of its prompt
+    SuspectRun m_suspectRun;            // of the current attempt
 };
 
 } // namespace burdock
