An error or whole answer does not continue a stream that has begun

A stream broke off, and the next replica answered with a status below 500 or with another type: its head and text went into the middle of the caller's stream, as an answer of its own. Such an answer counts as a failed attempt now, and the stream is cut.

Three tests (404, 500, a whole 200) play it; for 404 the caller's body was "error" before.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -654,7 +654,8 @@
     if (!body)
         co_return steadyNow() >= m_request.deadline ? AttemptResult::TimedOut : AttemptResult::Lost;
     StoredAnswer answer { head, std::move(*body) };
-    if (head.status >= LeastErrorStatus) {
+    // A stream that has begun can only be continued by one.
+    if (head.status >= LeastErrorStatus || m_reply.begun()) {
         m_errorAnswer = std::move(answer);
         co_return AttemptResult::ErrorResponse;
     }
--- a/tests/adapter/test_brokenstreams.cpp
+++ b/tests/adapter/test_brokenstreams.cpp
@@ -59,6 +59,17 @@
 CHECK(!caller.ended);
 }
 
+void checkNotContinued(const std::string &statusLine)
+{
+    play("/stream/a",
+         { resetAfter(FirstEvent),
+           "HTTP/1.1 " + statusLine + "\r\n" + Head
+                   + "Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nerror" });
+    CHECK_EQUAL(FirstEvent, caller.body);
+    CHECK_EQUAL(1, caller.answers);
+    CHECK(!caller.ended);
+}
+
 void checkDelivered(const std::string &answer)
 {
     play("/stream-once/a", { answer });
@@ -91,6 +102,21 @@
     CHECK_EQUAL(1, servers[1]->next);
 }
 
+TEST(BrokenStreams, ErrorOfTheNextReplicaIsNotWrittenIntoTheStream)
+{
+    checkNotContinued("404 Not Found");
+}
+
+TEST(BrokenStreams, FailureOfTheNextReplicaIsNotWrittenIntoTheStream)
+{
+    checkNotContinued("500 Failed");
+}
+
+TEST(BrokenStreams, WholeAnswerOfTheNextReplicaIsNotWrittenIntoTheStream)
+{
+    checkNotContinued("200 OK");
+}
+
 TEST(BrokenStreams, CloseInsideAnEventCountsAsALossOfTheReplica)
 {
     LossCounter counter;
