An odd entry costs no other: values nested too deep, numbers too large

One entry nested deeper than 32 levels made the store's whole answer unreadable, so a node stopped following the replicas. Numbers beyond what a time or an int holds became garbage: 8,000,000,000 slots were read as -589,934,592.

Ports were checked already; a test says so now.

--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -82,6 +82,26 @@
     CHECK_EQUAL(1, valueOf(info).models.size());
 }
 
+TEST(StoreDecoder, NumbersThatAreTooLargeAreLeftOut)
+{
+    const auto info = decoder.replica(item("i-1", R"({"service":"s","address":"10.0.0.1:80",
+        "state":"ready","slots":8000000000,"cold_left_ms":1e999,
+        "born":123456789012345678901234567890})"));
+    CHECK(isOk(info));
+    CHECK_EQUAL(0, valueOf(info).slots);
+    CHECK_EQUAL(0, valueOf(info).startedMs);
+    CHECK(valueOf(info).coldRemaining == 0ms);
+}
+
+TEST(StoreDecoder, AnAddressWithAPortOutOfRangeNamesNoReplica)
+{
+    for (const char *port : { "0", "65536", "-1", "99999999999999999999" }) {
+        const std::string json = std::string(R"({"service":"s","address":"10.0.0.1:)") + port
+                + R"(","state":"ready"})";
+        CHECK(!isOk(decoder.replica(item("i-1", json.c_str()))));
+    }
+}
+
 TEST(StoreDecoder, ReadsRoutesByWhatMayBeRepeated)
 {
     const auto config = decoder.configuration(item("main", R"({"version":7,"routes":[
--- a/tests/adapter/test_storeclient.cpp
+++ b/tests/adapter/test_storeclient.cpp
@@ -112,6 +112,26 @@
     CHECK_EQUAL(1, follower.lists);
 }
 
+TEST(StoreWatching, AnEntryNestedTooDeepHarmsNoOther)
+{
+    for (const std::size_t depth : { 40UL, 100'000UL }) {
+        follower = {};
+        const std::string odd = R"({"metadata":{"name":"odd","revision":4},"spec":{"text":"]}[\"",)"
+                                R"("service":)"
+                + std::string(depth, '[') + std::string(depth, ']') + "}}";
+        const std::string list =
+                answer(200, R"({"at":5,"items":[)" + odd + "," + Object + R"(5},"spec":{}}]})");
+        const std::string change =
+                answer(200,
+                       R"({"at":7,"events":[{"object":)" + odd + R"(},)" + R"({"object":)" + Object
+                               + R"(7},"spec":{}}}]})");
+        CHECK(follow({ list, change }, 2s) < 1s);
+        io.restart();
+        CHECK_EQUAL(2, follower.listed);
+        CHECK_EQUAL(7, follower.newest);
+    }
+}
+
 TEST(StoreWatching, TheNewestConfigurationIsListedInTimeAfterALostAnswer)
 {
     CHECK(follow({ List, NoAnswer, NewerList }, 4s, ObjectKind::Configuration) < 3s);
