A refusal without a name is not taken on a kept connection

A faulty replica may write an earlier refusal once more, where the answer to the next request is due. Its name shows that it is another request's. One that bears no name was taken for this request's: the node sent it to a second replica or told the caller that it had not run. On a connection that has served a request before, such an answer says nothing about this one now. Requests that must not run twice were not concerned: they always open connections of their own.

ARefusalOnAKeptConnectionThatNamesNoRequestIsNotTaken: 503 before, 502 now, when nothing else can run it.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -348,6 +348,7 @@
             head.headers.push_back(
                     { std::string(field.name_string()), std::string(field.value()) });
     }
+    head.onKeptConnection = m_kept;
     if (m_parser->chunked())
         head.delimiter = BodyDelimiter::Chunks;
     else if (m_parser->need_eof())
@@ -379,7 +380,8 @@
         m_aliveAt = steadyNow();
     }
     if (!m_parser || (!m_connection && !m_parser->is_done()))
-        co_return CallFailure { m_bytesSent, false, false, false, toText(m_endpoint) + ": cancelled" };
+        co_return CallFailure { m_bytesSent, false, false, false,
+                                toText(m_endpoint) + ": cancelled" };
     if (m_parser->is_done())
         finish();
     co_return part;
@@ -444,9 +446,9 @@
             co_return body;
         if (body.size() + text.size() > maxBytes) {
             exchange.cancel();
-            co_return CallFailure {
-                true, false, false, false, "the body is longer than " + std::to_string(maxBytes) + " bytes"
-            };
+            co_return CallFailure { true, false, false, false,
+                                    "the body is longer than " + std::to_string(maxBytes)
+                                            + " bytes" };
         }
         body += text;
     }
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -45,6 +45,7 @@
     int status = 0;                  // HTTP status code
     std::vector<HttpHeader> headers; // without Content-Length, Connection and Transfer-Encoding
     BodyDelimiter delimiter = BodyDelimiter::Length; // of the answer as it was received
+    bool onKeptConnection = false;                   // which had served a request before
 };
 
 constexpr int StatusOk = 200;
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -30,7 +30,52 @@
 
 } // namespace
 
-TEST_GROUP_BASE(RequestFlow, RequestFlowFixture) {};
+TEST_GROUP_BASE(RequestFlow, RequestFlowFixture) {
+    /// Plays a request on a connection that has served one before.
+    void playOnKeptConnection(const char *path, const std::string &answer) {
+            const std::vector<std::string> script { Good, answer };
+servers.push_back(std::make_unique<ScriptedServer>(io, script));
+ReplicaInfo info;
+info.id = "r0";
+info.service = service;
+info.address = toText(servers[0]->endpoint());
+info.startedMs = 1;
+info.slots = 4;
+state->replicas.onAnnounced(info, steadyNow());
+for (const char *each : { "/repeat/first", path }) {
+    caller = {};
+    const HttpRequest request = callerRequest(each);
+    RequestFlow flow(*state, nodes, request, caller);
+    bool done = false;
+    asio::co_spawn(io, flow.run(), [&done](const std::exception_ptr &) { done = true; });
+    const Instant end = steadyNow() + 3s;
+    while (!done && steadyNow() < end) {
+        io.restart(); // it has stopped if nothing was under way
+        io.run_for(5ms);
+        state->waiting.tick();
+    }
+    CHECK_TEXT(done, each);
+}
+CHECK_EQUAL(1, servers[0]->connections);
+}
+}
+;
+
+// A faulty replica writes an earlier refusal once more; such an answer bears no name of its
+// request.
+TEST(RequestFlow, ARefusalOnAKeptConnectionThatNamesNoRequestIsNotTaken)
+{
+    playOnKeptConnection("/repeat/a", NotRun);
+    CHECK_EQUAL(502, caller.status);
+}
+
+TEST(RequestFlow, ARefusalOnAKeptConnectionThatNamesItsRequestIsTaken)
+{
+    std::string refusal = NotRun;
+    refusal.insert(refusal.find("Not-Executed"), "Attempt-Id: q1\r\n");
+    playOnKeptConnection("/repeat/a", refusal);
+    CHECK_EQUAL(503, caller.status);
+}
 
 TEST(RequestFlow, PassesAnAnswerOnUnchanged)
 {
