A plain service's replica that was slow once is not passed over for good

One slow first byte made a replica look slow, and while another one was idle it got no request that could show otherwise. The measured slowness of a plain service's replica fades without answers now, with a half life of 400 ms; that of model replicas stays, since it also tells how fast they read prompts.

PlainReplicaThatWasSlowOnce... is the test of the cause.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -564,10 +564,9 @@
     const Duration taken = steadyNow() - m_sentAt;
     const double expected =
             double(std::max<Duration::rep>(1, start.choice.expectedFirstByte.count()));
-    const ReplicaRow *row = m_state.replicas.find(start.choice.id);
-    const double slowness = row == nullptr ? 1.0 : row->slowness;
     m_state.replicas.onFirstByte(start.choice.id, start.choice.generation,
-                                 double(taken.count()) / expected * slowness);
+                                 double(taken.count()) / expected * start.choice.slowness,
+                                 steadyNow());
     m_state.chooser.onFirstByte(m_request.service, !m_request.model.empty(), taken);
     m_firstByteAfter = steadyNow() - m_arrived;
     m_state.metrics.observe("burdock_first_byte_seconds", m_firstByteAfter);
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -72,7 +72,7 @@
                 + load * double(m_settings.stepTimePerRequest.count());
     }
     if (request.model.empty())
-        candidate.firstByteUs *= row.slowness; // prefillTime() includes it for model replicas
+        candidate.firstByteUs *= m_table.slowness(row, now); // prefillTime() includes it for models
     if (now < row.coldUntil)
         candidate.firstByteUs *= 1.5; // a cold replica runs at about two thirds of its speed
     const double zoneCost =
@@ -180,6 +180,7 @@
     choice.freshTokens = best.freshTokens;
     choice.load = m_table.estimatedLoad(*best.row, now);
     choice.comparedReplicas = static_cast<int>(holders.size());
+    choice.slowness = m_table.slowness(*best.row, now);
     choice.expectedFirstByte = Duration(static_cast<Duration::rep>(best.firstByteUs));
     return choice;
 }
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -49,6 +49,7 @@
     double load = 0.0;             // estimated number of requests at the replica
     int comparedReplicas = 0;      // number of usable replicas that were compared
     Duration expectedFirstByte {}; // expected time to the first byte of the response
+    double slowness = 1.0;         // that the expectation includes, see ReplicaTable::slowness()
 };
 
 enum class NoReplica {
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -333,7 +333,17 @@
     row->changeSinceReport = 0;
 }
 
-void ReplicaTable::onFirstByte(const std::string &id, std::uint64_t generation, double ratio)
+double ReplicaTable::slowness(const ReplicaRow &row, Instant now) const
+{
+    if (!row.info.models.empty() || row.slowness <= 1.0 || row.firstByteAt == Instant {})
+        return row.slowness;
+    const double halfLives =
+            double((now - row.firstByteAt).count()) / double(m_settings.slownessHalfLife.count());
+    return 1.0 + (row.slowness - 1.0) * std::exp2(-std::max(0.0, halfLives));
+}
+
+void ReplicaTable::onFirstByte(const std::string &id, std::uint64_t generation, double ratio,
+                               Instant now)
 {
     ReplicaRow *row = findRow(id);
     if (row == nullptr || row->generation != generation)
@@ -342,6 +352,8 @@
     constexpr double MinRatio = 0.25;
     constexpr double MaxRatio = 8.0;
     row->connectFailures = 0;
+    row->slowness = slowness(*row, now);
+    row->firstByteAt = now;
     row->slowness += m_settings.smoothing * (std::clamp(ratio, MinRatio, MaxRatio) - row->slowness);
 }
 
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -101,6 +101,7 @@
     int changeSinceReport = 0;
     double failureRate = 0.0; // smoothed share of failed requests
     double slowness = 1.0;    // smoothed ratio of observed to expected time to the first byte
+    Instant firstByteAt;      // of the latest response in it
     int connectFailures = 0;  // consecutive failed connections
     Instant avoidUntil;       // no requests are sent until then
     Instant pausedUntil;      // the replica asked for no requests until then
@@ -152,6 +153,7 @@
     // Longest pause that a replica can ask for.
     Duration maxRequestedPause = std::chrono::minutes(5);
     double smoothing = 0.15; // weight of the latest value in smoothed rates and ratios
+    Duration slownessHalfLife = std::chrono::milliseconds(400); // of plain services' replicas
     // Initial prefill speed, that of the engines in use; the observed slowness corrects it per
     // replica.
     double prefillTokensPerMs = 18.0;
@@ -233,7 +235,7 @@
     /// Records the first byte of a response.
     /// @param generation of the row that the request was sent to; other generations are ignored
     /// @param ratio of the observed time to the first byte to the expected one
-    void onFirstByte(const std::string &id, std::uint64_t generation, double ratio);
+    void onFirstByte(const std::string &id, std::uint64_t generation, double ratio, Instant now);
 
     /// Counts a request that ended.
     /// @param generation of the row that the request was sent to; other generations are ignored
@@ -290,6 +292,11 @@
     bool holds(const ReplicaRow &row, const std::string &model, const std::string &adapter,
                Instant now) const;
 
+    /// @return ratio of the replica's time to the first byte to the usual one. That of a plain
+    ///         service's replica fades without responses: while others are idle, none would come
+    ///         from one that was slow once.
+    double slowness(const ReplicaRow &row, Instant now) const;
+
     /// @return estimated number of requests at the replica, from the latest load report and this
     /// node's own counts
     double estimatedLoad(const ReplicaRow &row, Instant now) const;
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -166,11 +166,21 @@
     const std::uint64_t generation = table.find("r1")->generation;
     CHECK(table.onPauseRequested("r1", generation, 2s, Start) == Start + 2s);
     table.onPauseRequested("r1", generation, 1s, Start); // does not shorten the pause
-    table.onFirstByte("r1", generation, 1.0);
+    table.onFirstByte("r1", generation, 1.0, Start);
     CHECK(!table.isUsable(*table.find("r1"), Start + 1'999ms));
     CHECK(table.isUsable(*table.find("r1"), Start + 2s));
 }
 
+TEST(ReplicaTable, PlainReplicaThatWasSlowOnceIsNotPassedOverForGood)
+{
+    ReplicaInfo info = replica("r1");
+    info.models.clear();
+    table.onAnnounced(info, Start);
+    table.onFirstByte("r1", table.find("r1")->generation, 30.0, Start);
+    CHECK(table.slowness(*table.find("r1"), Start) > 2.0);
+    CHECK(table.slowness(*table.find("r1"), Start + 2s) < 1.1);
+}
+
 TEST(ReplicaTable, APauseSurvivesTheListAndEndsWithTheProcess)
 {
     table.onAnnounced(replica("r1"), Start);
