--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -134,7 +134,7 @@
     bool m_isBehind = false; // events wait for long until they are handled
     Instant m_lastDemand;
     std::size_t m_nextNoteTarget = 0; // index of the ingress node that gets the next repeated notes
-    double m_requestRate = 0.0;           // of callers, a second, smoothed
+    double m_requestRate = 0.0;       // of callers, a second, smoothed
     std::uint64_t m_requestsMeasured = 0; // counted in it
     Instant m_nextFind;
     std::optional<std::uint64_t> m_storeEra; // nothing: nothing has been listed yet
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -230,7 +230,10 @@
     log.line("suspect")
             .field("key", hashToHex(note.key.id))
             .field("kind", note.key.kind == SuspectKind::PromptPart ? "prompt_part" : "request")
-            .field("state", isRefused ? "refused" : note.crashes.empty() ? "cleared" : "suspected")
+            .field("state",
+                   isRefused                      ? "refused"
+                           : note.crashes.empty() ? "cleared"
+                                                  : "suspected")
             .field("crashes", std::int64_t(note.crashes.size()))
             .field("round", std::int64_t(note.round))
             .field("trials", note.trials)
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -132,8 +132,8 @@
     Duration m_firstByteAfter {}; // of the whole request; for the log
     Duration m_longestGap {};     // between events; for the log
     Instant m_lastEventAt;
-    bool m_keptFailed = false;      // a kept connection was found dropped: open a new one
-    bool m_connectionBroke = false; // the current attempt ended with its connection
+    bool m_keptFailed = false;          // a kept connection was found dropped: open a new one
+    bool m_connectionBroke = false;     // the current attempt ended with its connection
     bool m_keptConnectionBroke = false; // the same, on a kept one before the head of the answer
     bool m_endedWithConnection = false; // the answer is whole unless the replica ended with it
     bool m_isProof = false;             // the answer is whole and a success
--- a/src/suspects/crashsuspects.cpp
+++ b/src/suspects/crashsuspects.cpp
@@ -18,9 +18,9 @@
     std::vector<SuspectKey> keys { { content, SuspectKind::Request } };
     for (std::size_t index = 0; index + 1 < parts.size() && keys.size() < m_settings.maxKeys;
          ++index) {
-        const bool isRepeated =
-                std::any_of(keys.begin(), keys.end(),
-                            [&](const SuspectKey &key) { return key.id == parts[index]; });
+        const bool isRepeated = std::any_of(keys.begin(), keys.end(), [&](const SuspectKey &key) {
+            return key.id == parts[index];
+        });
         if (!isRepeated)
             keys.push_back({ parts[index], SuspectKind::PromptPart });
     }
@@ -33,9 +33,8 @@
 {
     if (row.kind == SuspectKind::Request)
         return row.crashes.size() >= m_settings.crashesToRefuseRequest;
-    return row.crashes.size()
-            >= (row.wasServed ? m_settings.crashesToRefuseServedPart
-                              : m_settings.crashesToRefusePart);
+    return row.crashes.size() >= (row.wasServed ? m_settings.crashesToRefuseServedPart
+                                                : m_settings.crashesToRefusePart);
 }
 
 bool CrashSuspects::isRefused(std::uint64_t key) const
@@ -46,8 +45,8 @@
 
 std::size_t CrashSuspects::refusedCount() const
 {
-    return static_cast<std::size_t>(std::count_if(
-            m_suspected.begin(), m_suspected.end(), [&](auto key) { return isRefused(key); }));
+    return static_cast<std::size_t>(std::count_if(m_suspected.begin(), m_suspected.end(),
+                                                  [&](auto key) { return isRefused(key); }));
 }
 
 bool CrashSuspects::isBlocked(std::uint64_t key, const Row &row, const TrialOwners &owners,
--- a/src/suspects/suspectshell.h
+++ b/src/suspects/suspectshell.h
@@ -76,7 +76,10 @@
 
     /// A replica answered a request.
     /// @param sentAt when the request was sent
-    void onAnswer(const std::string &replica, Instant sentAt) { m_evidence.onAlive(replica, sentAt); }
+    void onAnswer(const std::string &replica, Instant sentAt)
+    {
+        m_evidence.onAlive(replica, sentAt);
+    }
 
     /// A replica refused a connection.
     void onRefused(const std::string &replica) { m_evidence.onRefused(replica); }
--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -125,11 +125,11 @@
         if (!m_options.logRequests || part.empty())
             return;
         std::cout << json::serialize(json::value {
-                             { "event", event },
-                             { "at_ms", monotonicMs() },
-                             { "replica", m_id },
-                             { "node", burdock::headerValue(request.headers, "X-Node").value_or("") },
-                             { "part", part } })
+                { "event", event },
+                { "at_ms", monotonicMs() },
+                { "replica", m_id },
+                { "node", burdock::headerValue(request.headers, "X-Node").value_or("") },
+                { "part", part } })
                   << std::endl;
     }
 
--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -45,11 +45,9 @@
             encodePeerMessage(CopyNote { "r", "m/a", CopyChange::Loading, 40ms })));
     CHECK(copy.change == CopyChange::Loading);
     CHECK(copy.usableIn == 40ms);
-    const SuspectNote suspect { { 0xffff'ffff'ffff'fffe, SuspectKind::PromptPart },
-                                3,
-                                true,
-                                2,
-                                { 5, 0xffff'ffff'ffff'fffd } };
+    const SuspectNote suspect {
+        { 0xffff'ffff'ffff'fffe, SuspectKind::PromptPart }, 3, true, 2, { 5, 0xffff'ffff'ffff'fffd }
+    };
     const auto suspects = std::get<SuspectNotes>(
             *decodePeerMessage(encodePeerMessage(SuspectNotes { { suspect } })));
     CHECK_EQUAL(1, suspects.notes.size());
--- a/tests/suspects/test_crashsuspects.cpp
+++ b/tests/suspects/test_crashsuspects.cpp
@@ -31,7 +31,10 @@
         return { suspects.keysOf(++content, parts), {}, {}, {} };
     }
 
-    bool start(SuspectRun &run, Instant now) { return suspects.tryStart(run, owner, now); }
+    bool start(SuspectRun & run, Instant now)
+    {
+        return suspects.tryStart(run, owner, now);
+    }
 
     /// Starts a run that its replica does not survive.
     /// @return whether it was started
@@ -149,7 +152,8 @@
     CHECK(crash({ Middle, 10 }, "i-2/1", Start));
     int trials = 0;
     for (Duration passed {}; passed < 12h; passed += 1s)
-        trials += crash({ Middle, 10 }, "t-" + std::to_string(trials) + "/1", Start + passed) ? 1 : 0;
+        trials +=
+                crash({ Middle, 10 }, "t-" + std::to_string(trials) + "/1", Start + passed) ? 1 : 0;
     CHECK_EQUAL(2, trials);
     CHECK(!isBlocked({ Middle, 10 }, Start + 48h));
 }
--- a/tests/suspects/test_suspectfleet.cpp
+++ b/tests/suspects/test_suspectfleet.cpp
@@ -1,5 +1,5 @@
-// A simulated fleet that some prompt parts crash, with lost notes, restarted nodes and replicas that
-// end by themselves. BURDOCK_SEEDS: how many fleets are played.
+// A simulated fleet that some prompt parts crash, with lost notes, restarted nodes and replicas
+// that end by themselves. BURDOCK_SEEDS: how many fleets are played.
 #include "base/hashing.h"
 #include "base/random.h"
 #include "suspects/crashsuspects.h"
@@ -105,8 +105,8 @@
         run.poison = poison;
         run.run.keys = node.suspects->keysOf(2'000'000 + requests, parts);
         run.endsAt = now + (poison == 0 ? RunTime : CrashTime);
-        const bool isSent = replicas[run.replica].backAt <= now
-                && node.suspects->tryStart(run.run, *this, now);
+        const bool isSent =
+                replicas[run.replica].backAt <= now && node.suspects->tryStart(run.run, *this, now);
         const bool isBlocked = replicas[run.replica].backAt <= now && !isSent;
         if (poison == 0)
             sound.push_back({ now, !isBlocked });
@@ -188,9 +188,10 @@
     /// What all nodes forget at the same time is lost, so they do not restart together.
     void restartNode()
     {
-        const auto restartedAt = std::max_element(
-                nodes.begin(), nodes.end(),
-                [](const Node &left, const Node &right) { return left.startedAt < right.startedAt; });
+        const auto restartedAt = std::max_element(nodes.begin(), nodes.end(),
+                                                  [](const Node &left, const Node &right) {
+                                                      return left.startedAt < right.startedAt;
+                                                  });
         if (now >= restartedAt->startedAt + ContactTime)
             nodes[random.below(nodes.size())] = { std::make_unique<CrashSuspects>(), now };
     }
@@ -255,9 +256,7 @@
 
 } // namespace
 
-TEST_GROUP(SuspectFleet)
-{
-};
+TEST_GROUP(SuspectFleet) {};
 
 TEST(SuspectFleet, PoisonedPartsAreRefusedAndSoundRequestsServed)
 {
