Trials of different parts keep apart, and a replica that ends is not taken for alive while it accepts

The part and the poisoned one were refused at the same time, so their first trials were sent 2 ms apart, met at one replica, and its crash counted against both: the next trial of the sound part was 30 s away. Parts that were served before are tried after 1 s now, others after 3 to 5 s by their key; after a crashed trial the former come again after 5 s.

An accepted connection is tried once more 100 ms later; the request goes on meanwhile.

--- a/src/suspects/crashsuspects.cpp
+++ b/src/suspects/crashsuspects.cpp
@@ -139,14 +139,17 @@
         const bool isFresh = row.servedAt != Instant {}
                 && now < row.servedAt + m_settings.freshAnswerTime
                 && row.kind == SuspectKind::PromptPart;
-        if (row.round != run.rounds[index] || isFresh || !addCrash(row, crash, now))
+        if (row.round != run.rounds[index] || isFresh || !addCrash(key.id, row, crash, now))
             continue;
         counts = true;
         if (row.crashes.size() == 1)
             m_suspected.push_back(key.id);
         if (run.trial) {
             addTrials(row, row.trials + 1, now);
-            row.nextTrialAt = std::max(row.nextTrialAt, now + m_settings.crashedTrialDelay);
+            row.nextTrialAt = std::max(row.nextTrialAt,
+                                       now
+                                               + (row.wasServed ? m_settings.servedCrashedTrialDelay
+                                                                : m_settings.crashedTrialDelay));
         }
         m_changed.push_back(key.id);
     }
@@ -163,14 +166,19 @@
 }
 
 /// @return whether it was not known
-bool CrashSuspects::addCrash(Row &row, std::uint64_t crash, Instant now)
+bool CrashSuspects::addCrash(std::uint64_t key, Row &row, std::uint64_t crash, Instant now)
 {
+    constexpr std::uint64_t SpreadSteps = 16;
     if (row.crashes.size() >= m_settings.maxCrashes
         || std::find(row.crashes.begin(), row.crashes.end(), crash) != row.crashes.end())
         return false;
     row.crashes.push_back(crash);
     row.changedAt = now;
-    row.nextTrialAt = std::max(row.nextTrialAt, now + m_settings.firstTrialDelay);
+    const Duration spread = m_settings.trialSpread * static_cast<int>(key % SpreadSteps)
+            / static_cast<int>(SpreadSteps);
+    const Duration delay =
+            row.wasServed ? m_settings.servedTrialDelay : m_settings.firstTrialDelay + spread;
+    row.nextTrialAt = std::max(row.nextTrialAt, now + delay);
     return true;
 }
 
@@ -216,7 +224,7 @@
         row.nextTrialAt = {};
     }
     for (const std::uint64_t crash : note.crashes)
-        isChanged = addCrash(row, crash, now) || isChanged;
+        isChanged = addCrash(note.key.id, row, crash, now) || isChanged;
     isChanged = addTrials(row, note.trials, now) || isChanged;
     if (hadCrashes && row.crashes.empty())
         std::erase(m_suspected, note.key.id);
--- a/src/suspects/crashsuspects.h
+++ b/src/suspects/crashsuspects.h
@@ -82,8 +82,14 @@
     std::size_t crashesToRefuseServedPart = 3;
     // A part that had a whole answer at this node so shortly before is not suspected of a crash.
     Duration freshAnswerTime = std::chrono::seconds(1);
-    Duration firstTrialDelay = std::chrono::seconds(1); // after the latest crash
-    Duration nextTrialDelay = std::chrono::seconds(5);  // after a trial that told nothing
+    // From the latest crash to the first trial. Parts that were served before are more likely sound
+    // and come first; trials at the same time could meet at a replica, and a crash would count
+    // against both.
+    Duration servedTrialDelay = std::chrono::seconds(1);
+    Duration firstTrialDelay = std::chrono::seconds(3);
+    Duration trialSpread = std::chrono::seconds(2);    // by key, on top of firstTrialDelay
+    Duration nextTrialDelay = std::chrono::seconds(5); // after a trial that told nothing
+    Duration servedCrashedTrialDelay = std::chrono::seconds(5);
     Duration crashedTrialDelay = std::chrono::seconds(30);
     int maxTrials = 3; // then one each trialPeriod
     Duration trialPeriod = std::chrono::hours(24);
@@ -171,7 +177,7 @@
     bool isBlocked(std::uint64_t key, const Row &row, const TrialOwners &owners, Instant now) const;
     Row &findOrAdd(const SuspectKey &key, Instant now);
     void makeRoom();
-    bool addCrash(Row &row, std::uint64_t crash, Instant now);
+    bool addCrash(std::uint64_t key, Row &row, std::uint64_t crash, Instant now);
     bool addTrials(Row &row, int trials, Instant now);
     SuspectNote noteOf(std::uint64_t key, const Row &row) const;
 
--- a/src/suspects/suspectshell.cpp
+++ b/src/suspects/suspectshell.cpp
@@ -2,6 +2,9 @@
 
 #include "net/coroutines.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -14,6 +17,7 @@
 
 /// A replica of the region accepts or refuses a connection within milliseconds.
 constexpr std::chrono::milliseconds TryTimeout { 300 };
+constexpr std::chrono::milliseconds TryAgainAfter { 100 };
 constexpr std::chrono::milliseconds RepeatInterval { 500 };
 constexpr std::size_t RepeatedNotes = 16;
 
@@ -76,13 +80,28 @@
     const Instant triedAt = steadyNow();
     const ConnectOutcome outcome =
             co_await m_http.tryConnect(std::move(endpoint), triedAt + Duration(TryTimeout));
+    m_tries.erase(replica);
+    if (outcome == ConnectOutcome::Refused)
+        m_evidence.onRefused(replica);
+    judgeRuns();
+    done->cancel();
+    if (outcome == ConnectOutcome::Accepted)
+        asio::co_spawn(m_io, tryAgain(std::move(replica), std::move(endpoint), triedAt),
+                       asio::detached);
+}
+
+/// A process that ends may close connections some time before it stops accepting new ones.
+asio::awaitable<void> SuspectShell::tryAgain(std::string replica, Endpoint endpoint,
+                                             Instant triedAt)
+{
+    co_await sleepFor(TryAgainAfter);
+    const ConnectOutcome outcome =
+            co_await m_http.tryConnect(std::move(endpoint), steadyNow() + Duration(TryTimeout));
     if (outcome == ConnectOutcome::Refused)
         m_evidence.onRefused(replica);
     else if (outcome == ConnectOutcome::Accepted)
         m_evidence.onAlive(replica, triedAt);
     judgeRuns();
-    m_tries.erase(replica);
-    done->cancel();
 }
 
 void SuspectShell::judgeRuns()
