Notes on refused keys are repeated each time, before those on suspected ones

A node that had been started sent a refused part for 3 s: each crash leaves dozens of keys that are no more than suspected, and notes were repeated in turn, 16 at a time, so those that matter took seconds to come.

--- a/src/suspects/crashsuspects.cpp
+++ b/src/suspects/crashsuspects.cpp
@@ -248,9 +248,20 @@
 
 std::vector<SuspectNote> CrashSuspects::notesToRepeat(std::size_t count)
 {
+    std::vector<std::uint64_t> keys;
+    for (const std::uint64_t key : m_suspected) {
+        if (isRefused(key))
+            keys.push_back(key);
+    }
+    // Each crash leaves dozens of keys that are no more than suspected.
+    for (std::size_t step = 0; keys.size() < count && step < m_suspected.size(); ++step) {
+        const std::uint64_t key = m_suspected[m_nextSuspected++ % m_suspected.size()];
+        if (!isRefused(key))
+            keys.push_back(key);
+    }
     std::vector<SuspectNote> notes;
-    while (notes.size() < std::min(count, m_suspected.size())) {
-        const std::uint64_t key = m_suspected[m_nextRepeat++ % m_suspected.size()];
+    while (notes.size() < std::min(count, keys.size())) {
+        const std::uint64_t key = keys[m_nextRepeat++ % keys.size()];
         notes.push_back(noteOf(key, m_rows.at(key)));
     }
     return notes;
--- a/src/suspects/crashsuspects.h
+++ b/src/suspects/crashsuspects.h
@@ -150,7 +150,8 @@
     /// @return notes for all other nodes, of keys that changed here since the last call
     std::vector<SuspectNote> takeChanges();
 
-    /// @return notes to repeat, of keys with crashes; the next ones with each call
+    /// @return notes to repeat: of refused keys and, as far as there is room, of other keys with
+    ///         crashes; the next ones with each call
     std::vector<SuspectNote> notesToRepeat(std::size_t count);
 
     /// @return number of keys in the table
@@ -184,7 +185,8 @@
     SuspectSettings m_settings;
     std::unordered_map<std::uint64_t, Row> m_rows; // by key
     std::vector<std::uint64_t> m_suspected;        // keys with crashes
-    std::size_t m_nextRepeat = 0;                  // index in m_suspected
+    std::size_t m_nextSuspected = 0;               // index in m_suspected of the next one repeated
+    std::size_t m_nextRepeat = 0;                  // the same among those that are due
     std::vector<std::uint64_t> m_changed;
 };
 
--- a/tests/suspects/test_crashsuspects.cpp
+++ b/tests/suspects/test_crashsuspects.cpp
@@ -271,6 +271,23 @@
     CHECK(!other.isRefused(Middle));
 }
 
+// A node that starts sent a refused part for seconds, until its turn among many suspected keys
+// came.
+TEST(CrashSuspects, RefusedPartIsRepeatedEachTime)
+{
+    CHECK(crash({ Middle, 10 }, "i-1/1", Start));
+    CHECK(crash({ Middle, 10 }, "i-2/1", Start));
+    for (std::uint64_t part = 100'000; part < 100'500; ++part)
+        crash({ part, 10 }, "i-3/1", Start);
+    for (int repeat = 0; repeat < 3; ++repeat) {
+        CrashSuspects other;
+        for (const SuspectNote &note : suspects.notesToRepeat(16))
+            other.onNote(note, Start);
+        CHECK(other.isRefused(Middle));
+        CHECK_EQUAL(16, other.size());
+    }
+}
+
 TEST(CrashSuspects, ManyPartsDoNotPushOutRefusedOnes)
 {
     CHECK(crash({ Middle, 10 }, "i-1/1", Start));
