--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -77,6 +77,7 @@
 
     def crash(self):
         """Ends like a process that is killed: the port refuses, open connections are reset."""
+        self.socket.shutdown(socket.SHUT_RDWR)  # at once, also while another thread polls it
         self.socket.close()
         threading.Thread(target=self.shutdown, daemon=True).start()
         for connection in list(self.open):
