--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -579,15 +579,20 @@
     temporary = tempfile.mkdtemp(prefix="burdock-review-")
     cleanup = []
     code = 2
+
+    def stop(*_):
+        raise CannotRun("ended from outside")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         broken = scene(record, temporary, cleanup)
         for each in broken:
             record.say("BROKEN " + each)
             print("BROKEN " + each)
         code = 1 if broken else 0
-    except CannotRun as reason:
-        record.say(f"could not run: {reason}")
-        print(f"could not run: {reason}")
+    except Exception as reason:  # a fault of the script shows nothing about the rule
+        record.say(f"could not run: {reason!r}")
+        print(f"could not run: {reason!r}")
     finally:
         for each in cleanup:
             each()
