--- a/review/4/scene.py
+++ b/review/4/scene.py
@@ -5,7 +5,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "harness"))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 from fleet import LIMITS, TROUBLE, CannotRun, Nodes, Replica, Store, play, route  # noqa: E402
 
 MODELS = {"m1": 60000.0}
--- a/review/harness/fleet.py
+++ b/review/fleet.py
@@ -23,7 +23,7 @@
 import tomllib
 import urllib.parse
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 HOST = "shop.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BOUNDS = {
