A replica whose address another one has is forgotten everywhere

Cause: a 421 of the new replica removed the old one's row from the table of replicas alone. The lapse of the entry then found no row and told neither the placement nor the other tables, so the dead copies counted as held. Ruled out: memory, load tokens (an empty replica took orders), wants that do not arrive (want_copy is logged).

Change: NodeState::removeReplica() and forgetReplica() are the one way out of the table. Related path: a 421 from an earlier address removed the row of a replica that had been listed anew; generations are compared.

Tests: RequestFlow.AReplicaWhoseAddressAnotherOneHasIsForgottenEverywhere and RequestFlow.AnAnswerAtAnEarlierAddressSaysNothingOfTheReplica.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -186,6 +186,9 @@
         else if (!m_state.directory.holder().ip.empty())
             m_link.send(note, { m_state.directory.holder().ip });
     };
+    m_state.onReplicaForgotten = [this](const std::string &replica) {
+        m_copies.placement().onReplicaRemoved(replica);
+    };
     m_state.onSuspectNotes = [this](const std::vector<SuspectNote> &notes, bool toAll) {
         sendSuspectNotes(notes,
                          toAll ? m_state.directory.ingressAddresses(steadyNow())
@@ -370,28 +373,16 @@
 
 void EdgeProgram::dropReplica(const std::string &id, Instant storeReturnedAt, Instant now)
 {
+    if (m_state.replicas.find(id) == nullptr)
+        return; // it was forgotten before
+    m_state.removeReplica(id, storeReturnedAt, "delisted");
     const ReplicaRow *row = m_state.replicas.find(id);
-    if (row == nullptr)
-        return;
-    const std::uint64_t generation = row->generation;
-    m_state.replicas.onDelisted(id, storeReturnedAt, now);
-    row = m_state.replicas.find(id);
     m_state.log.line("replica_missing")
             .field("replica", id)
             .field("known_ms", now - m_replicaWatch.knownAt())
             .field("store_returned_ms",
                    storeReturnedAt == Instant {} ? Duration(-1'000) : now - storeReturnedAt)
             .field("kept_ms", row == nullptr ? Duration::zero() : row->removeAt - now);
-    if (row == nullptr)
-        forgetReplica(id, generation);
-}
-
-void EdgeProgram::forgetReplica(const std::string &id, std::uint64_t generation)
-{
-    m_state.suspects.onDelisted(id);
-    m_state.log.line("replica_gone").field("replica", id);
-    m_state.chooser.onReplicaRemoved(generation);
-    m_copies.placement().onReplicaRemoved(id);
 }
 
 // ---- Other nodes --------------------------------------------------------------------------------
@@ -583,7 +574,7 @@
     if (m_replicaWatch.unreachable())
         m_state.replicas.extendGracePeriods(now);
     for (const auto &[id, generation] : m_state.replicas.tick(now))
-        forgetReplica(id, generation);
+        m_state.forgetReplica(id, generation, "grace_over");
     m_state.suspects.tick();
     m_state.claims.tick(now);
     m_state.directory.tick(now);
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -89,7 +89,6 @@
     void takeConfig(const StoredItem &item);
     void takeReplica(const StoredItem &item, Instant now);
     void dropReplica(const std::string &id, Instant storeReturnedAt, Instant now);
-    void forgetReplica(const std::string &id, std::uint64_t generation);
     void noteEra(std::uint64_t era);
     boost::asio::awaitable<void> registerNode();
     boost::asio::awaitable<void> findNodes();
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -190,6 +190,28 @@
             .field("share", replicas.limits().share(replica, steadyNow()).value_or(-1.0));
 }
 
+// ---- Replicas -----------------------------------------------------------------------------------
+
+void NodeState::removeReplica(const std::string &id, Instant storeReturnedAt, const char *reason)
+{
+    const ReplicaRow *row = replicas.find(id);
+    if (row == nullptr)
+        return;
+    const std::uint64_t generation = row->generation;
+    replicas.onDelisted(id, storeReturnedAt, steadyNow());
+    if (replicas.find(id) == nullptr)
+        forgetReplica(id, generation, reason);
+}
+
+void NodeState::forgetReplica(const std::string &id, std::uint64_t generation, const char *reason)
+{
+    log.line("replica_gone").field("replica", id).field("reason", reason);
+    suspects.onDelisted(id);
+    chooser.onReplicaRemoved(generation);
+    if (onReplicaForgotten)
+        onReplicaForgotten(id);
+}
+
 // ---- Suspects -----------------------------------------------------------------------------------
 
 bool NodeState::isOwner(std::uint64_t key, Instant now) const
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -97,6 +97,17 @@
     /// Takes another node's news of a replica's limit.
     void takeLimitNote(const LimitNote &note);
 
+    /// Removes a replica from the table, at once or after a grace period, and forgets it with it.
+    /// @param storeReturnedAt see ReplicaTable::onDelisted()
+    /// @param reason for the log
+    void removeReplica(const std::string &id, Instant storeReturnedAt, const char *reason);
+
+    /// Drops what is known of a replica that the table no longer has, in all places that keep
+    /// something by replica.
+    /// @param generation ReplicaRow::generation of its row
+    /// @param reason for the log
+    void forgetReplica(const std::string &id, std::uint64_t generation, const char *reason);
+
     /// Takes a configuration, unless it is older than the one in force or the same.
     void applyConfig(ServingConfig config);
 
@@ -128,6 +139,9 @@
     /// Called with notes for the other nodes, see SuspectFleet::sendSuspectNotes().
     std::function<void(const std::vector<SuspectNote> &, bool toAll)> onSuspectNotes;
 
+    /// Called when a replica was forgotten, so that the placement does not count its copies.
+    std::function<void(const std::string &replica)> onReplicaForgotten;
+
 private:
     bool isOwner(std::uint64_t key, Instant now) const override;
     void sendSuspectNotes(const std::vector<SuspectNote> &notes, bool toAll) override;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -590,7 +590,10 @@
         outcome = ReplicaOutcome::Rejected;
         break;
     case AttemptResult::OtherReplica:
-        m_state.replicas.onDelisted(id, {}, now);
+        // One that was listed anew since the choice may be at another address by now.
+        if (const ReplicaRow *row = m_state.replicas.find(id);
+            row != nullptr && row->generation == start.choice.generation)
+            m_state.removeReplica(id, {}, "other_replica_at_its_address");
         break;
     case AttemptResult::CopyAbsent:
         m_state.replicas.onCopyDenied(id, copyName(m_request.model, m_request.adapter), now);
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -119,6 +119,44 @@
     CHECK_EQUAL(1, caller.answers);
 }
 
+// Only the table of replicas was told: the placement counted the copies of the replica that had
+// been there for good, and loaded its models nowhere else.
+TEST(RequestFlow, AReplicaWhoseAddressAnotherOneHasIsForgottenEverywhere)
+{
+    std::vector<std::string> forgotten;
+    state->onReplicaForgotten = [&](const std::string &replica) {
+        forgotten.push_back(replica);
+    };
+    play("/once/a", { Elsewhere });
+    CHECK_EQUAL(503, caller.status);
+    CHECK_EQUAL(1U, forgotten.size());
+    CHECK_EQUAL(std::string("r0"), forgotten[0]);
+    CHECK(state->replicas.find("r0") == nullptr);
+}
+
+// The answer of another replica at the old address removed the replica at its new one.
+TEST(RequestFlow, AnAnswerAtAnEarlierAddressSaysNothingOfTheReplica)
+{
+    servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { Elsewhere }));
+    ReplicaInfo info;
+    info.id = "r0";
+    info.service = service;
+    info.address = toText(servers[0]->endpoint());
+    info.startedMs = 1;
+    info.slots = 4;
+    state->replicas.onAnnounced(info, steadyNow());
+    const HttpRequest request = callerRequest("/once/a");
+    RequestFlow flow(*state, nodes, request, caller);
+    asio::co_spawn(io, flow.run(), asio::detached);
+    while (servers[0]->next == 0)
+        io.run_one();
+    info.address = "127.0.0.1:9";
+    info.startedMs = 2;
+    state->replicas.onAnnounced(info, steadyNow());
+    io.run_for(200ms);
+    CHECK(state->replicas.find("r0") != nullptr);
+}
+
 TEST(RequestFlow, RefusesWithTheTimeToComeBackWhenNothingRan)
 {
     play("/once/a", { NotRun });
