Adapters that a report says are on their way take slots

Cause: `pending` of a report was not read. The bound on held adapters covered the listing, the report's models and this holder's own orders, not an adapter that an earlier holder's late order had begun to load. Ruled out by the record: an order on an older state (its precondition is the reported number), two holders at a time.

Change: EngineReport::pendingAdapters; they count until the listing shows them, and nodes are told of them.

Tests: CopyPlacement.AdaptersOnTheirWayByTheReportTakeSlots; without the count "CHECK(send == nullptr || !send->command.load || send->command.adapter.empty()) failed".

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -185,6 +185,12 @@
     engine.ordersAccepted = report->ordersAccepted;
     engine.reported = report->models;
     engine.reportExpiresAt = now + m_settings.maxListingLag;
+    // Ordered by an earlier holder, or by an order that took effect late.
+    for (const std::string &copy : report->pendingAdapters) {
+        if (engine.pendingAdapters.try_emplace(copy, now).second)
+            m_actions.emplace_back(AnnounceCopyChange { replica, copy, CopyChange::Usable,
+                                                        m_settings.adapterLoadTime });
+    }
     // While an order is carried out, the report does not show what the replica holds afterwards.
     engine.orderCountKnown = !report->busy;
 }
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -59,7 +59,7 @@
     std::map<std::string, Instant> loading;
     std::set<std::string> unloading; // models ordered to be unloaded that are still listed
     /// Adapters ("model/adapter") ordered but not listed yet, with the time when the order was
-    /// accepted.
+    /// accepted or first reported.
     std::map<std::string, Instant> pendingAdapters;
     /// Models ordered to be loaded, with the time at which their protection from eviction ends.
     std::map<std::string, Instant> evictableAt;
--- a/src/placing/enginetypes.h
+++ b/src/placing/enginetypes.h
@@ -47,6 +47,8 @@
     std::uint64_t ordersAccepted = 0; // since that start
     bool busy = false;                // an order is being carried out
     std::vector<ModelCopy> models;
+    /// Adapters on their way to the replica, "model/adapter"; they occupy slots already.
+    std::vector<std::string> pendingAdapters;
 };
 
 } // namespace burdock
--- a/tests/adapter/test_replicacontrol.cpp
+++ b/tests/adapter/test_replicacontrol.cpp
@@ -79,6 +79,18 @@
     CHECK(*paused.signals.pause == 2s);
 }
 
+// Adapters on their way were not read, so their slots counted as free.
+TEST(ReplicaControl, AReportNamesTheAdaptersOnTheirWay)
+{
+    const ReportAnswer read = report(
+            answer("200 OK", "", R"({"sequence":3,"pending":["m/a1@7","m/a@2@1","m@1",5]})"));
+    CHECK_EQUAL(2U, read.report->pendingAdapters.size());
+    CHECK_EQUAL(std::string("m/a1"), read.report->pendingAdapters[0]);
+    CHECK_EQUAL(std::string("m/a@2"), read.report->pendingAdapters[1]);
+    CHECK(report(answer("200 OK", "", R"({"sequence":3,"pending":"m/a1@7"})"))
+                  .report->pendingAdapters.empty());
+}
+
 TEST(ReplicaControl, AnotherReplicaAtTheAddressSaysNothingOfThisOne)
 {
     const std::string misdirected = answer("421 Misdirected", Signals, "");
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -389,6 +389,31 @@
     }
 }
 
+// A new holder counted the adapters that a replica had, but not the one on its way to the last slot
+// by an order of the holder before.
+TEST(CopyPlacement, AdaptersOnTheirWayByTheReportTakeSlots)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config());
+    FakeReplica replica;
+    replica.id = "r0";
+    replica.models["m0"] = { "a1", "a2", "a3" };
+    replica.accepted = 5;
+    placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    EngineReport report = replica.report(Start + 3s);
+    report.pendingAdapters = { "m0/a4" };
+    placement.onReport("r0", report, Start + 3s);
+    placement.takeActions();
+    placement.onCopyRequest("pool", "m0", "a5", Start + 3s);
+    placement.tick(Start + 3'100ms);
+    for (const PlacingAction &action : placement.takeActions()) {
+        const auto *send = std::get_if<SendCommand>(&action);
+        CHECK(send == nullptr || !send->command.load || send->command.adapter.empty());
+    }
+}
+
 TEST(CopyPlacement, ReplicaOfAServiceWithoutModelsGetsNoReportRequests)
 {
     CopyPlacement placement(onNode1());
