--- a/src/decide/retrybudget.cpp
+++ b/src/decide/retrybudget.cpp
@@ -21,6 +21,12 @@
     m_tokens = std::min(m_tokens, maxTokens);
 }
 
+void RetryBudget::refund()
+{
+    m_tokens = std::min(m_settings.maxTokens, m_tokens + 1.0);
+    m_spent--;
+}
+
 bool RetryBudget::trySpend()
 {
     if (m_tokens < 1.0) {
--- a/src/decide/retrybudget.h
+++ b/src/decide/retrybudget.h
@@ -35,6 +35,9 @@
     /// @return whether a token was available; if not, the request must not be retried
     bool trySpend();
 
+    /// Returns a token that was spent for a retry of which nothing was sent.
+    void refund();
+
     double tokens() const { return m_tokens; }
     std::uint64_t spent() const { return m_spent; }
     std::uint64_t refused() const { return m_refused; }
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -39,6 +39,7 @@
 /// Half of CopyPlacementSettings::demandLifetime.
 constexpr milliseconds DemandRefresh { 2'000 };
 constexpr milliseconds IdleTick { 100 };
+constexpr milliseconds SilenceCheckInterval { 50 };
 constexpr milliseconds BusyTick { 12 }; // while requests wait
 /// Events that wait for longer are worth a line in the log, and another one when they wait less.
 constexpr milliseconds DelayNoted { 150 };
@@ -579,6 +580,10 @@
     m_state.claims.tick(now);
     m_state.directory.tick(now);
     m_state.waiting.tick();
+    if (now >= m_nextSilenceCheck) {
+        m_nextSilenceCheck = now + SilenceCheckInterval;
+        checkSilentAttempts(m_state);
+    }
     m_copies.tick();
     if (m_registerAt != Instant {} && now >= m_registerAt) {
         m_registerAt = {};
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -129,6 +129,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
+    Instant m_nextSilenceCheck;
     Instant m_nextTick;      // when the timer is due
     bool m_isBehind = false; // events wait for long until they are handled
     Instant m_lastDemand;
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -134,7 +134,7 @@
     bool leaving = false;          // a stop was asked for
     Instant refuseFrom;            // of a stop: later requests might not end before the process
     std::uint64_t lastRequestId = 0;
-    std::size_t answerBytes = 0; // of whole answers that are being read from replicas
+    BodyMemory answerMemory; // of whole answers that are being read from replicas
 
     /// Called with notes for the other nodes, see SuspectFleet::sendSuspectNotes().
     std::function<void(const std::vector<SuspectNote> &, bool toAll)> onSuspectNotes;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -3,6 +3,9 @@
 #include "base/hashing.h"
 #include "net/coroutines.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 
 namespace burdock {
@@ -28,17 +31,14 @@
 /// After the deadline: a replica answers by itself when its time is over, and that answer is on its
 /// way.
 constexpr milliseconds AnswerSlack { 100 };
-/// A resumable stream that stands still for this many of its longest allowed pauses is dead.
+/// A resumable stream that stands still for this many of its longest allowed pauses is silent.
 constexpr int SilentPauses = 4;
 constexpr milliseconds LeastSilence { 1'200 };
-/// An attempt at an unresponsive replica is ended after this many times the expected time, so that
-/// another one can still be in time or nearly so.
+/// A replica that has not begun to answer after this many times the expected time is silent; a
+/// second one can still be in time then, or nearly so.
 constexpr double PatienceFactor = 6.0;
-/// Bounds the memory that one whole answer may take, and all that are being read together.
-constexpr std::size_t MostAnswerBytes = 16 * 1024 * 1024;
-constexpr std::size_t MostAnswerBytesOfAll = 32 * 1024 * 1024;
-/// Up to here an answer is read whatever the others take.
-constexpr std::size_t LeastAnswerBytes = 64 * 1024;
+/// After a second attempt that found no place or failed.
+constexpr milliseconds SecondAttemptPause { 250 };
 /// The body of an answer that is not needed is read, so that its connection can be used again, only
 /// if it is short and comes at once.
 constexpr std::size_t MostUnusedBytes = 64 * 1024;
@@ -55,35 +55,6 @@
     return !type || type->starts_with("text/event-stream");
 }
 
-/// Bytes of one body in the total of all bodies that are being read.
-class CountedBytes
-{
-public:
-    explicit CountedBytes(std::size_t &total)
-        : m_total(total)
-    {
-    }
-    ~CountedBytes() { m_total -= m_own; }
-    CountedBytes(const CountedBytes &) = delete;
-    CountedBytes &operator=(const CountedBytes &) = delete;
-
-    /// @return whether so many more may be read
-    bool tryAdd(std::size_t bytes)
-    {
-        const bool isWithinTotal =
-                m_own + bytes <= LeastAnswerBytes || m_total + bytes <= MostAnswerBytesOfAll;
-        if (m_own + bytes > MostAnswerBytes || !isWithinTotal)
-            return false;
-        m_own += bytes;
-        m_total += bytes;
-        return true;
-    }
-
-private:
-    std::size_t &m_total;
-    std::size_t m_own = 0;
-};
-
 milliseconds toMilliseconds(Duration time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -97,6 +68,7 @@
     , m_announcer(announcer)
     , m_raw(request)
     , m_reply(reply)
+    , m_secondEnded(state.io)
     , m_arrived(steadyNow() - state.delay.current())
 {
     m_state.flows.insert(this);
@@ -110,8 +82,10 @@
 void RequestFlow::giveUp()
 {
     m_givenUp = true;
-    if (m_exchange && !m_reply.begun())
-        m_exchange->cancel();
+    if (m_reply.begun())
+        dropSecond();
+    else
+        cancelAttempts();
 }
 
 void giveUpAll(NodeState &state, const char *reason, milliseconds retryAfter)
@@ -207,8 +181,7 @@
 void RequestFlow::onCallerLeft()
 {
     m_callerLeft = true;
-    if (m_exchange)
-        m_exchange->cancel();
+    cancelAttempts();
     m_state.waiting.cancel(m_request.id);
 }
 
@@ -259,22 +232,23 @@
             || row->drainedAt != Instant {};
 }
 
-asio::awaitable<void> RequestFlow::endRun(const StartRequest &start, AttemptResult end)
+asio::awaitable<void> RequestFlow::endRun(Attempt &attempt, AttemptResult end)
 {
-    if (!std::exchange(m_isRunCounted, false))
+    if (!std::exchange(attempt.isRunCounted, false))
         co_return;
+    const ReplicaChoice &choice = attempt.start.choice;
     const bool isLost = (end == AttemptResult::Lost || end == AttemptResult::StreamCut)
-            && (m_connectionBroke || m_keptConnectionBroke);
-    const bool isServed = end == AttemptResult::Delivered && m_isProof;
-    if ((isLost || (isServed && m_endedWithConnection)) && !isExpectedEnd(start)) {
-        const auto endpoint = parseEndpoint(start.choice.address);
-        BrokenRun broken { start.choice.id, start.choice.startedMs, std::move(m_run), isServed,
+            && (attempt.connectionBroke || attempt.keptConnectionBroke);
+    const bool isServed = end == AttemptResult::Delivered && attempt.isProof;
+    if ((isLost || (isServed && attempt.endedWithConnection)) && !isExpectedEnd(attempt.start)) {
+        const auto endpoint = parseEndpoint(choice.address);
+        BrokenRun broken { choice.id, choice.startedMs, std::move(attempt.run), isServed,
                            m_caller.name };
         co_await m_announcer.announceLoss(std::move(broken), valueOf(endpoint));
-    } else if (isServed && !m_endedWithConnection) {
-        m_state.suspects.onServed(std::move(m_run));
+    } else if (isServed && !attempt.endedWithConnection) {
+        m_state.suspects.onServed(std::move(attempt.run));
     } else {
-        m_state.suspects.onEnded(std::move(m_run));
+        m_state.suspects.onEnded(std::move(attempt.run));
     }
 }
 
@@ -311,7 +285,7 @@
             }
             continue;
         }
-        const AttemptResult end = co_await attempt(start);
+        const AttemptResult end = co_await makeAttempt(start);
         attempted = true;
         const Instant now = m_givenUp ? m_request.deadline : steadyNow();
         const NextStep step =
@@ -323,16 +297,16 @@
         m_state.log.line("retry")
                 .field("request", m_caller.name)
                 .field("after", attemptResultName(end))
-                .field("replica", start.choice.id)
-                .field("failure", m_failure)
-                .field("delimiter", m_delimiter)
-                .field("unfinished_bytes", m_unfinishedBytes)
-                .field("replica_limit", m_replicaLimit)
+                .field("replica", m_attempt->start.choice.id)
+                .field("failure", m_attempt->failure)
+                .field("delimiter", m_attempt->delimiter)
+                .field("unfinished_bytes", m_attempt->unfinishedBytes)
+                .field("replica_limit", m_attempt->replicaLimit)
                 .field("sends", m_progress.sends)
                 .field("budget", m_state.budgetOf(m_request.service).tokens());
         m_state.metrics.count("burdock_retries_total");
-        if (m_connectionBroke || !m_keptFailed)
-            m_excluded.push_back(start.choice.id); // not for a dropped connection alone
+        if (m_attempt->connectionBroke || !m_keptFailed)
+            m_excluded.push_back(m_attempt->start.choice.id); // not for a dropped connection alone
     }
 }
 
@@ -372,99 +346,121 @@
     co_return false;
 }
 
-asio::awaitable<AttemptResult> RequestFlow::attempt(const StartRequest &start)
+std::unique_ptr<RequestFlow::Attempt> RequestFlow::beginAttempt(StartRequest start)
 {
-    const ReplicaRow *row = m_state.replicas.find(start.choice.id);
+    const ReplicaChoice &choice = start.choice;
+    const ReplicaRow *row = m_state.replicas.find(choice.id);
     m_state.log.line("send")
             .field("request", m_caller.name)
             .field("route", m_route->name)
             .field("config", m_config->version)
             .field("copy", copyName(m_request.model, m_request.adapter))
-            .field("replica", start.choice.id)
-            .field("address", start.choice.address)
+            .field("replica", choice.id)
+            .field("address", choice.address)
             .field("waited_ms", start.waited)
-            .field("expected_ms", start.choice.expectedFirstByte)
-            .field("load", start.choice.load)
+            .field("expected_ms", choice.expectedFirstByte)
+            .field("load", choice.load)
             .field("load_age_ms",
                    row == nullptr || row->loadReceivedAt == Instant {}
                            ? Duration(-1'000)
                            : steadyNow() - row->loadReceivedAt)
-            .field("fresh_tokens", start.choice.freshTokens)
-            .field("weighed", start.choice.comparedReplicas);
-    m_awaitsHead = true;
-    m_firstByteSeen = false;
-    m_hasAlternative = start.choice.comparedReplicas > 1;
-    m_connectionBroke = false;
-    m_keptConnectionBroke = false;
-    m_endedWithConnection = false;
-    m_isProof = false;
-    m_failure.clear();
-    m_delimiter = "";
-    m_replicaLimit.clear();
-    m_unfinishedBytes = 0;
-    AttemptResult end = co_await exchangeOnce(start);
-    noteHead(start);
-    m_exchange.reset();
-    if (m_callerLeft && end != AttemptResult::Delivered)
-        end = AttemptResult::CallerLeft;
-    noteEnd(start, end);
-    co_await endRun(start, end);
-    co_return end;
-}
-
-/// @return whether giving up the current attempt could lead to another one
-bool RequestFlow::mayTryAnother() const
+            .field("fresh_tokens", choice.freshTokens)
+            .field("weighed", choice.comparedReplicas);
+    return std::make_unique<Attempt>(*this, std::move(start));
+}
+
+asio::awaitable<AttemptResult> RequestFlow::makeAttempt(StartRequest start)
 {
-    const int runs = m_progress.runs + (m_awaitsHead ? 1 : 0); // with the current attempt
-    return m_request.repeatable && runs < m_request.attempts && m_hasAlternative
-            && m_state.budgetOf(m_request.service).tokens() >= 1.0;
+    m_attempt = beginAttempt(std::move(start));
+    auto opened = co_await open(*m_attempt);
+    while (true) {
+        if (auto *head = std::get_if<HttpResponseHead>(&opened)) {
+            m_attempt->head = std::move(*head);
+            opened = co_await receive(*m_attempt);
+        }
+        auto end = std::get<AttemptResult>(opened);
+        m_silentFrom = Instant::max();
+        if (m_callerLeft && end != AttemptResult::Delivered)
+            end = AttemptResult::CallerLeft;
+        const bool isOver = end == AttemptResult::Delivered || end == AttemptResult::CallerLeft;
+        if (isOver)
+            dropSecond();
+        // Where the first attempt failed, the second one may still have the answer.
+        while (m_second && !m_second->head)
+            co_await m_secondEnded.take();
+        co_await closeAttempt(*m_attempt, end);
+        if (!m_second)
+            co_return end;
+        if (isOver) {
+            co_await closeAttempt(*m_second, AttemptResult::CallerLeft);
+            m_second.reset();
+            co_return end;
+        }
+        m_state.log.line("superseded")
+                .field("request", m_caller.name)
+                .field("replica", m_attempt->start.choice.id)
+                .field("silent_ms", steadyNow() - m_attempt->progressAt)
+                .field("by", m_second->start.choice.id);
+        m_excluded.push_back(m_attempt->start.choice.id);
+        m_attempt = std::move(m_second);
+        m_silentFrom = patienceEnd(*m_attempt);
+        opened = std::move(*m_attempt->head);
+    }
 }
 
-Instant RequestFlow::firstByteDeadline(const StartRequest &start) const
+asio::awaitable<void> RequestFlow::closeAttempt(Attempt &attempt, AttemptResult end)
 {
-    const Instant last = m_request.deadline + AnswerSlack;
-    if (!mayTryAnother())
-        return last;
-    const Duration firstByteObjective = m_request.firstByteObjective - m_request.arrivedAt;
-    const auto expected = Duration(static_cast<Duration::rep>(
-            double(start.choice.expectedFirstByte.count()) * PatienceFactor));
-    return std::min(last, m_sentAt + std::max(firstByteObjective, expected));
+    noteHead(attempt);
+    noteEnd(attempt, end);
+    co_await endRun(attempt, end);
+}
+
+void RequestFlow::cancelAttempts()
+{
+    for (const auto *attempt : { &m_attempt, &m_second }) {
+        if (*attempt && (*attempt)->exchange)
+            (*attempt)->exchange->cancel();
+    }
 }
 
 /// The last look before the first byte goes to a replica: the choice may be long past by then, on a
 /// node that is short of processor time or after a slow connection.
-bool RequestFlow::mayStillSend()
+bool RequestFlow::mayStillSend(Attempt &attempt)
 {
     const Instant now = steadyNow();
-    const ReplicaChoice &choice = m_start->choice;
+    const ReplicaChoice &choice = attempt.start.choice;
     const ReplicaRow *row = m_state.replicas.find(choice.id);
     if (now >= m_request.deadline)
-        m_withheld = "deadline";
+        attempt.withheld = "deadline";
     else if (m_callerLeft || (now >= m_arrived + CallerCheckAfter && m_reply.checkCallerLeft()))
-        m_withheld = "caller_left";
+        attempt.withheld = "caller_left";
     else if (row == nullptr || row->generation != choice.generation
              || m_state.replicas.isDrained(*row, now))
-        m_withheld = "replica_left";
-    if (*m_withheld != '\0')
+        attempt.withheld = "replica_left";
+    else if (attempt.isDropped)
+        attempt.withheld = "not_needed";
+    if (*attempt.withheld != '\0')
         return false;
-    m_run = { m_keys, {}, {}, {} };
-    m_isRunCounted = m_state.suspects.tryStart(m_run);
-    if (!m_isRunCounted)
-        m_withheld = CrashesReplicas;
-    return m_isRunCounted;
+    attempt.run = { m_keys, {}, {}, {} };
+    attempt.isRunCounted = m_state.suspects.tryStart(attempt.run);
+    if (!attempt.isRunCounted)
+        attempt.withheld = CrashesReplicas;
+    return attempt.isRunCounted;
 }
 
-asio::awaitable<AttemptResult> RequestFlow::exchangeOnce(const StartRequest &start)
+asio::awaitable<RequestFlow::OpenResult> RequestFlow::open(Attempt &attempt)
 {
-    const auto endpoint = parseEndpoint(start.choice.address);
+    const ReplicaChoice &choice = attempt.start.choice;
+    const auto endpoint = parseEndpoint(choice.address);
     if (!isOk(endpoint))
         co_return AttemptResult::ConnectFailed;
-    m_sentAt = steadyNow();
-    const Duration left = m_request.deadline - m_sentAt;
+    attempt.sentAt = steadyNow();
+    attempt.progressAt = attempt.sentAt;
+    const Duration left = m_request.deadline - attempt.sentAt;
     if (left <= Duration::zero())
         co_return AttemptResult::TimedOut;
     ReplicaSend send;
-    send.replica = start.choice.id;
+    send.replica = choice.id;
     send.timeLeft = toMilliseconds(left);
     send.resumeAfter = m_lastEvent;
     send.urgency = std::min(FirstUrgency + m_request.priority, LastUrgency);
@@ -472,74 +468,208 @@
     // Whether a request arrived on a kept connection that its replica has just dropped is not
     // certain, and only requests that may be repeated can be sent again then.
     const bool fresh = !m_request.repeatable || m_keptFailed;
-    m_exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
+    attempt.exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
     const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
-    m_withheld = "";
-    m_start = &start;
-    const auto result = co_await m_exchange->start(request, firstByteDeadline(start), this);
-    noteHead(start);
+    if (&attempt == m_attempt.get())
+        m_silentFrom = patienceEnd(attempt);
+    auto result =
+            co_await attempt.exchange->start(request, m_request.deadline + AnswerSlack, &attempt);
+    noteHead(attempt);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
-        m_failure = failure->message;
+        attempt.failure = failure->message;
         if (!failure->bytesSent && steadyNow() >= m_request.deadline)
             co_return AttemptResult::TimedOut;
-        if (*m_withheld != '\0') {
-            m_failure += std::string(": ") + m_withheld;
+        if (*attempt.withheld != '\0') {
+            attempt.failure += std::string(": ") + attempt.withheld;
             co_return AttemptResult::NotRun;
         }
         if (failure->refused)
-            m_state.suspects.onRefused(start.choice.id);
-        m_connectionBroke = !failure->timedOut && !failure->keptConnection;
-        m_keptConnectionBroke = !failure->timedOut && failure->keptConnection;
+            m_state.suspects.onRefused(choice.id);
+        attempt.connectionBroke = !failure->timedOut && !failure->keptConnection;
+        attempt.keptConnectionBroke = !failure->timedOut && failure->keptConnection;
         m_keptFailed = m_keptFailed || (failure->keptConnection && !failure->timedOut);
         if (failure->bytesSent) {
+            attempt.isSent = true;
             m_progress.sends++;
             m_progress.runs++;
         }
         co_return endOf(*failure);
     }
+    attempt.isSent = true;
     m_progress.sends++;
-    const auto &head = std::get<HttpResponseHead>(result);
-    m_delimiter = bodyDelimiterName(head.delimiter);
-    const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, start.choice.id);
-    m_endedWithConnection = head.delimiter == BodyDelimiter::Close;
-    m_isProof = head.status >= StatusOk && head.status < LeastRedirectStatus;
+    co_return co_await takeHead(attempt, std::move(std::get<HttpResponseHead>(result)));
+}
+
+asio::awaitable<RequestFlow::OpenResult> RequestFlow::takeHead(Attempt &attempt,
+                                                               HttpResponseHead head)
+{
+    const std::string &replica = attempt.start.choice.id;
+    attempt.delimiter = bodyDelimiterName(head.delimiter);
+    const ReplicaAnswer answer = m_state.ports.dialect.readHead(head, m_caller, replica);
+    attempt.endedWithConnection = head.delimiter == BodyDelimiter::Close;
+    attempt.isProof = head.status >= StatusOk && head.status < LeastRedirectStatus;
     if (!answer.foreign && !answer.otherReplica)
-        m_state.suspects.onAnswer(start.choice.id, m_sentAt);
+        m_state.suspects.onAnswer(replica, attempt.sentAt);
     if (answer.requestLimit)
-        m_replicaLimit = std::to_string(*answer.requestLimit);
+        attempt.replicaLimit = std::to_string(*answer.requestLimit);
     else
-        m_replicaLimit = answer.malformedLimit;
+        attempt.replicaLimit = answer.malformedLimit;
     if (answer.load)
-        m_state.replicas.onLoadReport(start.choice.id, *answer.load, steadyNow());
-    takeSignals(start, answer);
+        m_state.replicas.onLoadReport(replica, *answer.load, steadyNow());
+    takeSignals(attempt, answer);
     if (answer.notRun) {
-        co_await discardBody();
+        co_await discardBody(attempt);
         if (answer.otherReplica)
             co_return AttemptResult::OtherReplica;
         co_return answer.copyAbsent ? AttemptResult::CopyAbsent : AttemptResult::NotRun;
     }
     m_progress.runs++;
     if (answer.foreign) {
-        m_failure = "the answer is another request's or does not prove its replica";
-        m_exchange->cancel();
+        attempt.failure = "the answer is another request's or does not prove its replica";
+        attempt.exchange->cancel();
         co_return AttemptResult::Lost;
     }
-    if (m_request.streams && head.status == StatusOk && isEventStream(head))
-        co_return co_await takeStream(head, start);
-    noteFirstByte(start);
-    co_return co_await takeWhole(head);
+    co_return head;
 }
 
+asio::awaitable<AttemptResult> RequestFlow::receive(Attempt &attempt)
+{
+    if (m_request.streams && attempt.head->status == StatusOk && isEventStream(*attempt.head))
+        co_return co_await takeStream(attempt);
+    noteFirstByte(attempt);
+    m_silentFrom = Instant::max();
+    if (attempt.head->status < LeastErrorStatus)
+        noteProgress(attempt);
+    co_return co_await takeWhole(attempt);
+}
+
+// ---- Silent replicas ----------------------------------------------------------------------------
+
+void checkSilentAttempts(NodeState &state)
+{
+    const Instant now = steadyNow();
+    const std::set<RequestFlow *> flows = state.flows;
+    for (RequestFlow *flow : flows)
+        flow->checkSilence(now);
+}
+
+/// @return from when on an attempt whose answer has not begun counts as silent
+Instant RequestFlow::patienceEnd(const Attempt &attempt) const
+{
+    if (!m_request.repeatable)
+        return Instant::max();
+    const Duration firstByteObjective = m_request.firstByteObjective - m_request.arrivedAt;
+    const auto expected = Duration(static_cast<Duration::rep>(
+            double(attempt.start.choice.expectedFirstByte.count()) * PatienceFactor));
+    return attempt.sentAt + std::max(firstByteObjective, expected);
+}
+
+/// @return whether the request may be sent once more beside the current attempt
+bool RequestFlow::mayTryAnother() const
+{
+    const int runs = m_progress.runs + (m_attempt->awaitsHead ? 1 : 0); // with the current attempt
+    return m_request.repeatable && runs < m_request.attempts
+            && (!m_progress.eventsForwarded || m_progress.hasResumePoint)
+            && m_state.budgetOf(m_request.service).tokens() >= 1.0;
+}
+
+void RequestFlow::checkSilence(Instant now)
+{
+    if (now < m_silentFrom || now >= m_request.deadline || m_second || m_callerLeft || m_givenUp
+        || !mayTryAnother())
+        return;
+    std::vector<std::string> excluded = m_excluded;
+    excluded.push_back(m_attempt->start.choice.id);
+    auto start = m_state.scheduler.startNow(m_request, excluded, now);
+    if (!start) {
+        m_silentFrom = now + SecondAttemptPause;
+        return;
+    }
+    m_state.budgetOf(m_request.service).trySpend();
+    startSecond(std::move(*start));
+}
+
+void RequestFlow::startSecond(StartRequest start)
+{
+    m_state.log.line("retry")
+            .field("request", m_caller.name)
+            .field("after", "silence")
+            .field("replica", m_attempt->start.choice.id)
+            .field("silent_ms", steadyNow() - m_attempt->progressAt)
+            .field("sends", m_progress.sends)
+            .field("budget", m_state.budgetOf(m_request.service).tokens());
+    m_state.metrics.count("burdock_retries_total");
+    m_second = beginAttempt(std::move(start));
+    asio::co_spawn(m_state.io, runSecond(), asio::detached);
+}
+
+/// Runs until the head of the answer, which ends the first attempt, or until the second has failed.
+asio::awaitable<void> RequestFlow::runSecond()
+{
+    Attempt &second = *m_second;
+    RetryBudget &budget = m_state.budgetOf(m_request.service);
+    AttemptResult end = AttemptResult::CallerLeft;
+    const bool isClaimed = m_request.model.empty() || co_await claimPrompt(second.start);
+    if (isClaimed) {
+        auto opened = co_await open(second);
+        auto *head = std::get_if<HttpResponseHead>(&opened);
+        if (head != nullptr && isSecondUseful(*head)) {
+            second.head = std::move(*head);
+            m_attempt->exchange->expire();
+            m_secondEnded.set(true);
+            co_return;
+        }
+        if (head != nullptr)
+            second.exchange->cancel();
+        else if (!second.isDropped)
+            end = std::get<AttemptResult>(opened);
+        co_await closeAttempt(second, end);
+    }
+    if (!second.isSent)
+        budget.refund();
+    m_state.log.line("second_attempt_ended")
+            .field("request", m_caller.name)
+            .field("replica", second.start.choice.id)
+            .field("result", isClaimed ? attemptResultName(end) : "outranked")
+            .field("failure", second.failure);
+    m_excluded.push_back(second.start.choice.id);
+    if (m_silentFrom != Instant::max())
+        m_silentFrom = std::max(m_silentFrom, steadyNow() + Duration(SecondAttemptPause));
+    m_second.reset();
+    m_secondEnded.set(true);
+}
+
+/// @return whether the caller is better off with this answer than with waiting for the first
+bool RequestFlow::isSecondUseful(const HttpResponseHead &head) const
+{
+    const bool continues = head.status == StatusOk && isEventStream(head);
+    return !m_second->isDropped && m_attempt->progressAt <= m_second->sentAt
+            && head.status < LeastErrorStatus && (continues || !m_reply.begun());
+}
+
+/// The first attempt makes progress, or the request is over.
+void RequestFlow::dropSecond()
+{
+    if (!m_second)
+        return;
+    m_second->isDropped = true;
+    if (m_second->exchange)
+        m_second->exchange->cancel();
+}
+
+// ---- Signals and counts -------------------------------------------------------------------------
+
 /// The replica has begun to answer, or will not.
-void RequestFlow::noteHead(const StartRequest &start)
+void RequestFlow::noteHead(Attempt &attempt)
 {
-    if (std::exchange(m_awaitsHead, false))
-        m_state.replicas.limits().onHead(start.choice.id);
+    if (std::exchange(attempt.awaitsHead, false))
+        m_state.replicas.limits().onHead(attempt.start.choice.id);
 }
 
-void RequestFlow::takeSignals(const StartRequest &start, const ReplicaAnswer &answer)
+void RequestFlow::takeSignals(const Attempt &attempt, const ReplicaAnswer &answer)
 {
-    const SignalSource source { start.choice.id, start.choice.startedMs, m_sentAt, m_caller.name };
+    const ReplicaChoice &choice = attempt.start.choice;
+    const SignalSource source { choice.id, choice.startedMs, attempt.sentAt, m_caller.name };
     if (answer.foreign || answer.otherReplica) {
         m_state.takePause(answer, source);
         return;
@@ -557,25 +687,33 @@
     return m_progress.eventsForwarded ? AttemptResult::StreamCut : AttemptResult::Lost;
 }
 
-void RequestFlow::noteFirstByte(const StartRequest &start)
+void RequestFlow::noteProgress(Attempt &attempt)
+{
+    attempt.progressAt = steadyNow();
+    m_silentFrom = Instant::max();
+    dropSecond();
+}
+
+void RequestFlow::noteFirstByte(Attempt &attempt)
 {
-    if (std::exchange(m_firstByteSeen, true))
+    if (std::exchange(attempt.firstByteSeen, true))
         return;
-    const Duration taken = steadyNow() - m_sentAt;
-    const double expected =
-            double(std::max<Duration::rep>(1, start.choice.expectedFirstByte.count()));
-    m_state.replicas.onFirstByte(start.choice.id, start.choice.generation,
-                                 double(taken.count()) / expected * start.choice.slowness,
-                                 steadyNow());
+    const Instant now = steadyNow();
+    const ReplicaChoice &choice = attempt.start.choice;
+    const Duration taken = now - attempt.sentAt;
+    const double expected = double(std::max<Duration::rep>(1, choice.expectedFirstByte.count()));
+    m_state.replicas.onFirstByte(choice.id, choice.generation,
+                                 double(taken.count()) / expected * choice.slowness, now);
     m_state.chooser.onFirstByte(m_request.service, !m_request.model.empty(), taken);
-    m_firstByteAfter = steadyNow() - m_arrived;
+    m_firstByteAfter = now - m_arrived;
     m_state.metrics.observe("burdock_first_byte_seconds", m_firstByteAfter);
 }
 
-void RequestFlow::noteEnd(const StartRequest &start, AttemptResult end)
+void RequestFlow::noteEnd(const Attempt &attempt, AttemptResult end)
 {
     const Instant now = steadyNow();
-    const std::string &id = start.choice.id;
+    const std::string &id = attempt.start.choice.id;
+    const std::uint64_t generation = attempt.start.choice.generation;
     ReplicaOutcome outcome = ReplicaOutcome::Cancelled;
     switch (end) {
     case AttemptResult::Delivered:
@@ -592,7 +730,7 @@
     case AttemptResult::OtherReplica:
         // One that was listed anew since the choice may be at another address by now.
         if (const ReplicaRow *row = m_state.replicas.find(id);
-            row != nullptr && row->generation == start.choice.generation)
+            row != nullptr && row->generation == generation)
             m_state.removeReplica(id, {}, "other_replica_at_its_address");
         break;
     case AttemptResult::CopyAbsent:
@@ -607,53 +745,35 @@
     case AttemptResult::CallerLeft:
         break;
     }
-    m_state.replicas.onFinished(id, start.choice.generation, outcome, now);
+    m_state.replicas.onFinished(id, generation, outcome, now);
     m_state.waiting.pump();
 }
 
 // ---- Whole answers ------------------------------------------------------------------------------
 
-asio::awaitable<std::optional<std::string>> RequestFlow::readWholeBody()
-{
-    std::string body;
-    const Instant last = m_request.deadline + AnswerSlack;
-    CountedBytes counted(m_state.answerBytes);
-    while (true) {
-        auto part = co_await m_exchange->readPart(last);
-        if (const auto *failure = std::get_if<CallFailure>(&part)) {
-            m_failure = failure->message;
-            m_connectionBroke = !failure->timedOut;
-            co_return std::nullopt;
-        }
-        const auto &text = std::get<std::string>(part);
-        if (text.empty())
-            co_return body;
-        if (!counted.tryAdd(text.size())) {
-            m_failure = "the answer is longer than this node buffers";
-            m_exchange->cancel();
-            co_return std::nullopt;
-        }
-        body += text;
-    }
-}
-
-asio::awaitable<void> RequestFlow::discardBody()
+asio::awaitable<void> RequestFlow::discardBody(Attempt &attempt)
 {
     const Instant last = std::min<Instant>(m_request.deadline, steadyNow() + UnusedBodyTime);
-    const auto body = co_await readBody(*m_exchange, last, MostUnusedBytes);
+    const auto body = co_await readBody(*attempt.exchange, last, MostUnusedBytes);
     if (const auto *failure = std::get_if<CallFailure>(&body))
-        m_failure = failure->message;
-}
-
-asio::awaitable<AttemptResult> RequestFlow::takeWhole(const HttpResponseHead &head)
-{
-    auto body = co_await readWholeBody();
-    if (body && isVisiblyTruncated(head, *body)) {
-        m_failure = TruncatedBody;
-        m_connectionBroke = true;
-        body.reset();
+        attempt.failure = failure->message;
+}
+
+asio::awaitable<AttemptResult> RequestFlow::takeWhole(Attempt &attempt)
+{
+    const HttpResponseHead &head = *attempt.head;
+    auto read = co_await readBody(*attempt.exchange, m_request.deadline + AnswerSlack,
+                                  m_state.answerMemory);
+    auto *body = std::get_if<std::string>(&read);
+    if (const auto *failure = std::get_if<CallFailure>(&read)) {
+        attempt.failure = failure->message;
+        attempt.connectionBroke = !failure->timedOut;
+    } else if (isVisiblyTruncated(head, *body)) {
+        attempt.failure = TruncatedBody;
+        attempt.connectionBroke = true;
+        body = nullptr;
     }
-    if (!body)
+    if (body == nullptr)
         co_return steadyNow() >= m_request.deadline ? AttemptResult::TimedOut : AttemptResult::Lost;
     StoredAnswer answer { head, std::move(*body) };
     // A stream that has begun can only be continued by one.
@@ -700,27 +820,28 @@
     co_return co_await m_reply.write(text);
 }
 
-asio::awaitable<AttemptResult> RequestFlow::takeStream(const HttpResponseHead &head,
-                                                       const StartRequest &start)
+asio::awaitable<AttemptResult> RequestFlow::takeStream(Attempt &attempt)
 {
+    const HttpResponseHead &head = *attempt.head;
     EventStreamParser parser;
     const auto breakOff = [&](const CallFailure &failure, bool connectionBroke) {
-        m_failure = failure.message;
-        m_connectionBroke = connectionBroke;
-        m_unfinishedBytes = parser.pendingBytes();
-        m_exchange->cancel();
+        attempt.failure = failure.message;
+        attempt.connectionBroke = connectionBroke;
+        attempt.unfinishedBytes = parser.pendingBytes();
+        attempt.exchange->cancel();
         return endOf(failure);
     };
     const Instant last = m_request.deadline + AnswerSlack;
     const Duration silence =
             std::max<Duration>(LeastSilence, SilentPauses * Duration(m_route->gapObjective));
-    Instant silentUntil; // from the latest event that is more than a comment
     while (true) {
-        const Instant before = m_firstByteSeen ? silentUntil : firstByteDeadline(start);
-        const bool canResume = m_request.resumable && mayTryAnother();
-        auto part = co_await m_exchange->readPart(canResume ? std::min(before, last) : last);
+        auto part = co_await attempt.exchange->readPart(last);
         if (const auto *failure = std::get_if<CallFailure>(&part))
             co_return breakOff(*failure, !failure->timedOut);
+        if (isSuperseded()) {
+            const CallFailure failure { true, true, false, false, "another replica goes on" };
+            co_return breakOff(failure, false);
+        }
         const auto &text = std::get<std::string>(part);
         if (text.empty())
             break;
@@ -733,7 +854,8 @@
             continue;
         const bool isProgress = hasContent(events);
         if (isProgress) {
-            noteFirstByte(start);
+            noteFirstByte(attempt);
+            noteProgress(attempt);
             const Instant now = steadyNow();
             if (m_progress.eventsForwarded)
                 m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
@@ -741,13 +863,13 @@
         }
         if (!co_await passEvents(head, std::move(events)))
             co_return AttemptResult::CallerLeft;
-        if (isProgress)
-            silentUntil = steadyNow() + silence; // the caller may have been slow to take them
+        if (isProgress && m_request.resumable)
+            m_silentFrom = steadyNow() + silence; // the caller may have been slow to take them
     }
     const bool isCloseDelimited = head.delimiter == BodyDelimiter::Close;
     const StreamEnd end { .isInsideEvent = parser.isInsideEvent(),
                           .isCloseDelimited = isCloseDelimited,
-                          .hasEvents = m_firstByteSeen,
+                          .hasEvents = attempt.firstByteSeen,
                           .isResumed = m_lastEvent.has_value() };
     if (!isComplete(end)) {
         const char *where = end.isInsideEvent ? "inside an event" : "before its first event";
@@ -818,10 +940,10 @@
             .field("outcome", outcome)
             .field("status", status)
             .field("reason", reason)
-            .field("failure", m_failure)
-            .field("delimiter", m_delimiter)
-            .field("unfinished_bytes", m_unfinishedBytes)
-            .field("replica_limit", m_replicaLimit)
+            .field("failure", m_failure.empty() && m_attempt ? m_attempt->failure : m_failure)
+            .field("delimiter", m_attempt ? m_attempt->delimiter : "")
+            .field("unfinished_bytes", m_attempt ? m_attempt->unfinishedBytes : 0)
+            .field("replica_limit", m_attempt ? m_attempt->replicaLimit : "")
             .field("route", m_route == nullptr ? std::string_view() : m_route->name)
             .field("copy", copyName(m_request.model, m_request.adapter))
             .field("queued", std::int64_t(m_state.scheduler.queued()))
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -4,10 +4,16 @@
 // let the rules in serving/attemptpolicy.h say what follows. Whole answers are read before the
 // caller gets a byte; streams are passed on event by event, and go on at another replica where the
 // route allows.
+//
+// Silent replicas. A replica that sends nothing for a while may be about to go on, or hang for
+// good. A request that may run twice is sent to a second replica then, if there is one with room
+// and the retry budget has a token. The first attempt goes on until the second one's answer has
+// begun, so that nothing is lost if the second replica refuses, fails or is silent, too.
 #pragma once
 
 #include "edge/beatlink.h"
 #include "edge/nodestate.h"
+#include "net/awaitedvalue.h"
 #include "net/eventstream.h"
 #include "net/httpserver.h"
 #include "serving/attemptpolicy.h"
@@ -32,14 +38,14 @@
     virtual void announceLimit(const LimitNote &note) = 0;
 };
 
-class RequestFlow : private SendCheck
+class RequestFlow
 {
 public:
     /// @param state, request, reply outlive the flow
     RequestFlow(NodeState &state, NodeAnnouncer &announcer, const HttpRequest &request,
                 HttpReply &reply);
 
-    ~RequestFlow() override;
+    ~RequestFlow();
     RequestFlow(const RequestFlow &) = delete;
     RequestFlow &operator=(const RequestFlow &) = delete;
 
@@ -52,7 +58,43 @@
     /// Refuses the request if it waits for a replica and is refused by now.
     void refuseIfSuspect();
 
+    /// Sends the request to a second replica if the first has been silent for too long.
+    void checkSilence(Instant now);
+
 private:
+    /// One send to a replica, from the choice of the replica to the end of its answer.
+    struct Attempt : public SendCheck
+    {
+        Attempt(RequestFlow &owner, StartRequest chosen)
+            : flow(owner)
+            , start(std::move(chosen))
+        {
+        }
+        bool mayStillSend() override { return flow.mayStillSend(*this); }
+
+        RequestFlow &flow;
+        StartRequest start;
+        std::shared_ptr<HttpExchange> exchange;
+        std::optional<HttpResponseHead> head; // of an answer that may go to the caller
+        Instant sentAt;
+        Instant progressAt;               // when it last brought the request forward
+        SuspectRun run;                   // as the search for crashing requests counts it
+        bool isRunCounted = false;        // by that search
+        bool isSent = false;              // a byte of it may have left
+        bool isDropped = false;           // its answer is not needed any more
+        bool awaitsHead = true;           // its limit counts it as unanswered
+        bool firstByteSeen = false;       // of the answer's content
+        bool connectionBroke = false;     // it ended with its connection
+        bool keptConnectionBroke = false; // the same, on a kept one before the head of the answer
+        bool endedWithConnection = false; // the answer is whole unless the replica ended with it
+        bool isProof = false;             // the answer is whole and a success
+        const char *withheld = "";        // why nothing was sent
+        std::string failure;              // what ended it, as the connection told it
+        const char *delimiter = "";       // of the answer's body; for the log
+        std::string replicaLimit;         // that the answer stated; for the log
+        std::size_t unfinishedBytes = 0;  // of an event at the end of the stream; for the log
+    };
+
     /// An answer of a replica, kept until it is known whether the caller gets it.
     struct StoredAnswer
     {
@@ -60,6 +102,9 @@
         std::string body;
     };
 
+    /// A head that may go to the caller, or how the attempt ended without one.
+    using OpenResult = std::variant<HttpResponseHead, AttemptResult>;
+
     bool findRoute();
     void buildRequest();
     boost::asio::awaitable<void> serve();
@@ -67,32 +112,44 @@
     NextStep finalStep() const;
     /// @return false: it was taken back, since another node's goes before or nobody needs it now
     boost::asio::awaitable<bool> claimPrompt(const StartRequest &start);
-    boost::asio::awaitable<AttemptResult> attempt(const StartRequest &start);
-    boost::asio::awaitable<AttemptResult> exchangeOnce(const StartRequest &start);
-    /// @return the rest of the replica's answer; nothing when it does not come whole
-    boost::asio::awaitable<std::optional<std::string>> readWholeBody();
+    /// Makes an attempt, and goes over to the second one if that answers first.
+    boost::asio::awaitable<AttemptResult> makeAttempt(StartRequest start);
+    std::unique_ptr<Attempt> beginAttempt(StartRequest start);
+    /// Sends the request and reads the head of the answer.
+    boost::asio::awaitable<OpenResult> open(Attempt &attempt);
+    boost::asio::awaitable<OpenResult> takeHead(Attempt &attempt, HttpResponseHead head);
+    boost::asio::awaitable<AttemptResult> receive(Attempt &attempt);
+    /// Counts the end of the attempt wherever its send was counted.
+    boost::asio::awaitable<void> closeAttempt(Attempt &attempt, AttemptResult end);
+    void startSecond(StartRequest start);
+    boost::asio::awaitable<void> runSecond();
+    bool isSecondUseful(const HttpResponseHead &head) const;
+    bool isSuperseded() const { return m_second && m_second->head; }
+    void dropSecond();
     /// Reads the rest of an answer that is not needed, so that the connection can be used again;
     /// closes the connection if that takes too long.
-    boost::asio::awaitable<void> discardBody();
-    boost::asio::awaitable<AttemptResult> takeWhole(const HttpResponseHead &head);
-    boost::asio::awaitable<AttemptResult> takeStream(const HttpResponseHead &head,
-                                                     const StartRequest &start);
+    boost::asio::awaitable<void> discardBody(Attempt &attempt);
+    boost::asio::awaitable<AttemptResult> takeWhole(Attempt &attempt);
+    boost::asio::awaitable<AttemptResult> takeStream(Attempt &attempt);
     boost::asio::awaitable<bool> passEvents(const HttpResponseHead &head,
                                             std::vector<StreamEvent> events);
     boost::asio::awaitable<bool> beginStream(const HttpResponseHead &head);
-    void noteFirstByte(const StartRequest &start);
-    void takeSignals(const StartRequest &start, const ReplicaAnswer &answer);
-    void noteHead(const StartRequest &start);
+    void noteFirstByte(Attempt &attempt);
+    /// The replica is not silent: it has sent a part of an answer that the caller may get.
+    void noteProgress(Attempt &attempt);
+    void takeSignals(const Attempt &attempt, const ReplicaAnswer &answer);
+    void noteHead(Attempt &attempt);
     AttemptResult endOf(const CallFailure &failure) const;
-    void noteEnd(const StartRequest &start, AttemptResult end);
+    void noteEnd(const Attempt &attempt, AttemptResult end);
     /// @return whether the request must not be sent now; it has got its answer then
     boost::asio::awaitable<bool> refusedAsSuspect();
     /// Tells the search for what crashes replicas how the run ended.
-    boost::asio::awaitable<void> endRun(const StartRequest &start, AttemptResult end);
+    boost::asio::awaitable<void> endRun(Attempt &attempt, AttemptResult end);
     bool isExpectedEnd(const StartRequest &start) const;
-    Instant firstByteDeadline(const StartRequest &start) const;
+    Instant patienceEnd(const Attempt &attempt) const;
     bool mayTryAnother() const;
-    bool mayStillSend() override;
+    bool mayStillSend(Attempt &attempt);
+    void cancelAttempts();
 
     boost::asio::awaitable<void> answerOwn(int status, std::chrono::milliseconds retryAfter,
                                            const char *outcome, std::string reason);
@@ -110,33 +167,22 @@
     ServingRequest m_request;
     RequestProgress m_progress;
     std::vector<SuspectKey> m_keys; // of what may crash a replica
-    SuspectRun m_run;               // of the current attempt
-    bool m_isRunCounted = false;    // it was sent
     std::vector<std::string> m_excluded;
-    std::shared_ptr<HttpExchange> m_exchange;
-    const StartRequest *m_start = nullptr; // of the current attempt
-    const char *m_withheld = "";           // why it sent nothing
+    std::unique_ptr<Attempt> m_attempt; // current one; stays for the log when it has ended
+    std::unique_ptr<Attempt> m_second;  // sent while the current one is silent
+    AwaitedValue<bool> m_secondEnded;   // or its head has arrived
+    /// The current attempt counts as silent from then on, until it makes progress.
+    Instant m_silentFrom = Instant::max();
     std::optional<StoredAnswer> m_errorAnswer;
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
-    Instant m_sentAt;
-    std::string m_failure;             // what ended the last attempt, as the connection told it
-    const char *m_delimiter = "";      // of the last answer's body; for the log
-    std::string m_replicaLimit;        // that the last answer stated; for the log
-    std::size_t m_unfinishedBytes = 0; // of an event at the end of the last stream; for the log
-    bool m_awaitsHead = false;         // in the current attempt; its limit counts it as unanswered
-    bool m_firstByteSeen = false;      // in the current attempt
-    bool m_hasAlternative = false;     // another replica could have been chosen for it
+    std::string m_failure; // why no attempt was made; for the log
     bool m_callerLeft = false;
     bool m_givenUp = false;
     Duration m_firstByteAfter {}; // of the whole request; for the log
     Duration m_longestGap {};     // between events; for the log
     Instant m_lastEventAt;
-    bool m_keptFailed = false;          // a kept connection was found dropped: open a new one
-    bool m_connectionBroke = false;     // the current attempt ended with its connection
-    bool m_keptConnectionBroke = false; // the same, on a kept one before the head of the answer
-    bool m_endedWithConnection = false; // the answer is whole unless the replica ended with it
-    bool m_isProof = false;             // the answer is whole and a success
+    bool m_keptFailed = false; // a kept connection was found dropped: open a new one
 };
 
 /// @return the keys in hexadecimal, for the log
@@ -145,6 +191,9 @@
 /// Refuses the requests that wait for a replica and are refused by now.
 void refuseSuspects(NodeState &state);
 
+/// Sends the requests at silent replicas to second ones. Call it several times a second.
+void checkSilentAttempts(NodeState &state);
+
 /// The process ends: every request that has not begun to be answered gets its final answer, those
 /// that wait for a replica a refusal.
 /// @param reason of the refusals
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -187,6 +187,7 @@
     start(const HttpRequest &request, Instant deadline, SendCheck *check) override;
     asio::awaitable<CallResult<std::string>> readPart(Instant deadline) override;
     void cancel() override;
+    void expire() override;
 
 private:
     asio::awaitable<std::optional<CallFailure>> connect(Instant deadline);
@@ -203,6 +204,7 @@
     Instant m_aliveAt; // the other side was last heard then, or not yet asked
     bool m_bytesSent = false;
     bool m_cancelled = false;
+    bool m_expired = false; // cancelled because the other side was silent
     bool m_closed = false;
     bool m_kept = false; // the connection had served a request before
     bool m_headRead = false;
@@ -216,6 +218,8 @@
 
 CallFailure BeastExchange::failed(boost::system::error_code failure)
 {
+    if (m_expired)
+        failure = beast::error::timeout;
     if (m_connection)
         m_connection->stream.close(); // a write may still be under way
     // The server had dropped the connection without notice: it keeps idle ones for a shorter time.
@@ -414,6 +418,12 @@
         m_connection->stream.close();
 }
 
+void BeastExchange::expire()
+{
+    m_expired = true;
+    cancel();
+}
+
 } // namespace
 
 // ---- Whole answers ------------------------------------------------------------------------------
@@ -431,9 +441,35 @@
     return failure == boost::json::error::incomplete;
 }
 
+bool BodyMemory::tryAdd(std::size_t earlier, std::size_t bytes)
+{
+    const std::size_t total = earlier + bytes;
+    const bool isWithinAll =
+            total <= m_limits.alwaysAllowed || m_used + bytes <= m_limits.maxBytesOfAll;
+    if (total > m_limits.maxBytes || !isWithinAll)
+        return false;
+    m_used += bytes;
+    return true;
+}
+
 asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
                                                   std::size_t maxBytes)
 {
+    BodyMemory memory({ maxBytes, maxBytes, maxBytes });
+    co_return co_await readBody(exchange, deadline, memory);
+}
+
+asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
+                                                  BodyMemory &memory)
+{
+    /// Gives the bytes back when the coroutine ends, in whichever way.
+    struct Counted
+    {
+        ~Counted() { memory.release(bytes); }
+        BodyMemory &memory;
+        std::size_t bytes = 0;
+    };
+    Counted counted { memory };
     std::string body;
     while (true) {
         auto part = co_await exchange.readPart(deadline);
@@ -444,12 +480,12 @@
         const auto &text = std::get<std::string>(part);
         if (text.empty())
             co_return body;
-        if (body.size() + text.size() > maxBytes) {
+        if (!memory.tryAdd(counted.bytes, text.size())) {
             exchange.cancel();
             co_return CallFailure { true, false, false, false,
-                                    "the body is longer than " + std::to_string(maxBytes)
-                                            + " bytes" };
+                                    "the body is longer than this process buffers" };
         }
+        counted.bytes += text.size();
         body += text;
     }
 }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -6,6 +6,7 @@
 //   SendCheck       has the last word before a request leaves
 //   HttpExchange    one request over one connection, its answer read part by part
 //   readBody        the rest of an answer, within a bound
+//   BodyMemory      a bound on all bodies that are being read
 //   HttpSession     several calls over one and the same connection
 //   CallOptions     which kept connection a call may take, and how long its head may take
 //   ConnectOutcome  what came of a new connection
@@ -96,6 +97,10 @@
 
     /// Ends the exchange now; a pending read fails. The upstream sees the connection close.
     virtual void cancel() = 0;
+
+    /// Ends the exchange as if its deadline had passed: the other side was silent, and a pending
+    /// read fails as timed out.
+    virtual void expire() = 0;
 };
 
 /// Reads the body of an answer whose head was read. If it is too long or late, the exchange ends.
@@ -103,6 +108,42 @@
 boost::asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
                                                          std::size_t maxBytes);
 
+struct BodyMemoryLimits
+{
+    std::size_t maxBytes = 16 * 1024 * 1024;      // of one body
+    std::size_t maxBytesOfAll = 32 * 1024 * 1024; // of all that are being read together
+    std::size_t alwaysAllowed = 64 * 1024;        // of each, whatever the others take
+};
+
+/// Bounds the memory of bodies that are read whole at the same time: servers in trouble may send
+/// them without end, and each answers many requests.
+class BodyMemory
+{
+public:
+    explicit BodyMemory(BodyMemoryLimits limits = {})
+        : m_limits(limits)
+    {
+    }
+
+    /// Counts further bytes of a body.
+    /// @param earlier bytes of it that were counted before
+    /// @return false if they must not be kept; they are not counted then
+    bool tryAdd(std::size_t earlier, std::size_t bytes);
+
+    /// Gives back what was counted for a body.
+    void release(std::size_t bytes) { m_used -= bytes; }
+
+    std::size_t used() const { return m_used; }
+
+private:
+    BodyMemoryLimits m_limits;
+    std::size_t m_used = 0;
+};
+
+/// The same within the limits of `memory`, which has to outlive the call.
+boost::asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
+                                                         BodyMemory &memory);
+
 // ---- Session ------------------------------------------------------------------------------------
 
 /// Calls that must reach the same process: a connection does not survive the other side's restart.
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -54,14 +54,36 @@
     enqueue(std::move(waiting), now);
 }
 
+std::optional<StartRequest> RequestScheduler::startNow(const ServingRequest &request,
+                                                       std::vector<std::string> excluded,
+                                                       Instant now)
+{
+    QueuedRequest again {
+        request, copyKey(request), promptChain(request), std::move(excluded), true, now, {}
+    };
+    return place(again, now);
+}
+
 bool RequestScheduler::tryStart(QueuedRequest &waiting, Instant now)
+{
+    auto start = place(waiting, now);
+    if (start) {
+        m_actions.emplace_back(std::move(*start));
+        return true;
+    }
+    if (waiting.cause == NoReplica::NotResident && !waiting.request.model.empty())
+        requestCopy(waiting.request, now);
+    return false;
+}
+
+/// Chooses a replica and counts the send.
+/// @return nothing if there is none, with the cause in `waiting`
+std::optional<StartRequest> RequestScheduler::place(QueuedRequest &waiting, Instant now)
 {
     ChooserResult result = m_chooser.choose(waiting.request, waiting.chain, waiting.excluded, now);
     if (const auto *none = std::get_if<NoReplica>(&result)) {
         waiting.cause = *none;
-        if (*none == NoReplica::NotResident && !waiting.request.model.empty())
-            requestCopy(waiting.request, now);
-        return false;
+        return std::nullopt;
     }
     auto &choice = std::get<ReplicaChoice>(result);
     m_table.onSent(choice.id, choice.freshTokens, now);
@@ -69,9 +91,7 @@
     if (const auto rate = m_rates.find(waiting.key);
         rate != m_rates.end() && rate->second.waiting > 0)
         rate->second.starts++;
-    m_actions.emplace_back(
-            StartRequest { waiting.request.id, std::move(choice), now - waiting.queuedAt });
-    return true;
+    return StartRequest { waiting.request.id, std::move(choice), now - waiting.queuedAt };
 }
 
 /// @return until when a request may stay in the queue, by the reason why it was not started
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -27,6 +27,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -105,6 +106,12 @@
     void submit(const ServingRequest &request, std::vector<std::string> excluded, bool isRetry,
                 Instant now);
 
+    /// Starts a request that has an attempt under way once more, if a replica has capacity now.
+    /// @param excluded ids of replicas that it must not be sent to
+    /// @return the start, which is not among the actions; nothing if no replica has capacity
+    std::optional<StartRequest> startNow(const ServingRequest &request,
+                                         std::vector<std::string> excluded, Instant now);
+
     /// Removes a queued request whose caller disconnected.
     void cancel(std::uint64_t id);
 
@@ -151,6 +158,7 @@
     void measureRates(Instant now);
     void pumpQueue(Queue &queue, std::unordered_set<std::string> &blocked, bool late, Instant now);
     bool tryStart(QueuedRequest &waiting, Instant now);
+    std::optional<StartRequest> place(QueuedRequest &waiting, Instant now);
     void enqueue(QueuedRequest waiting, Instant now);
     void refuse(const QueuedRequest &waiting, const char *reason, Instant now);
     bool refuseIfPaused(const QueuedRequest &waiting, Instant now);
--- a/standins/replica/main.cpp
+++ b/standins/replica/main.cpp
@@ -29,9 +29,6 @@
 using burdock::HttpReply;
 using burdock::HttpRequest;
 
-constexpr std::chrono::milliseconds ServiceTime { 10 };
-constexpr int Events = 5; // of a stream
-constexpr std::chrono::milliseconds EventTime { 20 };
 constexpr std::chrono::milliseconds CrashAfter { 100 }; // from the first event
 
 struct ReplicaOptions
@@ -39,6 +36,9 @@
     std::string id = "i-1";           // as in its entry
     std::vector<std::string> crashOn; // prompt parts that end the process
     bool logRequests = false;
+    std::chrono::milliseconds serviceTime { 10 }; // before the answer begins
+    std::chrono::milliseconds eventTime { 20 };   // between the events of a stream
+    int events = 5;                               // of a stream
 };
 
 class Replica : public burdock::HttpHandler
@@ -84,7 +84,7 @@
     {
         const std::string part = crashingPart(request);
         log("arrival", request, part);
-        co_await burdock::sleepFor(ServiceTime);
+        co_await burdock::sleepFor(m_options.serviceTime);
         if (std::uniform_real_distribution<>(0.0, 1.0)(m_random) < m_dropShare)
             co_return; // without an answer the connection is closed
         headers.push_back({ "Server-Seal", m_id });
@@ -95,14 +95,14 @@
         }
         headers.push_back({ "Content-Type", "text/event-stream" });
         co_await reply.begin(200, std::move(headers));
-        for (int event = 1; event <= Events; ++event) {
+        for (int event = 1; event <= m_options.events; ++event) {
             co_await reply.write(eventText(event));
             if (!part.empty()) {
                 co_await burdock::sleepFor(CrashAfter);
                 log("crash", request, part);
                 std::_Exit(1);
             }
-            co_await burdock::sleepFor(EventTime);
+            co_await burdock::sleepFor(m_options.eventTime);
         }
         co_await reply.finish();
     }
@@ -200,7 +200,16 @@
     app.add_option("--id", options.id, "its id, as in its entry")->capture_default_str();
     app.add_option("--crash-on", options.crashOn, "prompt parts that end the process");
     app.add_flag("--log-requests", options.logRequests, "prints requests with such parts");
+    int serviceMs = 10;
+    int eventMs = 20;
+    app.add_option("--service-ms", serviceMs, "time before an answer begins")
+            ->capture_default_str();
+    app.add_option("--event-ms", eventMs, "time between the events of a stream")
+            ->capture_default_str();
+    app.add_option("--events", options.events, "events of a stream")->capture_default_str();
     CLI11_PARSE(app, argc, argv);
+    options.serviceTime = std::chrono::milliseconds(serviceMs);
+    options.eventTime = std::chrono::milliseconds(eventMs);
 
     boost::asio::io_context io(1);
     standin::Replica replica(std::move(options));
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -140,6 +140,7 @@
             if (next < servers.size() && servers[next - 1]->next > 0)
                 offer();
             state->waiting.tick();
+            checkSilentAttempts(*state);
         }
         io.run_for(20ms);
     }
