An adapter in use takes its slot until it is gone

Cause: onOrderResult() took 202 for 200.

Change: after a 202 the adapter counts until a listing without it; it is not chosen for another unload meanwhile.

Test: CopyPlacement.AnAdapterInUseTakesItsSlotUntilItIsGone; with the count as it was "CHECK(!next || !next->load) failed".

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -65,6 +65,8 @@
         engine.loading.erase(copy.model);
     std::erase_if(engine.unloading,
                   [&](const std::string &model) { return listedCopy(engine, model) == nullptr; });
+    std::erase_if(engine.unloadingAdapters,
+                  [&](const std::string &copy) { return !holdsCopy(info.models, copy); });
     if (now >= engine.reportExpiresAt)
         engine.reported.clear();
     std::erase_if(engine.pendingAdapters, [&](const auto &entry) {
@@ -144,6 +146,9 @@
         engine.pendingAdapters[copy] = now;
         m_actions.emplace_back(AnnounceCopyChange { engine.info.id, copy, CopyChange::Usable,
                                                     m_settings.adapterLoadTime });
+    } else if (result == OrderResult::Accepted) {
+        // In use: it takes its slot until its requests have ended, which the listing shows.
+        engine.unloadingAdapters.insert(copyName(command.model, command.adapter));
     } else {
         engine.pendingAdapters.erase(copyName(command.model, command.adapter));
         for (auto *held : { &engine.info.models, &engine.reported }) {
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -528,7 +528,7 @@
     return false;
 }
 
-/// @return model and adapter names of all loaded adapters, listed or not
+/// @return model and adapter names of all loaded adapters, listed or not, that stay loaded
 std::vector<std::pair<std::string, std::string>>
 CopyPlacement::loadedAdapters(const EngineRecord &engine, Instant now) const
 {
@@ -542,6 +542,9 @@
         if (now - orderedAt >= 2 * m_settings.adapterLoadTime && slash != std::string::npos)
             loaded.emplace_back(name.substr(0, slash), name.substr(slash + 1));
     }
+    std::erase_if(loaded, [&](const auto &held) {
+        return engine.unloadingAdapters.contains(copyName(held.first, held.second));
+    });
     return loaded;
 }
 
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -79,7 +79,9 @@
         else
             orderAdapter(command);
         accepted++;
-        return OrderResult::Accepted;
+        // An adapter that no request uses is unloaded at once.
+        const bool isDone = !command.load && !command.adapter.empty();
+        return isDone ? OrderResult::AlreadyDone : OrderResult::Accepted;
     }
 
     bool holds(const EngineCommand &command) const
@@ -414,6 +416,52 @@
     }
 }
 
+// The slot of an adapter that requests still used counted as free as soon as its unload was
+// accepted, and the next load exceeded the replica's slots.
+TEST(CopyPlacement, AnAdapterInUseTakesItsSlotUntilItIsGone)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config());
+    FakeReplica replica;
+    replica.id = "r0";
+    replica.models["m0"] = { "a1", "a2", "a3", "a4" };
+    placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    placement.onReport("r0", replica.report(Start + 3s), Start + 3s);
+    placement.takeActions();
+    const auto adapterOrder = [&](Instant now) {
+        placement.onCopyRequest("pool", "m0", "a5", now);
+        placement.tick(now);
+        std::optional<EngineCommand> ordered;
+        for (const PlacingAction &action : placement.takeActions()) {
+            const auto *send = std::get_if<SendCommand>(&action);
+            if (send != nullptr && !send->command.adapter.empty())
+                ordered = send->command;
+        }
+        return ordered;
+    };
+    const auto unload = adapterOrder(Start + 3'100ms);
+    CHECK(unload && !unload->load);
+    placement.onOrderResult(*unload, OrderResult::Accepted, Start + 3'110ms);
+    const auto next = adapterOrder(Start + 3'200ms);
+    CHECK(!next || !next->load);
+    CHECK(!next || next->adapter != unload->adapter);
+
+    std::erase(replica.models["m0"], unload->adapter);
+    placement.onReplica(replica.listing(), Start + 6s);
+    if (next) {
+        placement.onOrderResult(*next, OrderResult::Conflict, Start + 6s);
+        placement.tick(Start + 6'200ms);
+        replica.accepted = 1;
+        placement.onReport("r0", replica.report(Start + 6'300ms), Start + 6'300ms);
+        placement.takeActions();
+    }
+    const auto load = adapterOrder(Start + 6'400ms);
+    CHECK(load && load->load);
+    CHECK_EQUAL(std::string("a5"), load->adapter);
+}
+
 TEST(CopyPlacement, ReplicaOfAServiceWithoutModelsGetsNoReportRequests)
 {
     CopyPlacement placement(onNode1());
