The relay's test keeps its coroutine's captures alive

Seen: entry.relay under the address sanitizer, stack-use-after-scope: the coroutine of the test outlived the lambda that it was made of.

--- a/tests/entry/test_relay.cpp
+++ b/tests/entry/test_relay.cpp
@@ -166,15 +166,15 @@
     std::vector<std::unique_ptr<ScriptedServer>> engines;
     std::vector<WholeAnswer> answers(Answers);
     int done = 0;
+    const auto run = [&](std::size_t index) -> asio::awaitable<void> {
+        const HttpRequest request;
+        answers[index] = co_await readWhole(client.exchange(engines[index]->endpoint(), true),
+                                            request, steadyNow() + 3s, memory);
+    };
     for (int number = 0; number < Answers; ++number) {
         engines.push_back(std::make_unique<ScriptedServer>(
                 io, std::vector { std::string("HTTP/1.1 200 OK\r\n\r\n") }));
         engines.back()->endless = "a";
-        const auto run = [&](std::size_t index) -> asio::awaitable<void> {
-            const HttpRequest request;
-            answers[index] = co_await readWhole(client.exchange(engines[index]->endpoint(), true),
-                                                request, steadyNow() + 3s, memory);
-        };
         asio::co_spawn(io, run(static_cast<std::size_t>(number)),
                        [&done](const std::exception_ptr &) { done++; });
     }
