Tests: one function lists the first scripted server; an unused field goes

Read again: the same seven lines stood twice in the tests of RequestFlow; silent_replicas.py kept a count that nothing read.

--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -28,6 +28,19 @@
     int withdrawn = 0;
 };
 
+/// Lists the first of the fixture's servers as the replica "r0".
+ReplicaInfo announceFirstServer(RequestFlowFixture &fixture)
+{
+    ReplicaInfo info;
+    info.id = "r0";
+    info.service = fixture.service;
+    info.address = toText(fixture.servers[0]->endpoint());
+    info.startedMs = 1;
+    info.slots = 4;
+    fixture.state->replicas.onAnnounced(info, steadyNow());
+    return info;
+}
+
 } // namespace
 
 TEST_GROUP_BASE(RequestFlow, RequestFlowFixture) {
@@ -35,13 +48,7 @@
     void playOnKeptConnection(const char *path, const std::string &answer) {
             const std::vector<std::string> script { Good, answer };
 servers.push_back(std::make_unique<ScriptedServer>(io, script));
-ReplicaInfo info;
-info.id = "r0";
-info.service = service;
-info.address = toText(servers[0]->endpoint());
-info.startedMs = 1;
-info.slots = 4;
-state->replicas.onAnnounced(info, steadyNow());
+announceFirstServer(*this);
 for (const char *each : { "/repeat/first", path }) {
     caller = {};
     const HttpRequest request = callerRequest(each);
@@ -138,13 +145,7 @@
 TEST(RequestFlow, AnAnswerAtAnEarlierAddressSaysNothingOfTheReplica)
 {
     servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { Elsewhere }));
-    ReplicaInfo info;
-    info.id = "r0";
-    info.service = service;
-    info.address = toText(servers[0]->endpoint());
-    info.startedMs = 1;
-    info.slots = 4;
-    state->replicas.onAnnounced(info, steadyNow());
+    ReplicaInfo info = announceFirstServer(*this);
     const HttpRequest request = callerRequest("/once/a");
     RequestFlow flow(*state, nodes, request, caller);
     asio::co_spawn(io, flow.run(), asio::detached);
--- a/tests/process/silent_replicas.py
+++ b/tests/process/silent_replicas.py
@@ -48,12 +48,11 @@
 
 
 class Play:
-    def __init__(self, fleet, nodes, seed, seconds, callers):
+    def __init__(self, fleet, seed, seconds, callers):
         chance = random.Random(seed)
         self.chance = chance
         self.fleet = fleet
         self.store = Store()
-        self.nodes = nodes
         self.seconds = seconds
         self.callers = callers
         self.changes_config = chance.random() < 0.6
@@ -279,7 +278,7 @@
     nodes, seed, seconds = int(sys.argv[3]), int(sys.argv[4]), float(sys.argv[5])
     callers = int(sys.argv[6]) if len(sys.argv) > 6 else 60
     fleet = Fleet(binaries, folder, nodes)
-    play = Play(fleet, nodes, seed, seconds, callers)
+    play = Play(fleet, seed, seconds, callers)
     try:
         play.start()
         play.run()
