The holder logs which copies a plan leaves unplaced, and why

A copy that was refused as not_resident for seconds had no line that says whether memory, load limits, busy replicas or adapter slots stood in its way. The plan notes each requested copy that it cannot place: at once when the reason is new, then every 2 s.

--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -250,6 +250,14 @@
             asio::co_spawn(m_state.io, sendOrder(std::move(*send)), asio::detached);
         } else if (auto *ask = std::get_if<RequestReport>(&action)) {
             asio::co_spawn(m_state.io, askReport(std::move(*ask)), asio::detached);
+        } else if (const auto *unplaced = std::get_if<NoteUnplaced>(&action)) {
+            m_state.log.line("unplaced")
+                    .field("service", unplaced->service)
+                    .field("copy", unplaced->copy)
+                    .field("reason", unplaced->reason)
+                    .field("demand", unplaced->demand)
+                    .field("replicas", unplaced->replicas)
+                    .field("for_ms", unplaced->unplacedFor);
         } else {
             const auto &change = std::get<AnnounceCopyChange>(action);
             const CopyNote note { change.replica, change.copy, change.change,
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -2,7 +2,7 @@
 //
 // Index
 //   CopyPlacementSettings
-//   SendCommand, RequestReport, AnnounceCopyChange, PlacingAction
+//   SendCommand, RequestReport, AnnounceCopyChange, NoteUnplaced, PlacingAction
 //   CopyPlacement                  the decision module
 //
 // Terms. A copy is a model or an adapter that a replica has loaded. The holder is the node that
@@ -120,6 +120,8 @@
     std::size_t maxEvictionsTried = 8;
     /// Report requests that are open at the same time; a new holder needs a report of each replica.
     int maxOpenReports = 32;
+    /// A copy that stays unplaced for the same reason is noted again after this time.
+    Duration unplacedNoteInterval = std::chrono::seconds(2);
     /// Cost of a load from the weight store compared to a load from the replica's own host memory
     /// or disk, in units of tokensPerCopy: a load from the store takes several times as long.
     double storeLoadPenalty = 2.0;
@@ -159,7 +161,19 @@
     Duration usableIn {}; // Usable, Loading: shortest time until the copy serves requests
 };
 
-using PlacingAction = std::variant<SendCommand, RequestReport, AnnounceCopyChange>;
+/// For the log: a copy that requests wait for, or a model in demand without a copy, got no load in
+/// the latest plan.
+struct NoteUnplaced
+{
+    std::string service;
+    std::string copy;        // "model" or "model/adapter"
+    const char *reason = ""; // why it got none
+    double demand = 0.0;     // tokens per second
+    int replicas = 0;        // that take orders now
+    Duration unplacedFor {}; // since this was first so
+};
+
+using PlacingAction = std::variant<SendCommand, RequestReport, AnnounceCopyChange, NoteUnplaced>;
 
 // ---- Decision module ----------------------------------------------------------------------------
 
@@ -208,6 +222,14 @@
         NoMemory, // no replica that takes orders has memory for it
     };
 
+    /// A copy that was not placed when it was last planned.
+    struct Unplaced
+    {
+        const char *reason = "";
+        Instant since;
+        Instant nextNoteAt;
+    };
+
     struct RequestedCopy
     {
         std::string service;
@@ -225,20 +247,21 @@
     bool fitsAllModels(const Plan &plan) const;
     void collectHeldAdapters(Plan &plan) const;
     void reserveForAdapters(Plan &plan, Instant now) const;
+    void noteUnplaced(Plan &plan, Instant now);
     void placeModels(Plan &plan, Instant now);
     void noteMissing(Plan &plan, Instant now);
     PlaceResult placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
     bool canReceiveCopy(const ModelView &view, const EngineView &engine, Instant now) const;
     bool mayReplaceLastCopy(const Plan &plan, const ModelView &view, const ModelView &victim,
                             Instant now) const;
-    bool evictForModel(Plan &plan, const ModelView &view, Instant now);
+    const char *evictForModel(Plan &plan, const ModelView &view, Instant now);
     void placeAdapters(Plan &plan, Instant now);
     void preloadAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
                       bool isRequested, Instant now);
     std::vector<std::pair<std::string, std::string>> loadedAdapters(const EngineRecord &engine,
                                                                     Instant now) const;
-    void evictIdleAdapter(Plan &plan, const ModelView &model, Instant now);
+    const char *evictIdleAdapter(Plan &plan, const ModelView &model, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
     bool canTakeAdapter(const EngineRecord &engine, Instant now) const;
@@ -257,6 +280,7 @@
     std::map<std::string, Instant> m_preloadAllowedAt; // by copy; evicted adapters only
     /// By service and model: since when it has been requested without having a copy.
     std::map<std::pair<std::string, std::string>, Instant> m_missingSince;
+    std::map<std::pair<std::string, std::string>, Unplaced> m_unplaced; // by service and copy
     std::vector<PlacingAction> m_actions;
 };
 
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -73,6 +74,7 @@
     std::vector<ModelView> models;   // in the order of the configuration
     std::unordered_map<std::string, double> adapterDemand; // tokens per second by "model/adapter"
     std::unordered_set<std::string> heldAdapters;          // held by any replica, or ordered
+    std::map<std::string, const char *> unplaced;          // why copies got no load, for the log
     int loadsInProgress = 0;
     int openAdapterOrders = 0;
     bool fitsAllModels = true; // the replicas can hold a copy of each model at the same time
@@ -171,6 +173,37 @@
     reserveForAdapters(plan, now);
     placeModels(plan, now);
     placeAdapters(plan, now);
+    noteUnplaced(plan, now);
+}
+
+/// Notes the copies that this pass could not place: at once if the reason is new, else at
+/// intervals.
+void CopyPlacement::noteUnplaced(Plan &plan, Instant now)
+{
+    std::erase_if(m_unplaced, [&](const auto &entry) {
+        return entry.first.first == plan.service.name
+                && !plan.unplaced.contains(entry.first.second);
+    });
+    const auto replicas = static_cast<int>(
+            std::count_if(plan.engines.begin(), plan.engines.end(),
+                          [](const EngineView &engine) { return engine.takesOrders; }));
+    for (const auto &[copy, reason] : plan.unplaced) {
+        Unplaced &unplaced =
+                m_unplaced
+                        .try_emplace(std::pair(plan.service.name, copy), Unplaced { "", now, now })
+                        .first->second;
+        if (unplaced.reason == std::string_view(reason) && now < unplaced.nextNoteAt)
+            continue;
+        unplaced.reason = reason;
+        unplaced.nextNoteAt = now + m_settings.unplacedNoteInterval;
+        const ModelView *model = plan.find(copy);
+        const auto adapter = plan.adapterDemand.find(copy);
+        double demand = model == nullptr ? 0.0 : model->demand;
+        if (adapter != plan.adapterDemand.end())
+            demand = adapter->second;
+        m_actions.emplace_back(NoteUnplaced { plan.service.name, copy, reason, demand, replicas,
+                                              now - unplaced.since });
+    }
 }
 
 /// By the mean size of the models: which of them share a replica is not known in advance.
@@ -270,20 +303,29 @@
         return left->demand / std::max(1, left->copies)
                 > right->demand / std::max(1, right->copies);
     });
+    const auto noteMissingCopy = [&](const ModelView &view, const char *reason) {
+        if (view.copies == 0 && (view.isRequested || view.demand > 0.0))
+            plan.unplaced[view.model->name] = reason;
+    };
     std::vector<const ModelView *> withoutMemory;
     for (ModelView *view : order) {
         const char *reason = view->copies == 0 ? "missing" : "demand";
-        if (placeModel(plan, *view, reason, now) == PlaceResult::NoMemory)
+        const PlaceResult result = placeModel(plan, *view, reason, now);
+        if (result == PlaceResult::NoMemory)
             withoutMemory.push_back(view);
+        else if (result == PlaceResult::Waits)
+            noteMissingCopy(*view, "load_limits");
     }
     // Models that nobody asks for come last: they replace surplus copies only.
     std::stable_partition(withoutMemory.begin(), withoutMemory.end(), [](const ModelView *view) {
         return view->isRequested || view->demand > 0.0;
     });
+    for (const ModelView *view : withoutMemory)
+        noteMissingCopy(*view, "no_memory");
     if (withoutMemory.size() > m_settings.maxEvictionsTried)
         withoutMemory.resize(m_settings.maxEvictionsTried);
     for (const ModelView *view : withoutMemory)
-        evictForModel(plan, *view, now);
+        noteMissingCopy(*view, evictForModel(plan, *view, now));
 }
 
 /// Keeps since when each model has been requested without having a copy.
@@ -381,13 +423,13 @@
 }
 
 /// Unloads the copy whose loss costs least, so that the model fits on its replica.
-/// @return whether an unload was ordered
-bool CopyPlacement::evictForModel(Plan &plan, const ModelView &view, Instant now)
+/// @return the state of that for the log
+const char *CopyPlacement::evictForModel(Plan &plan, const ModelView &view, Instant now)
 {
     for (const EngineView &engine : plan.engines) {
         if (engine.record->reservedFor == view.model->name
             && now < engine.record->reservationExpiresAt)
-            return false; // a copy has been evicted for the model already
+            return "unload_pending"; // a copy has been evicted for the model already
     }
     const bool hasDemand = view.isRequested || view.demand > 0.0;
     EngineView *best = nullptr;
@@ -428,7 +470,7 @@
         }
     }
     if (best == nullptr)
-        return false;
+        return "no_victim";
     best->record->reservedFor = view.model->name;
     best->record->reservationExpiresAt = now + m_settings.reservationTime;
     best->takesOrders = false;
@@ -442,7 +484,7 @@
             AnnounceCopyChange { best->id(), command.model, CopyChange::Unloading, {} });
     send(*best->record, std::move(command), "make_room", bestVictim->demand, bestVictim->copies + 1,
          now);
-    return true;
+    return "unload_ordered";
 }
 
 // ---- Adapters -----------------------------------------------------------------------------------
@@ -524,7 +566,7 @@
         return true;
     }
     if (isRequested)
-        evictIdleAdapter(plan, model, now);
+        plan.unplaced[copy] = evictIdleAdapter(plan, model, now);
     return false;
 }
 
@@ -550,15 +592,20 @@
 
 /// Unloads the idle adapter with the lowest demand, on the replicas that hold the model. Adapters
 /// in use stay: a replica would refuse other orders until their last request has ended.
-void CopyPlacement::evictIdleAdapter(Plan &plan, const ModelView &model, Instant now)
+/// @return the state of that for the log
+const char *CopyPlacement::evictIdleAdapter(Plan &plan, const ModelView &model, Instant now)
 {
+    if (model.listed.empty())
+        return "model_not_resident";
     EngineView *best = nullptr;
+    bool isAnyFree = false; // to take orders
     std::string victimModel;
     std::string victim;
     double lowestDemand = m_settings.idleAdapterDemand;
     for (EngineView *engine : model.listed) {
         if (!engine->takesOrders || !canTakeAdapter(*engine->record, now))
             continue;
+        isAnyFree = true;
         for (const auto &[heldModel, held] : loadedAdapters(*engine->record, now)) {
             const double demand = plan.demandOf(heldModel, held);
             if (demand >= lowestDemand)
@@ -570,7 +617,7 @@
         }
     }
     if (best == nullptr)
-        return;
+        return isAnyFree ? "adapters_in_use" : "replicas_busy";
     const std::string copy = copyName(victimModel, victim);
     m_preloadAllowedAt[copy] = now + m_settings.preloadCooldown;
     m_actions.emplace_back(AnnounceCopyChange { best->id(), copy, CopyChange::Unloading, {} });
@@ -580,6 +627,7 @@
     command.adapter = victim;
     send(*best->record, std::move(command), "make_room", lowestDemand, 1, now);
     best->takesOrders = false;
+    return "unload_ordered";
 }
 
 } // namespace burdock
