A new holder tells its term at once and evicts nothing before it knows the demand

Callers saw models refused as not_resident after each change of the holder. The first plan of a new holder came before any node had reported its demand: every copy looked idle, and it unloaded second copies of models in use (a copy of mimi 0.1 s after the lease was taken, demand=0.00) for models that nobody asked for. Nodes now send a heartbeat as soon as they hear of a new term, so that the claim and the demand travel within a few ticks. The holder evicts models and preloads adapters only 0.6 s after it began: a heartbeat interval, in case a datagram is lost.

The new test fails before by its assertion (an unload within 0.5 s).

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -589,7 +589,10 @@
         m_registerAt = {};
         asio::co_spawn(m_state.io, registerNode(), asio::detached);
     }
-    if (now >= m_nextBeat) {
+    // A new holder knows no demand: nodes tell each other of it, and it of theirs, at once.
+    const bool isNewHolder = m_state.directory.holder().term != m_holderTerm;
+    if (isNewHolder || now >= m_nextBeat) {
+        m_holderTerm = m_state.directory.holder().term;
         m_nextBeat = now + BeatInterval;
         sendBeat();
     }
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -126,6 +126,7 @@
     HttpServer m_feedServer;
     DemandReporter m_demandReport;
     std::uint64_t m_demandTerm = 0; // of the holder that the reports go to
+    std::uint64_t m_holderTerm = 0; // that the latest heartbeat named
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -202,6 +202,8 @@
 
 void CopyPlacement::setHolder(bool isHolder, std::uint64_t term, Instant now)
 {
+    if (isHolder && !m_isHolder && term != FirstTerm)
+        m_demandKnownAt = now + m_settings.demandSettleTime;
     if (isHolder && (!m_isHolder || term != m_term)) {
         for (auto &[service, limiter] : m_loadLimiters)
             limiter.reset(now, term == FirstTerm);
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -67,6 +67,9 @@
     /// Upper bound of that wait, from the first listed replica on.
     Duration maxListWait = std::chrono::seconds(5);
 
+    /// Nodes report their demand to a new holder within this time. Before, no copy is evicted and
+    /// nothing is loaded ahead of requests: all copies would look idle.
+    Duration demandSettleTime = std::chrono::milliseconds(600);
     /// A row of a node's demand reports is dropped after this time.
     Duration demandLifetime = std::chrono::seconds(4);
     /// Rows are looked through for those that are too old this often.
@@ -269,6 +272,7 @@
     CopyPlacementSettings m_settings;
     bool m_isHolder = false;
     std::uint64_t m_term = 0;
+    Instant m_demandKnownAt; // nodes have reported their demand to this holder from then on
     std::map<std::string, ServingService> m_services;      // services with models
     std::map<std::string, LoadRateLimiter> m_loadLimiters; // by service
     std::map<std::string, EngineRecord> m_engines;         // by replica
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -322,6 +322,8 @@
     });
     for (const ModelView *view : withoutMemory)
         noteMissingCopy(*view, "no_memory");
+    if (now < m_demandKnownAt)
+        return;
     if (withoutMemory.size() > m_settings.maxEvictionsTried)
         withoutMemory.resize(m_settings.maxEvictionsTried);
     for (const ModelView *view : withoutMemory)
@@ -497,7 +499,8 @@
         if (const ModelView *model = plan.find(request.model))
             placeAdapter(plan, *model, request.adapter, true, now);
     }
-    preloadAdapters(plan, now);
+    if (now >= m_demandKnownAt)
+        preloadAdapters(plan, now);
 }
 
 /// Loads adapters that no request waits for, those with the highest demand first.
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -571,3 +571,33 @@
         }
     }
 }
+
+// A new holder, which knows no demand yet, unloaded the second copy of a model in demand.
+TEST(CopyPlacement, NewHolderEvictsNothingBeforeItKnowsTheDemand)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config());
+    std::vector<FakeReplica> replicas;
+    for (int number = 0; number < 3; ++number) {
+        FakeReplica replica;
+        replica.id = "r" + std::to_string(number);
+        replica.models["m0"]; // three copies; m1 and m2 have one, all others none
+        replica.models[number == 0 ? "m1" : "m2"];
+        replicas.push_back(replica);
+        placement.onReplica(replica.listing(), Start - 10s);
+    }
+    placement.setHolder(true, 2, Start);
+    for (Instant now = Start; now < Start + 500ms; now += 50ms) {
+        placement.tick(now);
+        for (const PlacingAction &action : placement.takeActions()) {
+            const auto *send = std::get_if<SendCommand>(&action);
+            CHECK(send == nullptr || send->command.load);
+            if (const auto *ask = std::get_if<RequestReport>(&action)) {
+                for (const FakeReplica &replica : replicas) {
+                    if (replica.id == ask->replica)
+                        placement.onReport(replica.id, replica.report(now), now);
+                }
+            }
+        }
+    }
+}
