Adapters that wait take turns with those in use

All slots of the few replicas that held the model were taken by adapters in use, and only an adapter idle for some seconds made room; wants were met in the order of their names. The class: a resource is granted by demand, with no bound on how long a claimant waits. A want now keeps its age over several callers, the oldest goes first, and after 0.2 s it may replace the adapter with the lowest demand.

AdaptersInUseTakeTurnsWithThoseThatWait fails before by its assertion.

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -93,6 +93,13 @@
     m_requestedCopies[service + "/" + copyName(model, adapter)] = {
         service, model, adapter, now + m_settings.requestLifetime
     };
+    if (adapter.empty())
+        return;
+    AdapterWait &wait =
+            m_adapterWaits
+                    .try_emplace({ service, copyName(model, adapter) }, AdapterWait { now, now })
+                    .first->second;
+    wait.expiresAt = now + m_settings.adapterWaitLifetime;
 }
 
 void CopyPlacement::onOrderResult(const EngineCommand &command, OrderResult result, Instant now)
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -105,6 +105,14 @@
     /// Tokens per second below which an adapter counts as idle. A single request's share of the
     /// smoothed demand stays above this value for some seconds.
     double idleAdapterDemand = 25.0;
+    /// An adapter that requests have waited for this long may replace one that is not idle, so that
+    /// no adapter is starved. The time counts from the first request on, over several callers.
+    Duration maxAdapterWait = std::chrono::milliseconds(200);
+    /// That time is forgotten when no request has come for the adapter for this long.
+    Duration adapterWaitLifetime = std::chrono::seconds(15);
+    /// An adapter loaded for a request is not evicted within this time, in which the request uses
+    /// it.
+    Duration minAdapterResidencyTime = std::chrono::seconds(1);
     /// An evicted adapter is not preloaded again within this time.
     Duration preloadCooldown = std::chrono::seconds(10);
     /// Preloading pauses while this many adapter orders over all replicas have no response; the
@@ -225,6 +233,12 @@
         NoMemory, // no replica that takes orders has memory for it
     };
 
+    enum class AdapterNeed {
+        None,      // it is loaded ahead of demand
+        Requested, // requests wait for it: it may replace an idle adapter
+        Overdue,   // and have waited for long: it may replace any
+    };
+
     /// A copy that was not placed when it was last planned.
     struct Unplaced
     {
@@ -233,6 +247,13 @@
         Instant nextNoteAt;
     };
 
+    /// An adapter that requests have come for and that no replica has held since.
+    struct AdapterWait
+    {
+        Instant since;
+        Instant expiresAt;
+    };
+
     struct RequestedCopy
     {
         std::string service;
@@ -259,12 +280,13 @@
                             Instant now) const;
     const char *evictForModel(Plan &plan, const ModelView &view, Instant now);
     void placeAdapters(Plan &plan, Instant now);
+    void forgetServedWaits(const Plan &plan, Instant now);
     void preloadAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
-                      bool isRequested, Instant now);
+                      AdapterNeed need, Instant now);
     std::vector<std::pair<std::string, std::string>> loadedAdapters(const EngineRecord &engine,
                                                                     Instant now) const;
-    const char *evictIdleAdapter(Plan &plan, const ModelView &model, Instant now);
+    const char *evictAdapter(Plan &plan, const ModelView &model, bool mayBeInUse, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
     bool canTakeAdapter(const EngineRecord &engine, Instant now) const;
@@ -284,6 +306,7 @@
     std::map<std::string, Instant> m_preloadAllowedAt; // by copy; evicted adapters only
     /// By service and model: since when it has been requested without having a copy.
     std::map<std::pair<std::string, std::string>, Instant> m_missingSince;
+    std::map<std::pair<std::string, std::string>, AdapterWait> m_adapterWaits; // as m_unplaced
     std::map<std::pair<std::string, std::string>, Unplaced> m_unplaced; // by service and copy
     std::vector<PlacingAction> m_actions;
 };
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <string_view>
 #include <unordered_map>
@@ -493,16 +494,38 @@
 
 void CopyPlacement::placeAdapters(Plan &plan, Instant now)
 {
+    forgetServedWaits(plan, now);
+    const auto waitingSince = [&](const RequestedCopy *request) {
+        const auto wait = m_adapterWaits.find(
+                std::pair(request->service, copyName(request->model, request->adapter)));
+        return wait == m_adapterWaits.end() ? now : wait->second.since;
+    };
+    std::vector<std::pair<Instant, const RequestedCopy *>> requests;
     for (const auto &[key, request] : m_requestedCopies) {
-        if (request.service != plan.service.name || request.adapter.empty())
-            continue;
-        if (const ModelView *model = plan.find(request.model))
-            placeAdapter(plan, *model, request.adapter, true, now);
+        if (request.service == plan.service.name && !request.adapter.empty())
+            requests.emplace_back(waitingSince(&request), &request);
+    }
+    std::stable_sort(requests.begin(), requests.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    for (const auto &[since, request] : requests) {
+        const bool mayReplaceUsed = now - since >= m_settings.maxAdapterWait;
+        if (const ModelView *model = plan.find(request->model))
+            placeAdapter(plan, *model, request->adapter,
+                         mayReplaceUsed ? AdapterNeed::Overdue : AdapterNeed::Requested, now);
     }
     if (now >= m_demandKnownAt)
         preloadAdapters(plan, now);
 }
 
+void CopyPlacement::forgetServedWaits(const Plan &plan, Instant now)
+{
+    std::erase_if(m_adapterWaits, [&](const auto &entry) {
+        const auto &[service, copy] = entry.first;
+        return now >= entry.second.expiresAt
+                || (service == plan.service.name && plan.heldAdapters.contains(copy));
+    });
+}
+
 /// Loads adapters that no request waits for, those with the highest demand first.
 void CopyPlacement::preloadAdapters(Plan &plan, Instant now)
 {
@@ -531,15 +554,13 @@
     for (const Missing &each : missing) {
         if (plan.openAdapterOrders >= maxOpen)
             return;
-        placeAdapter(plan, *each.model, each.adapter, false, now);
+        placeAdapter(plan, *each.model, each.adapter, AdapterNeed::None, now);
     }
 }
 
-/// @param isRequested a request waits for the adapter; if all slots are in use, an idle adapter is
-///        evicted
 /// @return whether the adapter is held or ordered
 bool CopyPlacement::placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
-                                 bool isRequested, Instant now)
+                                 AdapterNeed need, Instant now)
 {
     const std::string copy = copyName(model.model->name, adapter);
     if (plan.heldAdapters.contains(copy))
@@ -561,15 +582,18 @@
         EngineCommand command;
         command.model = model.model->name;
         command.adapter = adapter;
-        send(*best->record, std::move(command), isRequested ? "wanted" : "preload",
+        send(*best->record, std::move(command), need == AdapterNeed::None ? "preload" : "wanted",
              plan.demandOf(model.model->name, adapter), 0, now);
+        if (need != AdapterNeed::None)
+            best->record->evictableAt[copy] =
+                    now + m_settings.adapterLoadTime + m_settings.minAdapterResidencyTime;
         best->takesOrders = false;
         plan.openAdapterOrders++;
         plan.heldAdapters.insert(copy);
         return true;
     }
-    if (isRequested)
-        plan.unplaced[copy] = evictIdleAdapter(plan, model, now);
+    if (need != AdapterNeed::None)
+        plan.unplaced[copy] = evictAdapter(plan, model, need == AdapterNeed::Overdue, now);
     return false;
 }
 
@@ -593,10 +617,11 @@
     return loaded;
 }
 
-/// Unloads the idle adapter with the lowest demand, on the replicas that hold the model. Adapters
-/// in use stay: a replica would refuse other orders until their last request has ended.
+/// Unloads the adapter with the lowest demand, on the replicas that hold the model.
+/// @param mayBeInUse it need not be idle; its slot is free once its last request has ended
 /// @return the state of that for the log
-const char *CopyPlacement::evictIdleAdapter(Plan &plan, const ModelView &model, Instant now)
+const char *CopyPlacement::evictAdapter(Plan &plan, const ModelView &model, bool mayBeInUse,
+                                        Instant now)
 {
     if (model.listed.empty())
         return "model_not_resident";
@@ -604,14 +629,22 @@
     bool isAnyFree = false; // to take orders
     std::string victimModel;
     std::string victim;
-    double lowestDemand = m_settings.idleAdapterDemand;
+    const bool isSlotComing =
+            std::any_of(model.listed.begin(), model.listed.end(), [](const EngineView *engine) {
+                return !engine->record->unloadingAdapters.empty();
+            });
+    double lowestDemand = mayBeInUse && !isSlotComing ? std::numeric_limits<double>::max()
+                                                      : m_settings.idleAdapterDemand;
     for (EngineView *engine : model.listed) {
         if (!engine->takesOrders || !canTakeAdapter(*engine->record, now))
             continue;
         isAnyFree = true;
         for (const auto &[heldModel, held] : loadedAdapters(*engine->record, now)) {
             const double demand = plan.demandOf(heldModel, held);
-            if (demand >= lowestDemand)
+            const auto evictable = engine->record->evictableAt.find(copyName(heldModel, held));
+            const bool isProtected =
+                    evictable != engine->record->evictableAt.end() && now < evictable->second;
+            if (isProtected || demand >= lowestDemand)
                 continue;
             best = engine;
             victimModel = heldModel;
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -601,3 +601,28 @@
         }
     }
 }
+
+// All adapter slots held adapters in use, and those that came later were never loaded.
+TEST(CopyPlacement, AdaptersInUseTakeTurnsWithThoseThatWait)
+{
+    constexpr int Adapters = 12; // two replicas have eight slots
+    Simulation simulation(8, Adapters);
+    simulation.run(10s);
+    std::map<std::string, int> served;
+    std::vector<CopyDemand> demand { { "pool", "m0", "", 8'000.0 } };
+    for (int number = 1; number <= Adapters; ++number)
+        demand.push_back({ "pool", "m0", "a" + std::to_string(number), 900.0 });
+    for (int request = 0; request < 10 * Adapters; ++request) {
+        const std::string adapter = "a" + std::to_string(1 + request % Adapters);
+        if (request % 2 == 0)
+            simulation.placement->onDemand("node-1", demand, simulation.now);
+        for (int attempt = 0; attempt < 3 && !simulation.holdsAdapter("m0", adapter); ++attempt) {
+            simulation.placement->onCopyRequest("pool", "m0", adapter, simulation.now);
+            simulation.run(100ms);
+        }
+        served[adapter] += simulation.holdsAdapter("m0", adapter) ? 1 : 0;
+        simulation.run(300ms);
+    }
+    for (int number = 1; number <= Adapters; ++number)
+        CHECK(served["a" + std::to_string(number)] >= 1);
+}
