The last replica that can take the adapters of a model gets no model load for less demand

Callers of adapters were refused as not_resident for 9 s at a time. After a loss of replicas, models without a copy were loaded on all that remained; a replica that loads a model refuses other orders, and the only replica of a model in demand could not change its adapters until the load ended (unplaced reason=replicas_busy). It was kept free only while a request for an adapter waited at that very moment. It is now kept free while the model's adapters are in demand, unless the model to be loaded has no copy and more demand than they have, or has been missing for twice the usual bound.

OnlyReplicaForAdaptersInDemandGetsNoModelLoad fails before by its assertion.

--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -271,6 +271,7 @@
     bool fitsAllModels(const Plan &plan) const;
     void collectHeldAdapters(Plan &plan) const;
     void reserveForAdapters(Plan &plan, Instant now) const;
+    bool isReserved(const ModelView &view, const EngineView &engine, Instant now) const;
     void noteUnplaced(Plan &plan, Instant now);
     void placeModels(Plan &plan, Instant now);
     void noteMissing(Plan &plan, Instant now);
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -29,7 +29,9 @@
     double freeMb = 0.0;              // left for models
     double load = 0.0;                // tokens per second
     bool takesOrders = false;         // see canTakeOrder()
-    bool reservedForAdapters = false; // must take adapters and therefore gets no model loads
+    bool reservedForAdapters = false; // requests wait for adapters: it gets no model loads
+    /// Demand for adapters that no other replica could take; in tokens per second.
+    double adapterDemand = 0.0;
 
     const std::string &id() const { return record->info.id; }
 };
@@ -267,6 +269,35 @@
         if (holders == 1)
             only->reservedForAdapters = true;
     }
+    std::unordered_map<const ModelView *, double> demandByModel;
+    for (const auto &[copy, demand] : plan.adapterDemand) {
+        if (const ModelView *model = plan.find(std::string_view(copy).substr(0, copy.find('/'))))
+            demandByModel[model] += demand;
+    }
+    for (const auto &[model, demand] : demandByModel) {
+        EngineView *only = nullptr;
+        int holders = 0;
+        for (EngineView *engine : model->listed) {
+            only = engine->takesOrders ? engine : only;
+            holders += engine->takesOrders ? 1 : 0;
+        }
+        if (holders == 1)
+            only->adapterDemand += demand;
+    }
+}
+
+/// @return whether the replica is kept free of a load of the model, for the sake of adapters
+bool CopyPlacement::isReserved(const ModelView &view, const EngineView &engine, Instant now) const
+{
+    if (engine.reservedForAdapters)
+        return true;
+    if (engine.adapterDemand < m_settings.idleAdapterDemand)
+        return false;
+    const auto since =
+            m_missingSince.find(std::pair(engine.record->info.service, view.model->name));
+    const bool isOverdue =
+            since != m_missingSince.end() && now >= since->second + 2 * m_settings.maxMissingTime;
+    return !isOverdue && (view.copies > 0 || view.demand < engine.adapterDemand);
 }
 
 // ---- Models -------------------------------------------------------------------------------------
@@ -367,7 +398,7 @@
         if (!canReceiveCopy(view, engine, now) || engine.freeMb < view.model->memoryMb)
             continue;
         fits = true;
-        if (engine.reservedForAdapters)
+        if (isReserved(view, engine, now))
             continue;
         const bool needsStore = view.needsStore(engine);
         if (needsStore && !canLoadFromStore)
@@ -439,7 +470,7 @@
     ModelView *bestVictim = nullptr;
     double bestCost = 0.0;
     for (EngineView &engine : plan.engines) {
-        if (!canReceiveCopy(view, engine, now) || engine.reservedForAdapters)
+        if (!canReceiveCopy(view, engine, now) || isReserved(view, engine, now))
             continue;
         const double missing = view.model->memoryMb - engine.freeMb;
         const bool needsStore = view.needsStore(engine);
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -626,3 +626,41 @@
     for (int number = 1; number <= Adapters; ++number)
         CHECK(served["a" + std::to_string(number)] >= 1);
 }
+
+// The only replica for the adapters of a model in demand was told to load another model, which made
+// it refuse all other orders for seconds.
+TEST(CopyPlacement, OnlyReplicaForAdaptersInDemandGetsNoModelLoad)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config(16));
+    FakeReplica only;
+    only.id = "only";
+    only.models["m0"] = { "a1", "a2" };
+    FakeReplica other;
+    other.id = "other";
+    other.models["m1"];
+    for (const FakeReplica *replica : { &only, &other })
+        placement.onReplica(replica->listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    for (const FakeReplica *replica : { &only, &other })
+        placement.onReport(replica->id, replica->report(Start + 3s), Start + 3s);
+    placement.takeActions();
+
+    placement.onDemand("node-1",
+                       { { "pool", "m0", "", 4'000.0 },
+                         { "pool", "m0", "a1", 900.0 },
+                         { "pool", "m2", "", 300.0 },
+                         { "pool", "m3", "", 200.0 } },
+                       Start + 10s);
+    placement.tick(Start + 10s);
+    int loads = 0;
+    for (const PlacingAction &action : placement.takeActions()) {
+        const auto *send = std::get_if<SendCommand>(&action);
+        if (send == nullptr || !send->command.adapter.empty())
+            continue;
+        CHECK_EQUAL(std::string("other"), send->command.replica);
+        loads++;
+    }
+    CHECK_EQUAL(1, loads);
+}
