The placement learns of replicas that say they leave, and replaces idle copies for models in demand

Callers were refused for 12 s after the only copy of a model in demand had gone: a new holder loaded adapters on its replica, which had said in its answers for 7 s that it leaves, and ordered the next copy only when the replica was gone and requests waited. While the store is away no listing shows who leaves. What an answer says now reaches the placement, reports of a new holder included: such a replica gets no orders, and its copies count as missing. A model whose last copy leaves still serves, so nobody waits for it yet: demand alone now lets it take the place of an idle last copy.

CopiesOfAReplicaThatSaysItLeavesAreReplacedAtOnce fails before by its assertion (with a no-op in place of the new call).

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -190,6 +190,9 @@
     m_state.onReplicaForgotten = [this](const std::string &replica) {
         m_copies.placement().onReplicaRemoved(replica);
     };
+    m_state.onReplicaLeaving = [this](const std::string &replica) {
+        m_copies.placement().onReplicaLeaving(replica);
+    };
     m_state.onSuspectNotes = [this](const std::vector<SuspectNote> &notes, bool toAll) {
         sendSuspectNotes(notes,
                          toAll ? m_state.directory.ingressAddresses(steadyNow())
@@ -370,6 +373,8 @@
         m_state.chooser.onReplicaRemoved(earlier);
     }
     m_copies.placement().onReplica(row->info, now);
+    if (row->drainedAt != Instant {})
+        m_copies.placement().onReplicaLeaving(replica.id);
 }
 
 void EdgeProgram::dropReplica(const std::string &id, Instant storeReturnedAt, Instant now)
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -128,12 +128,15 @@
 {
     const Instant now = steadyNow();
     const Instant drainedAt = now + Duration(profile.bounds.drainTime);
-    if (signals.leaving && replicas.onLeaving(source.replica, source.startedMs, drainedAt, now))
+    if (signals.leaving && replicas.onLeaving(source.replica, source.startedMs, drainedAt, now)) {
         log.line("replica_leaving")
                 .field("request", source.request)
                 .field("replica", source.replica)
                 .field("listed", replicas.find(source.replica) == nullptr ? "no" : "yes")
                 .field("drained_in_ms", drainedAt - now);
+        if (onReplicaLeaving)
+            onReplicaLeaving(source.replica);
+    }
     takePause(signals, source);
     return takeLimit(signals, source);
 }
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -80,6 +80,12 @@
     m_engines.erase(id);
 }
 
+void CopyPlacement::onReplicaLeaving(const std::string &id)
+{
+    if (const auto found = m_engines.find(id); found != m_engines.end())
+        found->second.info.draining = true;
+}
+
 void CopyPlacement::onDemand(const std::string &node, const std::vector<CopyDemand> &demand,
                              Instant now)
 {
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -198,6 +198,9 @@
     /// Takes the current listing of a replica; a new process under the same id starts empty.
     void onReplica(const ReplicaInfo &info, Instant now);
     void onReplicaRemoved(const std::string &id);
+    /// Records that a replica said in an answer that it is about to terminate; its listing may not
+    /// show it yet. It gets no more orders, and its copies count as missing.
+    void onReplicaLeaving(const std::string &id);
     /// Takes a demand report of a node; earlier rows that it does not have stay for a while.
     void onDemand(const std::string &node, const std::vector<CopyDemand> &demand, Instant now);
     /// Records that a request waits for the copy.
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -448,7 +448,8 @@
 bool CopyPlacement::mayReplaceLastCopy(const Plan &plan, const ModelView &view,
                                        const ModelView &victim, Instant now) const
 {
-    if (plan.fitsAllModels || victim.isRequested || !view.isRequested || view.copies > 0)
+    const bool isNeeded = view.isRequested || view.demand >= m_settings.idleModelDemand;
+    if (plan.fitsAllModels || victim.isRequested || !isNeeded || view.copies > 0)
         return false;
     if (victim.demand < m_settings.idleModelDemand)
         return true;
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -664,3 +664,30 @@
     }
     CHECK_EQUAL(1, loads);
 }
+
+// The model of a replica that had said in its answers that it leaves was loaded elsewhere only when
+// the replica was gone.
+TEST(CopyPlacement, CopiesOfAReplicaThatSaysItLeavesAreReplacedAtOnce)
+{
+    Simulation simulation(7);
+    simulation.run(20s);
+    FakeReplica *holder = nullptr;
+    for (FakeReplica &replica : simulation.replicas) {
+        for (const auto &[model, adapters] : replica.models) {
+            if (simulation.copiesOf(model) == 1)
+                holder = &replica;
+        }
+    }
+    CHECK(holder != nullptr);
+    std::string only;
+    for (const auto &[model, adapters] : holder->models) {
+        if (simulation.copiesOf(model) == 1)
+            only = model;
+    }
+    simulation.placement->onReplicaLeaving(holder->id);
+    for (int second = 0; second < 6; ++second) {
+        simulation.placement->onDemand("node-1", { { "pool", only, "", 6'000.0 } }, simulation.now);
+        simulation.run(1s);
+    }
+    CHECK(simulation.copiesOf(only) >= 2);
+}
--- a/tests/support/placementday.h
+++ b/tests/support/placementday.h
@@ -567,6 +567,8 @@
                 placement->onOrderResult(send->command, result, now);
             } else if (const auto *ask = std::get_if<RequestReport>(&action)) {
                 DayReplica *replica = find(ask->replica);
+                if (replica != nullptr && replica->isLeaving)
+                    placement->onReplicaLeaving(replica->id);
                 placement->onReport(ask->replica,
                                     replica == nullptr ? std::optional<EngineReport>()
                                                        : replica->report(),
