Findings of the review of the placement's changes

A reader who had not seen the work found, by reading: - An adapter that is being unloaded while in use counted as held: its age was forgotten and no other replica loaded it. - One long stream on such an adapter kept all others waiting, without a bound; the bound is 1 s now. - A model whose every possible replica has adapters in demand never got a further copy, however overloaded; its demand per copy is compared with theirs now. A replica kept free no longer makes a model wait that another could take. - The age of a missing model was never forgotten; it is when requests and demand have ended. - Names of adapters that the model does not have evicted adapters in use. - That a replica leaves was taken as said by the next process under its id. - A reason that changes with each plan wrote a line each time; now two a second at most. - A new holder without demand loaded models that nobody had asked for, on replicas that adapters need.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -190,8 +190,8 @@
     m_state.onReplicaForgotten = [this](const std::string &replica) {
         m_copies.placement().onReplicaRemoved(replica);
     };
-    m_state.onReplicaLeaving = [this](const std::string &replica) {
-        m_copies.placement().onReplicaLeaving(replica);
+    m_state.onReplicaLeaving = [this](const std::string &replica, std::uint64_t startedMs) {
+        m_copies.placement().onReplicaLeaving(replica, startedMs);
     };
     m_state.onSuspectNotes = [this](const std::vector<SuspectNote> &notes, bool toAll) {
         sendSuspectNotes(notes,
@@ -374,7 +374,7 @@
     }
     m_copies.placement().onReplica(row->info, now);
     if (row->drainedAt != Instant {})
-        m_copies.placement().onReplicaLeaving(replica.id);
+        m_copies.placement().onReplicaLeaving(replica.id, row->info.startedMs);
 }
 
 void EdgeProgram::dropReplica(const std::string &id, Instant storeReturnedAt, Instant now)
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -135,7 +135,7 @@
                 .field("listed", replicas.find(source.replica) == nullptr ? "no" : "yes")
                 .field("drained_in_ms", drainedAt - now);
         if (onReplicaLeaving)
-            onReplicaLeaving(source.replica);
+            onReplicaLeaving(source.replica, source.startedMs);
     }
     takePause(signals, source);
     return takeLimit(signals, source);
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -142,8 +142,8 @@
     /// Called when a replica was forgotten, so that the placement does not count its copies.
     std::function<void(const std::string &replica)> onReplicaForgotten;
 
-    /// Called when a listed replica said for the first time that it is about to terminate.
-    std::function<void(const std::string &replica)> onReplicaLeaving;
+    /// Called when a process of a replica said for the first time that it is about to terminate.
+    std::function<void(const std::string &replica, std::uint64_t startedMs)> onReplicaLeaving;
 
 private:
     bool isOwner(std::uint64_t key, Instant now) const override;
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -35,6 +35,7 @@
 void CopyPlacement::onConfig(const ServingConfig &config)
 {
     m_services.clear();
+    m_unplaced.clear();
     for (const auto &[name, service] : config.services) {
         if (!service.engine || service.engine->models.empty())
             continue;
@@ -66,7 +67,8 @@
     std::erase_if(engine.unloading,
                   [&](const std::string &model) { return listedCopy(engine, model) == nullptr; });
     std::erase_if(engine.unloadingAdapters,
-                  [&](const std::string &copy) { return !holdsCopy(info.models, copy); });
+                  [&](const auto &entry) { return !holdsCopy(info.models, entry.first); });
+    std::erase_if(engine.evictableAt, [&](const auto &entry) { return now >= entry.second; });
     if (now >= engine.reportExpiresAt)
         engine.reported.clear();
     std::erase_if(engine.pendingAdapters, [&](const auto &entry) {
@@ -80,9 +82,10 @@
     m_engines.erase(id);
 }
 
-void CopyPlacement::onReplicaLeaving(const std::string &id)
+void CopyPlacement::onReplicaLeaving(const std::string &id, std::uint64_t startedMs)
 {
-    if (const auto found = m_engines.find(id); found != m_engines.end())
+    const auto found = m_engines.find(id);
+    if (found != m_engines.end() && found->second.info.startedMs == startedMs)
         found->second.info.draining = true;
 }
 
@@ -161,7 +164,7 @@
                                                     m_settings.adapterLoadTime });
     } else if (result == OrderResult::Accepted) {
         // In use: it takes its slot until its requests have ended, which the listing shows.
-        engine.unloadingAdapters.insert(copyName(command.model, command.adapter));
+        engine.unloadingAdapters.emplace(copyName(command.model, command.adapter), now);
     } else {
         engine.pendingAdapters.erase(copyName(command.model, command.adapter));
         for (auto *held : { &engine.info.models, &engine.reported }) {
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -67,8 +67,9 @@
     /// Upper bound of that wait, from the first listed replica on.
     Duration maxListWait = std::chrono::seconds(5);
 
-    /// Nodes report their demand to a new holder within this time. Before, no copy is evicted and
-    /// nothing is loaded ahead of requests: all copies would look idle.
+    /// Nodes report their demand to a new holder within this time. Before, no model is evicted and
+    /// nothing is loaded ahead of requests: all copies would look idle. Adapters are, since they
+    /// are back within milliseconds.
     Duration demandSettleTime = std::chrono::milliseconds(600);
     /// A row of a node's demand reports is dropped after this time.
     Duration demandLifetime = std::chrono::seconds(4);
@@ -110,6 +111,8 @@
     Duration maxAdapterWait = std::chrono::milliseconds(200);
     /// That time is forgotten when no request has come for the adapter for this long.
     Duration adapterWaitLifetime = std::chrono::seconds(15);
+    /// While an adapter in use is being unloaded, no further one is, for at most this long.
+    Duration maxAdapterUnloadWait = std::chrono::seconds(1);
     /// An adapter loaded for a request is not evicted within this time, in which the request uses
     /// it.
     Duration minAdapterResidencyTime = std::chrono::seconds(1);
@@ -131,8 +134,10 @@
     std::size_t maxEvictionsTried = 8;
     /// Report requests that are open at the same time; a new holder needs a report of each replica.
     int maxOpenReports = 32;
-    /// A copy that stays unplaced for the same reason is noted again after this time.
+    /// A copy that stays unplaced is noted again after this time, and earlier if the reason
+    /// changes.
     Duration unplacedNoteInterval = std::chrono::seconds(2);
+    Duration minUnplacedNoteInterval = std::chrono::milliseconds(500);
     /// Cost of a load from the weight store compared to a load from the replica's own host memory
     /// or disk, in units of tokensPerCopy: a load from the store takes several times as long.
     double storeLoadPenalty = 2.0;
@@ -200,7 +205,8 @@
     void onReplicaRemoved(const std::string &id);
     /// Records that a replica said in an answer that it is about to terminate; its listing may not
     /// show it yet. It gets no more orders, and its copies count as missing.
-    void onReplicaLeaving(const std::string &id);
+    /// @param startedMs start of its process; other processes are ignored
+    void onReplicaLeaving(const std::string &id, std::uint64_t startedMs);
     /// Takes a demand report of a node; earlier rows that it does not have stay for a while.
     void onDemand(const std::string &node, const std::vector<CopyDemand> &demand, Instant now);
     /// Records that a request waits for the copy.
@@ -247,7 +253,7 @@
     {
         const char *reason = "";
         Instant since;
-        Instant nextNoteAt;
+        Instant notedAt;
     };
 
     /// An adapter that requests have come for and that no replica has held since.
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -19,6 +19,15 @@
     return "a" + std::to_string(number);
 }
 
+bool isAdapterOf(const EngineModel &model, const std::string &adapter)
+{
+    for (int number = 1; number <= model.adapters; ++number) {
+        if (adapter == adapterName(number))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 // ---- Plan ---------------------------------------------------------------------------------------
@@ -195,10 +204,14 @@
                 m_unplaced
                         .try_emplace(std::pair(plan.service.name, copy), Unplaced { "", now, now })
                         .first->second;
-        if (unplaced.reason == std::string_view(reason) && now < unplaced.nextNoteAt)
+        const bool isNew = unplaced.reason[0] == '\0';
+        const Duration interval = unplaced.reason == std::string_view(reason)
+                ? m_settings.unplacedNoteInterval
+                : m_settings.minUnplacedNoteInterval;
+        if (!isNew && now < unplaced.notedAt + interval)
             continue;
         unplaced.reason = reason;
-        unplaced.nextNoteAt = now + m_settings.unplacedNoteInterval;
+        unplaced.notedAt = now;
         const ModelView *model = plan.find(copy);
         const auto adapter = plan.adapterDemand.find(copy);
         double demand = model == nullptr ? 0.0 : model->demand;
@@ -228,13 +241,16 @@
         const EngineRecord &engine = *view.record;
         for (const auto *held : { &engine.info.models, &engine.reported }) {
             for (const ModelCopy &copy : *held) {
-                for (const std::string &adapter : copy.adapters)
-                    plan.heldAdapters.insert(copyName(copy.model, adapter));
+                for (const std::string &adapter : copy.adapters) {
+                    std::string name = copyName(copy.model, adapter);
+                    if (!engine.unloadingAdapters.contains(name))
+                        plan.heldAdapters.insert(std::move(name));
+                }
             }
         }
         for (const auto &[name, orderedAt] : engine.pendingAdapters)
             plan.heldAdapters.insert(name);
-        if (engine.openOrder && !engine.openOrder->adapter.empty())
+        if (engine.openOrder && engine.openOrder->load && !engine.openOrder->adapter.empty())
             plan.heldAdapters.insert(copyName(engine.openOrder->model, engine.openOrder->adapter));
     }
 }
@@ -297,7 +313,8 @@
             m_missingSince.find(std::pair(engine.record->info.service, view.model->name));
     const bool isOverdue =
             since != m_missingSince.end() && now >= since->second + 2 * m_settings.maxMissingTime;
-    return !isOverdue && (view.copies > 0 || view.demand < engine.adapterDemand);
+    const double demand = view.copies == 0 ? view.demand : view.demandPerCopy();
+    return !isOverdue && demand < engine.adapterDemand;
 }
 
 // ---- Models -------------------------------------------------------------------------------------
@@ -341,6 +358,8 @@
     };
     std::vector<const ModelView *> withoutMemory;
     for (ModelView *view : order) {
+        if (now < m_demandKnownAt && !view->isRequested)
+            continue;
         const char *reason = view->copies == 0 ? "missing" : "demand";
         const PlaceResult result = placeModel(plan, *view, reason, now);
         if (result == PlaceResult::NoMemory)
@@ -368,7 +387,7 @@
     std::erase_if(m_missingSince, [&](const auto &entry) {
         const auto &[service, model] = entry.first;
         const ModelView *view = service == plan.service.name ? plan.find(model) : nullptr;
-        return view != nullptr && view->copies > 0;
+        return view != nullptr && (view->copies > 0 || (!view->isRequested && view->demand <= 0.0));
     });
     for (const auto &[key, request] : m_requestedCopies) {
         const ModelView *view =
@@ -397,8 +416,9 @@
     for (EngineView &engine : plan.engines) {
         if (!canReceiveCopy(view, engine, now) || engine.freeMb < view.model->memoryMb)
             continue;
-        fits = true;
-        if (isReserved(view, engine, now))
+        const bool isKeptFree = isReserved(view, engine, now);
+        fits = fits || !isKeptFree || engine.reservedForAdapters;
+        if (isKeptFree)
             continue;
         const bool needsStore = view.needsStore(engine);
         if (needsStore && !canLoadFromStore)
@@ -597,10 +617,15 @@
     const std::string copy = copyName(model.model->name, adapter);
     if (plan.heldAdapters.contains(copy))
         return true;
+    if (!isAdapterOf(*model.model, adapter)) {
+        plan.unplaced[copy] = "unknown_adapter";
+        return false;
+    }
     EngineView *best = nullptr;
     int bestCount = 0;
     for (EngineView *engine : model.listed) {
-        if (!engine->takesOrders || !canTakeAdapter(*engine->record, now))
+        if (!engine->takesOrders || !canTakeAdapter(*engine->record, now)
+            || engine->record->unloadingAdapters.contains(copy))
             continue;
         const int count = maxHeldAdapters(*engine->record);
         if (count >= plan.limits.adapterSlots)
@@ -662,8 +687,11 @@
     std::string victimModel;
     std::string victim;
     const bool isSlotComing =
-            std::any_of(model.listed.begin(), model.listed.end(), [](const EngineView *engine) {
-                return !engine->record->unloadingAdapters.empty();
+            std::any_of(model.listed.begin(), model.listed.end(), [&](const EngineView *engine) {
+                const auto &unloading = engine->record->unloadingAdapters;
+                return std::any_of(unloading.begin(), unloading.end(), [&](const auto &entry) {
+                    return now < entry.second + m_settings.maxAdapterUnloadWait;
+                });
             });
     double lowestDemand = mayBeInUse && !isSlotComing ? std::numeric_limits<double>::max()
                                                       : m_settings.idleAdapterDemand;
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -61,9 +61,11 @@
     /// Adapters ("model/adapter") ordered but not listed yet, with the time when the order was
     /// accepted or first reported.
     std::map<std::string, Instant> pendingAdapters;
-    /// Adapters ordered to be unloaded that requests still use; they take slots until then.
-    std::set<std::string> unloadingAdapters;
-    /// Models ordered to be loaded, with the time at which their protection from eviction ends.
+    /// Adapters ordered to be unloaded that requests still use, with the time of the order; they
+    /// take slots until then.
+    std::map<std::string, Instant> unloadingAdapters;
+    /// Models and adapters ordered to be loaded, with the time at which their protection from
+    /// eviction ends.
     std::map<std::string, Instant> evictableAt;
 
     std::string reservedFor;      // model for which a copy was evicted here
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -684,10 +684,57 @@
         if (simulation.copiesOf(model) == 1)
             only = model;
     }
-    simulation.placement->onReplicaLeaving(holder->id);
+    simulation.placement->onReplicaLeaving(holder->id, 1);
     for (int second = 0; second < 6; ++second) {
         simulation.placement->onDemand("node-1", { { "pool", only, "", 6'000.0 } }, simulation.now);
         simulation.run(1s);
     }
     CHECK(simulation.copiesOf(only) >= 2);
 }
+
+// A second copy was refused for good to a model whose every possible replica had adapters in
+// demand.
+TEST(CopyPlacement, OverloadedModelGetsAFurtherCopyBesideAdaptersInDemand)
+{
+    Simulation simulation(9, 2);
+    simulation.run(20s);
+    for (int second = 0; second < 20; ++second) {
+        simulation.placement->onDemand("node-1",
+                                       { { "pool", "m0", "", 60'000.0 },
+                                         { "pool", "m0", "a1", 900.0 },
+                                         { "pool", "m0", "a2", 900.0 } },
+                                       simulation.now);
+        simulation.run(1s);
+    }
+    CHECK(simulation.copiesOf("m0") >= 2);
+    for (int model = 0; model < ModelCount; ++model)
+        CHECK(simulation.copiesOf("m" + std::to_string(model)) >= 1);
+}
+
+TEST(CopyPlacement, NamesThatAreNoAdapterOfTheModelEvictNothing)
+{
+    Simulation simulation(10, 6);
+    simulation.run(20s);
+    const int before = simulation.orders;
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        simulation.placement->onCopyRequest("pool", "m0", "a7", simulation.now);
+        simulation.placement->onCopyRequest("pool", "m0", "zzz", simulation.now);
+        simulation.run(100ms);
+    }
+    CHECK_EQUAL(before, simulation.orders);
+}
+
+TEST(CopyPlacement, AnEarlierProcessThatLeavesDoesNotConcernTheNextOne)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config());
+    FakeReplica replica;
+    replica.id = "r0";
+    ReplicaInfo info = replica.listing();
+    info.startedMs = 2;
+    placement.onReplica(info, Start);
+    placement.setHolder(true, 1, Start);
+    placement.onReplicaLeaving("r0", 1);
+    placement.tick(Start + 2s);
+    CHECK_EQUAL(1U, placement.takeActions().size()); // its report is requested
+}
--- a/tests/support/placementday.h
+++ b/tests/support/placementday.h
@@ -568,7 +568,7 @@
             } else if (const auto *ask = std::get_if<RequestReport>(&action)) {
                 DayReplica *replica = find(ask->replica);
                 if (replica != nullptr && replica->isLeaving)
-                    placement->onReplicaLeaving(replica->id);
+                    placement->onReplicaLeaving(replica->id, 1);
                 placement->onReport(ask->replica,
                                     replica == nullptr ? std::optional<EngineReport>()
                                                        : replica->report(),
