Loads held back for adapters have a bound of their own

How long a load has been held back is counted now: 10 s for a model without a copy, 30 s for a further copy.

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -257,6 +257,8 @@
     expireDemand(now);
     std::erase_if(m_requestedCopies,
                   [&](const auto &entry) { return now >= entry.second.expiresAt; });
+    std::erase_if(m_heldBackLoads,
+                  [&](const auto &entry) { return now >= entry.second.expiresAt; });
     std::erase_if(m_preloadAllowedAt, [&](const auto &entry) { return now >= entry.second; });
     int openReports = 0;
     for (auto &[id, engine] : m_engines) {
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -130,6 +130,12 @@
     /// A model that requests have waited for this long without any copy may replace the only copy
     /// of a model with more demand, so that no model is starved.
     Duration maxMissingTime = std::chrono::seconds(5);
+    /// A load may go to the last replica that can take the adapters of a model after this time: of
+    /// a model without a copy, and of one that has copies.
+    Duration maxHeldBackTime = std::chrono::seconds(10);
+    Duration maxHeldBackCopyTime = std::chrono::seconds(30);
+    /// That time is forgotten when no plan has asked for the load for this long.
+    Duration heldBackLoadLifetime = std::chrono::seconds(2);
     /// Models for which one planning pass looks for a copy to evict.
     std::size_t maxEvictionsTried = 8;
     /// Report requests that are open at the same time; a new holder needs a report of each replica.
@@ -263,6 +269,13 @@
         Instant expiresAt;
     };
 
+    /// A load of a model that waits because its replicas are kept free for adapters.
+    struct HeldBackLoad
+    {
+        Instant since;
+        Instant expiresAt;
+    };
+
     struct RequestedCopy
     {
         std::string service;
@@ -280,7 +293,7 @@
     bool fitsAllModels(const Plan &plan) const;
     void collectHeldAdapters(Plan &plan) const;
     void reserveForAdapters(Plan &plan, Instant now) const;
-    bool isReserved(const ModelView &view, const EngineView &engine, Instant now) const;
+    bool isReserved(const ModelView &view, const EngineView &engine, Instant now);
     void noteUnplaced(Plan &plan, Instant now);
     void placeModels(Plan &plan, Instant now);
     void noteMissing(Plan &plan, Instant now);
@@ -318,6 +331,8 @@
     std::map<std::pair<std::string, std::string>, Instant> m_missingSince;
     std::map<std::pair<std::string, std::string>, AdapterWait> m_adapterWaits; // as m_unplaced
     std::map<std::pair<std::string, std::string>, Unplaced> m_unplaced; // by service and copy
+    std::map<std::pair<std::string, std::string>, HeldBackLoad>
+            m_heldBackLoads; // by service and model
     std::vector<PlacingAction> m_actions;
 };
 
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -303,18 +303,20 @@
 }
 
 /// @return whether the replica is kept free of a load of the model, for the sake of adapters
-bool CopyPlacement::isReserved(const ModelView &view, const EngineView &engine, Instant now) const
+bool CopyPlacement::isReserved(const ModelView &view, const EngineView &engine, Instant now)
 {
     if (engine.reservedForAdapters)
         return true;
-    if (engine.adapterDemand < m_settings.idleAdapterDemand)
+    if (engine.adapterDemand < m_settings.idleAdapterDemand
+        || (view.copies == 0 && view.demand >= engine.adapterDemand))
         return false;
-    const auto since =
-            m_missingSince.find(std::pair(engine.record->info.service, view.model->name));
-    const bool isOverdue =
-            since != m_missingSince.end() && now >= since->second + 2 * m_settings.maxMissingTime;
-    const double demand = view.copies == 0 ? view.demand : view.demandPerCopy();
-    return !isOverdue && demand < engine.adapterDemand;
+    HeldBackLoad &load = m_heldBackLoads
+                                 .try_emplace({ engine.record->info.service, view.model->name },
+                                              HeldBackLoad { now, now })
+                                 .first->second;
+    load.expiresAt = now + m_settings.heldBackLoadLifetime;
+    return now < load.since
+            + (view.copies == 0 ? m_settings.maxHeldBackTime : m_settings.maxHeldBackCopyTime);
 }
 
 // ---- Models -------------------------------------------------------------------------------------
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -698,7 +698,7 @@
 {
     Simulation simulation(9, 2);
     simulation.run(20s);
-    for (int second = 0; second < 20; ++second) {
+    for (int second = 0; second < 40; ++second) {
         simulation.placement->onDemand("node-1",
                                        { { "pool", "m0", "", 60'000.0 },
                                          { "pool", "m0", "a1", 900.0 },
