A released lease says for how long its holder gave no order

After a planned stop of the holder, callers found nobody who could place copies for 3.5 s more than needed: where the release arrives late (the store was away), the next holder waited a whole turn from its own takeover on, although the one before had given its last order 7 s earlier. The release now states that time, and the turn counts from the last order. A lease released without it costs a whole turn, as before.

--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -37,6 +37,8 @@
 
 constexpr std::chrono::milliseconds OrderDeadline { 600 }; // as CopyPlacementSettings::orderTimeout
 
+constexpr std::uint64_t MaxIdleMs = 60'000; // that a released lease may state; far beyond any turn
+
 /// Beyond the lease time between the orders of two holders: an order's way.
 constexpr std::chrono::milliseconds TurnMargin { 500 };
 
@@ -113,6 +115,7 @@
     , m_lease(leaseSettings(state.profile.bounds), state.profile.name, NodeIncarnation)
     , m_placement(placementSettings(state.profile))
     , m_candidateFrom(steadyNow() + CandidateAfter)
+    , m_lastOrderAt(leaseNow())
 {
 }
 
@@ -163,8 +166,8 @@
     for (const LeaseAction &action : m_lease.takeActions())
         carryOut(action);
     for (const LeaseEvent event : m_lease.takeEvents()) {
-        if (event == LeaseEvent::Taken && m_wasGivenBack)
-            m_ordersFrom = now + m_state.profile.bounds.leaseTime + TurnMargin;
+        if (event == LeaseEvent::Taken)
+            m_ordersFrom = m_ordersAllowedFrom;
         m_state.log.line("lease")
                 .field("change", event == LeaseEvent::Taken ? "taken" : "lost")
                 .field("term", m_lease.term())
@@ -195,26 +198,34 @@
     const ReadAnswer answer = co_await m_state.ports.store.read(ObjectKind::Leases, LeaseName);
     LeaseReadResult read;
     read.callId = action.callId;
+    Duration idle {}; // of its last holder, when it released the lease
     read.hasKnownHolder = !m_state.directory.holder().name.empty();
     if (const auto *item = std::get_if<StoredItem>(&answer)) {
         read.available = true;
         read.era = item->revision.era;
         read.version = item->revision.number;
         read.value = leaseFromJson(item->content);
+        idle = std::chrono::milliseconds(
+                std::min<std::uint64_t>(numberIn(item->content, "idle_ms"), MaxIdleMs));
         // Taken over like one that was given back: the next write gives it a readable value.
         if (read.version != 0 && read.value.term == 0)
             m_state.log.line("lease_unreadable").field("revision", read.version);
     }
-    noteGivenBack(read);
+    noteRelease(read, idle);
     m_lease.onRead(read, leaseNow());
     tickLease();
 }
 
 asio::awaitable<void> CopyShell::writeLease(LeaseWrite action)
 {
+    json::value content = leaseToJson(action.value);
+    if (action.value.holder.empty())
+        content.as_object()["idle_ms"] =
+                std::chrono::duration_cast<std::chrono::milliseconds>(leaseNow() - m_lastOrderAt)
+                        .count();
     const StoreWriteAnswer answer = co_await m_state.ports.store.write(
             ObjectKind::Leases, LeaseName, { action.value.era, action.expectedVersion },
-            leaseToJson(action.value));
+            std::move(content));
     if (answer.outcome != WriteOutcome::Done)
         m_state.log.line("lease_write_failed")
                 .field("term", action.value.term)
@@ -225,13 +236,15 @@
     tickLease();
 }
 
-/// A lease that lapsed was unchanged for longer than its holder may act; one that was given back
-/// may have been used a moment ago.
-void CopyShell::noteGivenBack(const LeaseReadResult &read)
+/// A lease that lapsed was unchanged for longer than its holder may act; one that was released may
+/// have been used a moment before.
+void CopyShell::noteRelease(const LeaseReadResult &read, Duration idle)
 {
-    const bool byOther = read.value.holder != m_state.profile.name;
-    if (read.available && byOther)
-        m_wasGivenBack = read.version != 0 && read.value.holder.empty();
+    if (!read.available || read.value.holder == m_state.profile.name)
+        return;
+    const bool isReleased = read.version != 0 && read.value.holder.empty();
+    const Duration turn = m_state.profile.bounds.leaseTime + TurnMargin;
+    m_ordersAllowedFrom = isReleased ? firstOrderAfterRelease(leaseNow(), idle, turn) : Instant {};
 }
 
 // ---- Orders -------------------------------------------------------------------------------------
@@ -303,9 +316,11 @@
     const SignalSource source = signalSource(action.command.replica);
     // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so
     // it is read at the last moment.
-    if (isOk(endpoint) && holds() && mayCommand(action.command.replica, CommandKind::Order))
+    if (isOk(endpoint) && holds() && mayCommand(action.command.replica, CommandKind::Order)) {
+        m_lastOrderAt = leaseNow();
         answer = co_await m_state.ports.engines.order(valueOf(endpoint), action.command,
                                                       steadyNow() + OrderDeadline);
+    }
     m_state.log.line("order")
             .field("replica", action.command.replica)
             .field("operation", action.command.load ? "load" : "unload")
