What waits on a program's event loop ends before the state it refers to

Cause: the io_context is declared first and destroyed last, and it owns the suspended coroutines; ~RequestFlow then removes itself from NodeState::flows, which is gone. The class: destructors in suspended coroutine frames touch state that was destroyed before them. WorkEnd, the last member of EdgeProgram and declared after the program in programmain.h, now destroys the pending work of an EventLoop while all that it refers to is there.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -149,7 +149,7 @@
 
 // ---- Start --------------------------------------------------------------------------------------
 
-EdgeProgram::EdgeProgram(asio::io_context &io, NodeProfile profile, PlatformPorts ports,
+EdgeProgram::EdgeProgram(EventLoop &io, NodeProfile profile, PlatformPorts ports,
                          std::function<void(EventLog &)> rereadSettings)
     : m_state(io, std::move(profile), ports)
     , m_rereadSettings(std::move(rereadSettings))
@@ -175,6 +175,7 @@
     , m_demandReport(DemandRefresh)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(io)
+    , m_workEnd(io)
 {
     m_state.waiting.onCopyRequest = [this](const CopyRequest &want) {
         const WantNote note { want.service, want.model, want.adapter };
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -11,6 +11,7 @@
 #include "edge/nodestate.h"
 #include "edge/requestflow.h"
 #include "edge/storewatch.h"
+#include "net/eventloop.h"
 #include "net/httpserver.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -70,8 +71,9 @@
 class EdgeProgram : private BeatListener, private StoreListener, private NodeAnnouncer
 {
 public:
+    /// @param io does no work any more once the program is destroyed
     /// @param rereadSettings called when the settings may have changed
-    EdgeProgram(boost::asio::io_context &io, NodeProfile profile, PlatformPorts ports,
+    EdgeProgram(EventLoop &io, NodeProfile profile, PlatformPorts ports,
                 std::function<void(EventLog &)> rereadSettings);
 
     /// Listens on all addresses and starts the work.
@@ -143,6 +145,7 @@
     bool m_closeNoted = false;
     Instant m_giveUpAt; // stopping: what has not begun to be answered gets its final answer
     Instant m_endBy;    // stopping: the process ends at the latest
+    WorkEnd m_workEnd;  // last: coroutines refer to the other members
 };
 
 } // namespace burdock
--- a/src/net/programmain.h
+++ b/src/net/programmain.h
@@ -2,10 +2,9 @@
 #pragma once
 
 #include "net/decisionlog.h"
+#include "net/eventloop.h"
 #include "settings/nodesettings.h"
 
-#include <boost/asio/io_context.hpp>
-
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
 
@@ -41,8 +40,9 @@
         return 0;
 
     startLogging(argv[0]);
-    boost::asio::io_context io(1);
+    EventLoop io;
     Program program(io, valueOf(settings));
+    const WorkEnd workEnd(io);
     const auto started = program.start();
     if (!isOk(started)) {
         LOG(ERROR) << errorOf(started).message;
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -28,6 +28,23 @@
     int withdrawn = 0;
 };
 
+/// The loop stops while a request waits for the end of its claim.
+struct StopsAtClaim : public NoNodes
+{
+    explicit StopsAtClaim(asio::io_context &context)
+        : io(context)
+    {
+    }
+
+    bool announcePrompt(const PromptNote &) override
+    {
+        io.stop();
+        return true;
+    }
+
+    asio::io_context &io;
+};
+
 /// Lists the first of the fixture's servers as the replica "r0".
 ReplicaInfo announceFirstServer(RequestFlowFixture &fixture)
 {
@@ -35,6 +52,7 @@
     info.id = "r0";
     info.service = fixture.service;
     info.address = toText(fixture.servers[0]->endpoint());
+    info.models = fixture.models;
     info.startedMs = 1;
     info.slots = 4;
     fixture.state->replicas.onAnnounced(info, steadyNow());
@@ -333,3 +351,19 @@
     CHECK(row->drainedAt > steadyNow());
     CHECK(state->replicas.isDrained(*row, steadyNow() + state->profile.bounds.drainTime));
 }
+
+TEST(RequestFlow, AProgramThatEndsDuringAClaimDestroysTheRequestBeforeItsState)
+{
+    service = "pool";
+    models = { { "m", {} } };
+    servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { NoAnswer }));
+    announceFirstServer(*this);
+    auto announcer = std::make_unique<StopsAtClaim>(io);
+    CallerHandler handler(*state, *announcer);
+    const HttpRequest request = callerRequest("/model-stream/a");
+    const WorkEnd workEnd(io);
+    asio::co_spawn(io, handler.handle(request, caller), asio::detached);
+    io.run_for(100ms);
+    CHECK(io.stopped());
+    CHECK_EQUAL(1, state->flows.size());
+}
--- a/tests/adapter/test_requestlimits.cpp
+++ b/tests/adapter/test_requestlimits.cpp
@@ -137,7 +137,7 @@
 
 struct LimitedFleet : public Utest
 {
-    asio::io_context io { 1 };
+    EventLoop io;
     FixedStore store;
     FixedDecoder decoder;
     PlatformDialect dialect;
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -1,7 +1,7 @@
 // Plays one request through RequestFlow, with the platform's dialect, against scripted replicas.
 #pragma once
 
-#include "edge/requestflow.h"
+#include "edge/edgeprogram.h"
 #include "platform/requestdialect.h"
 #include "platform/storedecoder.h"
 #include "support/caller.h"
@@ -57,7 +57,7 @@
 
 struct RequestFlowFixture : public Utest
 {
-    asio::io_context io { 1 };
+    EventLoop io;
     UnreachableStore store;
     NoEngines engines;
     NoNodes nodes;
--- a/tests/support/storefleet.h
+++ b/tests/support/storefleet.h
@@ -42,14 +42,25 @@
     {
         arrivals++;
         lastArrivalAt = steadyNow();
-        co_await sleepFor(std::chrono::milliseconds(10));
+        if (isStuck && request.target.starts_with("/stream/")) {
+            std::vector<HttpHeader> stream = answerHeaders(request);
+            stream.push_back({ "Content-Type", "text/event-stream" });
+            co_await reply.begin(StatusOk, std::move(stream));
+            co_await reply.write("id: 1\ndata: a\n\n");
+        }
+        co_await sleepFor(isStuck ? std::chrono::minutes(10) : std::chrono::milliseconds(10));
+        co_await reply.send(StatusOk, answerHeaders(request), "good");
+    }
+
+    std::vector<HttpHeader> answerHeaders(const HttpRequest &request) const
+    {
         std::vector<HttpHeader> headers {
             { "Attempt-Id", headerValue(request.headers, "Attempt-Id").value_or("") },
             { "Server-Seal", "x" },
         };
         if (isLeaving)
             headers.push_back({ "Server-Leaving", "1" });
-        co_await reply.send(StatusOk, std::move(headers), "good");
+        return headers;
     }
 
     std::string id;
@@ -57,6 +68,7 @@
     Endpoint endpoint;
     std::string state = "ready"; // as its entry says
     bool isLeaving = false;      // as its answers say
+    bool isStuck = false;        // it answers nothing, or the first event of a stream
     int arrivals = 0;
     Instant lastArrivalAt;
 };
@@ -95,7 +107,7 @@
         return link.endpoint();
     }
 
-    boost::asio::io_context io { 1 };
+    EventLoop io;
     standin::StoreServer store;
     HttpServer storeServer { io, {}, store };
     Endpoint storeEndpoint { "127.0.0.1", 0 };
@@ -279,7 +291,7 @@
         finishCalls();
     }
 
-    /// Waits until all calls have ended: nodes must not end with requests under way.
+    /// Waits until all calls have ended.
     void finishCalls()
     {
         io.run_for(std::chrono::milliseconds(100));
