--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -17,7 +17,10 @@
 // in free memory, then in place of the copies that are needed least. Where the replicas cannot hold
 // one copy of each model, a requested model without one replaces an idle one, and after
 // CopyPlacementSettings::maxMissingTime also one that is not idle. Adapters are loaded ahead of
-// demand while adapter slots are free; a requested adapter replaces an idle one.
+// demand while adapter slots are free; a requested adapter replaces an idle one, and one in use
+// after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take turns. The last
+// replica that can take the adapters of a model is kept free of model loads for less demand: a load
+// makes its replica refuse all other orders for seconds.
 //
 // Orders with an unknown outcome. Each order carries the number of orders that the replica had
 // accepted when the holder learned what it holds. The replica carries out the order only while that
--- a/tests/support/placementday.h
+++ b/tests/support/placementday.h
@@ -19,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <optional>
 #include <set>
 #include <string>
@@ -238,7 +239,7 @@
         placeAtStart();
         for (const DayReplica &replica : replicas)
             placement->onReplica(replica.listing(), now);
-        placement->setHolder(true, ++term, now);
+        placement->setHolder(true, ++m_term, now);
     }
 
     /// Moves most requests to other models.
@@ -248,21 +249,21 @@
     void loseHolder(bool isStoreAway)
     {
         placement->setHolder(false, 0, now);
-        storeAway = isStoreAway;
+        m_storeAway = isStoreAway;
     }
 
     /// A new holder begins. Entries of replicas that have gone are removed.
     void takeOver()
     {
-        if (std::exchange(storeAway, false)) {
+        if (std::exchange(m_storeAway, false)) {
             for (DayReplica &replica : replicas)
                 replica.nextListing = now + Duration(random.below(HeartbeatTime.count()));
         }
-        for (const std::string &id : gone)
+        for (const std::string &id : m_gone)
             placement->onReplicaRemoved(id);
-        gone.clear();
-        placement->setHolder(true, ++term, now);
-        demandReportedFrom = now + 200ms;
+        m_gone.clear();
+        placement->setHolder(true, ++m_term, now);
+        m_demandReportedFrom = now + 200ms;
     }
 
     /// @param notice until it is gone
@@ -379,11 +380,11 @@
             replicas.push_back(replica);
         }
         // Every model once; the hot ones again where there is room.
-        std::vector<int> order;
-        for (int number = 0; number < ModelCount; ++number)
-            order.push_back(number);
-        for (int extra = 0; order.size() < std::size_t(ReplicaCount * ModelsPerReplica); ++extra)
-            order.push_back(hot[static_cast<std::size_t>(extra % HotModels)]);
+        constexpr auto Places = std::size_t(ReplicaCount) * ModelsPerReplica;
+        std::vector<int> order(ModelCount);
+        std::iota(order.begin(), order.end(), 0);
+        while (order.size() < Places)
+            order.push_back(hot[(order.size() - ModelCount) % HotModels]);
         for (std::size_t index = 0; index < order.size(); ++index) {
             DayReplica &replica = replicas[index % replicas.size()];
             const std::string model = "m" + std::to_string(order[index]);
@@ -401,12 +402,12 @@
         listReplicas();
         arrive();
         serveWaiting();
-        if (now >= nextBeat) {
-            nextBeat = now + 500ms;
+        if (now >= m_nextBeat) {
+            m_nextBeat = now + 500ms;
             sendDemand();
         }
-        if (now >= nextPlan) {
-            nextPlan = now + 40ms;
+        if (now >= m_nextPlan) {
+            m_nextPlan = now + 40ms;
             placement->tick(now);
             carryOut();
         }
@@ -416,7 +417,7 @@
     void listReplicas()
     {
         for (DayReplica &replica : replicas) {
-            if (storeAway || now < replica.nextListing)
+            if (m_storeAway || now < replica.nextListing)
                 continue;
             replica.nextListing = now + HeartbeatTime;
             placement->onReplica(replica.listing(), now);
@@ -428,8 +429,8 @@
         std::erase_if(replicas, [&](const DayReplica &replica) {
             if (now < replica.goneAt)
                 return false;
-            if (storeAway)
-                gone.push_back(replica.id);
+            if (m_storeAway)
+                m_gone.push_back(replica.id);
             else
                 placement->onReplicaRemoved(replica.id);
             return true;
@@ -474,10 +475,10 @@
         if (asked.requests++ == 0)
             asked.first = now;
         asked.last = now;
-        demand[{ caller.model, "" }].counted += tokens;
+        m_demand[{ caller.model, "" }].counted += tokens;
         if (!caller.adapter.empty())
-            demand[{ caller.model, caller.adapter }].counted += tokens;
-        waiting.push_back(std::move(caller));
+            m_demand[{ caller.model, caller.adapter }].counted += tokens;
+        m_waiting.push_back(std::move(caller));
     }
 
     bool serve(const Caller &caller)
@@ -512,7 +513,7 @@
     /// Callers wait for a short while; they are refused then, and return once.
     void serveWaiting()
     {
-        std::erase_if(waiting, [&](Caller &caller) {
+        std::erase_if(m_waiting, [&](Caller &caller) {
             if (caller.nextWantAt > caller.givesUpAt) { // refused: it is on its way back
                 if (now < caller.nextWantAt)
                     return false;
@@ -536,11 +537,11 @@
 
     void sendDemand()
     {
-        if (now < demandReportedFrom)
+        if (now < m_demandReportedFrom)
             return; // the nodes do not know the new holder yet
         const double weight = 1.0 - std::exp(-0.5 / 1.2);
         std::vector<CopyDemand> rows;
-        for (auto &[copy, row] : demand) {
+        for (auto &[copy, row] : m_demand) {
             row.perSecond += weight * (std::exchange(row.counted, 0.0) / 0.5 - row.perSecond);
             rows.push_back({ service.name, copy.first, copy.second, row.perSecond });
         }
@@ -577,14 +578,14 @@
         }
     }
 
-    std::uint64_t term = 0;
-    bool storeAway = false;
-    std::vector<std::string> gone; // while the store was away
-    std::vector<Caller> waiting;
-    std::map<std::pair<std::string, std::string>, Row> demand;
-    Instant nextBeat;
-    Instant demandReportedFrom;
-    Instant nextPlan;
+    std::uint64_t m_term = 0;
+    bool m_storeAway = false;
+    std::vector<std::string> m_gone; // while the store was away
+    std::vector<Caller> m_waiting;
+    std::map<std::pair<std::string, std::string>, Row> m_demand;
+    Instant m_nextBeat;
+    Instant m_demandReportedFrom;
+    Instant m_nextPlan;
 };
 
 } // namespace burdock
