A test of endless answers waits for the server to see the close

By reading: the stand-in writes each 20 ms and notices a close at its second write after it, 40 ms later; the test looked after 50 ms. It now waits for that up to its slack of 200 ms and then checks the same. That the delay was the cause in the failed run is not shown by a run.

--- a/tests/net/test_endlessanswers.cpp
+++ b/tests/net/test_endlessanswers.cpp
@@ -53,6 +53,10 @@
         server.endless = repeated;
         server.endlessPause = pause;
         const auto result = call(server, Deadline);
+        // The server notices at its second write after the caller has closed the connection.
+        for (const Instant end = steadyNow() + Slack;
+             server.closedByCaller == 0 && steadyNow() < end;)
+            io.run_for(10ms);
         CHECK_TEXT(std::holds_alternative<CallFailure>(result), beginning.c_str());
         CHECK_TEXT(taken <= Deadline + Slack, beginning.c_str());
         CHECK_TEXT(server.endlessBytes <= MostBytes, beginning.c_str());
