--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -501,11 +501,8 @@
             ModelView *victim = plan.find(copy.model);
             if (victim == nullptr || victim->model->memoryMb < missing || victim->ready < 1)
                 continue;
-            const auto evictable = engine.record->evictableAt.find(copy.model);
-            const bool isProtected =
-                    evictable != engine.record->evictableAt.end() && now < evictable->second;
             const bool isLast = victim->ready < 2;
-            if (isProtected && (view.copies > 0 || isLast))
+            if (isProtected(*engine.record, copy.model, now) && (view.copies > 0 || isLast))
                 continue;
             if (isLast && !mayReplaceLastCopy(plan, view, *victim, now))
                 continue;
@@ -703,10 +700,8 @@
         isAnyFree = true;
         for (const auto &[heldModel, held] : loadedAdapters(*engine->record, now)) {
             const double demand = plan.demandOf(heldModel, held);
-            const auto evictable = engine->record->evictableAt.find(copyName(heldModel, held));
-            const bool isProtected =
-                    evictable != engine->record->evictableAt.end() && now < evictable->second;
-            if (isProtected || demand >= lowestDemand)
+            if (demand >= lowestDemand
+                || isProtected(*engine->record, copyName(heldModel, held), now))
                 continue;
             best = engine;
             victimModel = heldModel;
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -90,6 +90,12 @@
     return catalog.limits().weightsMb * usableShare - used;
 }
 
+bool isProtected(const EngineRecord &engine, const std::string &copy, Instant now)
+{
+    const auto evictable = engine.evictableAt.find(copy);
+    return evictable != engine.evictableAt.end() && now < evictable->second;
+}
+
 bool canTakeOrder(const EngineRecord &engine)
 {
     return !engine.info.draining && engine.orderCountKnown && !engine.openOrder
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -5,7 +5,7 @@
 //   EngineRecord                             the state
 //   resetRecord                              starts the record of a new process
 //   listedCopy, maxHeldAdapters              what the replica holds
-//   canTakeOrder, freeMemory                 whether the replica can take more
+//   canTakeOrder, freeMemory, isProtected    whether the replica can take more, or give up a copy
 //   loadTime                                 cost of a load
 #pragma once
 
@@ -91,6 +91,10 @@
 ///         time, and no order may have an unknown outcome
 bool canTakeOrder(const EngineRecord &engine);
 
+/// @param copy "model" or "model/adapter"
+/// @return whether the copy was loaded so recently that it may not be evicted yet
+bool isProtected(const EngineRecord &engine, const std::string &copy, Instant now);
+
 /// @param usableShare share of the replica's weight memory that may be used
 /// @return megabytes left after all models, listed or ordered, and all adapter slots; 0 if the size
 ///         of a held model is unknown; negative if the limits are exceeded
