--- a/tests/process/returned_store.py
+++ b/tests/process/returned_store.py
@@ -114,6 +114,7 @@
         self.seen = {}  # node: newest version that its process has served
         self.names = [f"n-{number}" for number in range(nodes)]
         self.calls = 0
+        self.limits = {}  # of each node's VM, as its settings state them
 
     def ip(self, node):
         return f"{NETWORK}.{FIRST_NODE_IP + self.names.index(node)}"
@@ -138,6 +139,7 @@
             "platform": {"address": STORE},
             "port_range": [PEER, PEER + 10],
             "seed_nodes": [f"{self.ip(seed)}:{PEER}" for seed in self.names[:2]],
+            "limits": self.limits,
             "bounds": {"drain_ms": int(DRAIN_S * 1000), "lease_ms": int(LEASE_S * 1000), "grace_s": 8},
         }
         path = os.path.join(self.folder, node + ".json")
