Bound what all requests of callers may hold together

What callers saw: clients outside the limits ended a process, which ran out of memory; while they kept all connections, an ordinary request got no answer.

Cause: a request was read as a whole into a buffer that grows as long as bytes come. Trailers and lines between chunks had no bound, bodies had one each and none together, and a new connection was closed when all places were taken, whoever held them. Freed texts kept their memory, and a body was copied four times on its way.

Change: the head is taken before the body, so that trailers are read within the bound of a head and dropped. All requests together hold at most 0.3 of the VM's memory; beyond it the one that holds most for longest without progress is refused with 503, not run. A new connection takes the place of the one that has sent no whole request for longest. A body has to be framed by one length or by "chunked" alone. After an early answer the rest is read for a bounded time, so that the caller gets it. Bodies are copied once.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -62,11 +62,35 @@
 constexpr std::size_t ReservedDescriptors = 700;
 constexpr std::size_t LeastConnections = 256;
 
-HttpLimits callerLimits(const CallerLimits &config, std::size_t descriptors)
+/// Of the VM's memory, the requests of callers may hold this share.
+constexpr double RequestMemoryShare = 0.3;
+constexpr double BytesPerMb = 1024.0 * 1024.0;
+
+/// Requests to the other addresses are short, and few connections come to them at a time.
+constexpr std::size_t InternalBodyBytes = 64 * 1024;
+constexpr std::size_t InternalBytesOfAll = 8 * 1024 * 1024;
+constexpr int DirectoryConnections = 512;
+constexpr int StatusConnections = 64;
+constexpr int FeedConnections = 1'024; // one of each node of the availability zone, and restarts
+
+HttpLimits internalLimits(int maxConnections)
 {
+    HttpLimits limits;
+    limits.maxBodyBytes = InternalBodyBytes;
+    limits.maxBytesOfAll = InternalBytesOfAll;
+    limits.maxConnections = maxConnections;
+    return limits;
+}
+
+HttpLimits callerLimits(const CallerLimits &config, const NodeProfile &profile)
+{
+    const std::size_t descriptors = profile.descriptors;
     HttpLimits limits;
     limits.maxHeaderBytes = config.maxHeaderBytes;
     limits.maxBodyBytes = config.maxBodyBytes;
+    if (profile.limits.memoryMb > 0.0)
+        limits.maxBytesOfAll =
+                static_cast<std::size_t>(RequestMemoryShare * BytesPerMb * profile.limits.memoryMb);
     limits.readTimeout = config.headerTimeout + config.idleTimeout; // bodies take their time
     limits.idleTimeout = config.idleTimeout;
     limits.maxConnections = static_cast<int>(
@@ -167,11 +191,11 @@
     , m_directoryHandler(m_state)
     , m_readinessHandler(m_state)
     , m_metricsHandler(m_state, m_followed)
-    , m_callers(io, callerLimits({}, m_state.profile.descriptors), m_callerHandler)
-    , m_directory(io, {}, m_directoryHandler)
-    , m_readiness(io, {}, m_readinessHandler)
-    , m_metricsServer(io, {}, m_metricsHandler)
-    , m_feedServer(io, {}, m_followed)
+    , m_callers(io, callerLimits({}, m_state.profile), m_callerHandler)
+    , m_directory(io, internalLimits(DirectoryConnections), m_directoryHandler)
+    , m_readiness(io, internalLimits(StatusConnections), m_readinessHandler)
+    , m_metricsServer(io, internalLimits(StatusConnections), m_metricsHandler)
+    , m_feedServer(io, internalLimits(FeedConnections), m_followed)
     , m_demandReport(DemandRefresh)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(io)
@@ -340,7 +364,7 @@
         return;
     }
     m_state.applyConfig(takeValue(std::move(config)));
-    m_callers.setLimits(callerLimits(m_state.config->limits, m_state.profile.descriptors));
+    m_callers.setLimits(callerLimits(m_state.config->limits, m_state.profile));
     m_copies.placement().onConfig(*m_state.config);
 }
 
@@ -510,9 +534,25 @@
 
     m_state.directory.setOwnState(m_requestRate, !m_replicaWatch.disturbed(now), now);
     m_state.replicas.limits().setNodes(
+void EdgeProgram::measureServer()
+{
+    const HttpRefusals &refusals = m_callers.refusals();
+    const std::pair<const char *, std::uint64_t> counts[] = {
+        { "malformed", refusals.malformed }, { "too_large", refusals.tooLarge },
+        { "too_slow", refusals.tooSlow },    { "memory", refusals.memory },
+        { "places", refusals.connections },  { "not_accepted", refusals.notAccepted },
+    };
+    for (const auto &[limit, count] : counts)
+        m_state.metrics.set(std::string("burdock_limit_refusals_total{limit=\"") + limit + "\"}",
+                            double(count));
+    m_state.metrics.set("burdock_request_bytes_held", double(m_callers.bytesHeld()));
+    m_state.metrics.set("burdock_caller_connections", double(m_callers.connections()));
+}
+
             m_state.profile.name, m_state.directory.senderCandidates(now),
             m_state.directory.nodeCount(), m_state.directory.isCutOff(now), now);
     HeartbeatTargets targets = m_state.directory.heartbeatTargets(m_state.leaving, now);
+    measureServer();
     BeatMessage message = ownBeat();
     if (m_state.directory.isAlone(now)) {
         for (const std::string &seed : m_state.profile.seeds) {
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -99,6 +99,7 @@
     void tick();
     BeatMessage ownBeat() const;
     void sendBeat();
+    void measureServer();
     void sendSuspectNotes(const std::vector<SuspectNote> &notes,
                           const std::vector<std::string> &addresses);
     std::vector<std::string> nextIngressAddresses(std::size_t count);
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -142,7 +142,14 @@
     int outputTokens = 0;                              // at most
     std::vector<PromptPart> prompt;                    //
     std::optional<std::uint64_t> resumeAfter;          // the last event that the caller has
-    HttpRequest forward; // what goes to the replica, but for what each send sets
+    std::vector<std::string> keys; // that identify the caller's organisation; more than one: bad
+    HttpRequest forward; // what goes to the replica, but for its body and what each send sets
+};
+
+/// How a replica learns on whose behalf a request is sent.
+enum class CallerNaming {
+    AsSent,       // organisations are not in use: what the caller sent is passed on
+    Organisation, // the system names the organisation, and the caller's key stays here
 };
 
 struct ReplicaSend
@@ -192,7 +199,7 @@
     /// @return the request, or what is wrong with it
     virtual Result<CallerRequest> decode(const HttpRequest &request) const = 0;
 
-    /// @return what to send to a replica
+    /// @return what to send to a replica, without its body
     virtual HttpRequest encode(const CallerRequest &request, const ReplicaSend &send) const = 0;
 
     /// @param expectedReplica the one that the request was meant for
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -169,8 +169,8 @@
             std::min(m_caller.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_request.deadline = m_arrived + left;
     m_lastEvent = m_caller.resumeAfter;
-    const std::uint64_t content = hashPair(hashText(m_raw.method + " " + m_raw.host + m_raw.target),
-                                           m_raw.body + "\n" + m_caller.model);
+    const std::uint64_t target = hashText(m_raw.method + " " + m_raw.host + m_raw.target);
+    const std::uint64_t content = hashPair(hashPair(target, m_raw.body), m_caller.model);
     std::vector<std::uint64_t> parts;
     parts.reserve(m_caller.prompt.size());
     for (const PromptPart &part : m_caller.prompt)
@@ -469,11 +469,12 @@
     // certain, and only requests that may be repeated can be sent again then.
     const bool fresh = !m_request.repeatable || m_keptFailed;
     attempt.exchange = m_state.replicasHttp.exchange(valueOf(endpoint), fresh);
-    const HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
+    HttpRequest request = m_state.ports.dialect.encode(m_caller, send);
+    request.body = m_raw.body;
     if (&attempt == m_attempt.get())
         m_silentFrom = patienceEnd(attempt);
-    auto result =
-            co_await attempt.exchange->start(request, m_request.deadline + AnswerSlack, &attempt);
+    auto result = co_await attempt.exchange->start(std::move(request),
+                                                   m_request.deadline + AnswerSlack, &attempt);
     noteHead(attempt);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         attempt.failure = failure->message;
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -22,11 +22,14 @@
 constexpr std::chrono::milliseconds FleetTick { 20 };
 constexpr std::chrono::milliseconds LastWordsTime { 200 }; // for the last messages to leave
 
+constexpr std::size_t BytesPerMb = 1024 * 1024;
+
 HttpLimits callerLimits(const NodeSettings &settings)
 {
     HttpLimits limits;
     limits.maxHeaderBytes = settings.maxHeaderBytes;
     limits.maxBodyBytes = settings.maxBodyBytes;
+    limits.maxBytesOfAll = static_cast<std::size_t>(settings.maxRequestMemoryMb) * BytesPerMb;
     limits.readTimeout = settings.headerTimeout + settings.bodyTimeout;
     limits.maxConnections = settings.maxOpenRequests;
     return limits;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -183,8 +183,8 @@
     {
     }
 
-    asio::awaitable<CallResult<HttpResponseHead>>
-    start(const HttpRequest &request, Instant deadline, SendCheck *check) override;
+    asio::awaitable<CallResult<HttpResponseHead>> start(HttpRequest request, Instant deadline,
+                                                        SendCheck *check) override;
     asio::awaitable<CallResult<std::string>> readPart(Instant deadline) override;
     void cancel() override;
     void expire() override;
@@ -194,7 +194,7 @@
     HttpResponseHead takeHead();
     CallFailure failed(boost::system::error_code failure);
     CallFailure withhold(bool timedOut);
-    void sendRequest(const HttpRequest &request);
+    void sendRequest(HttpRequest request);
     void finish();
 
     std::shared_ptr<HttpClient::State> m_client;
@@ -287,7 +287,7 @@
 }
 
 asio::awaitable<CallResult<HttpResponseHead>>
-BeastExchange::start(const HttpRequest &request, Instant deadline, SendCheck *check)
+BeastExchange::start(HttpRequest request, Instant deadline, SendCheck *check)
 {
     if (auto failure = co_await connect(deadline))
         co_return std::move(*failure);
@@ -300,12 +300,13 @@
     m_parser.reset();
     m_headRead = false;
     m_lateReads = 0;
-    sendRequest(request);
+    const bool isHead = request.method == "HEAD";
+    sendRequest(std::move(request));
 
     m_parser.emplace();
     m_parser->header_limit(MaxAnswerHeaderBytes);
     m_parser->body_limit(boost::none);
-    m_parser->skip(request.method == "HEAD");
+    m_parser->skip(isHead);
     boost::system::error_code failure;
     co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
                                      withError(failure));
@@ -320,7 +321,7 @@
 
 /// Writes while the answer is read: a server may answer before it has read a long body, and would
 /// otherwise leave both sides waiting for each other.
-void BeastExchange::sendRequest(const HttpRequest &request)
+void BeastExchange::sendRequest(HttpRequest request)
 {
     auto &message =
             m_connection->message.emplace(http::string_to_verb(request.method), request.target, 11);
@@ -328,7 +329,7 @@
     message.set(http::field::host, request.host.empty() ? toText(m_endpoint) : request.host);
     for (const HttpHeader &header : request.headers)
         message.insert(header.name, header.value);
-    message.body() = request.body;
+    message.body() = std::move(request.body);
     message.prepare_payload();
     m_bytesSent = true;
     // A failed write is seen by the read: the server may have answered before it closed.
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -88,7 +88,7 @@
     /// @param deadline when to give up
     /// @param check has the last word; null: the request is sent in any case
     virtual boost::asio::awaitable<CallResult<HttpResponseHead>>
-    start(const HttpRequest &request, Instant deadline, SendCheck *check) = 0;
+    start(HttpRequest request, Instant deadline, SendCheck *check) = 0;
 
     /// Reads the next part of the body.
     /// @param deadline when to give up
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -29,6 +29,27 @@
 
 constexpr std::chrono::milliseconds AcceptRetryDelay { 50 };
 constexpr unsigned HttpVersion11 = 11; // as Beast numbers it
+/// Bytes read ahead of the parser: a head, trailers or one line between chunks, and a margin.
+constexpr std::size_t BufferMargin = 4 * 1024;
+/// A buffer that an idle connection keeps.
+constexpr std::size_t MaxIdleBuffer = 8 * 1024;
+/// A request being answered counts this many times: its body is kept, and sent from a copy.
+constexpr std::size_t AnsweredCopies = 2;
+/// Larger requests are answered only while this share of the bytes for all is free of others.
+constexpr std::size_t SmallRequest = 64 * 1024;
+constexpr std::size_t AnsweredShareDivisor = 4;
+constexpr std::chrono::milliseconds RetryAfterRefusal { 1'000 };
+/// After an early answer the rest of a request is read for so long, since closing at once would
+/// reset the connection and take the answer from the caller.
+constexpr std::chrono::milliseconds LingerTime { 1'000 };
+constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+constexpr std::chrono::seconds RefusalLogInterval { 1 };
+
+/// Frees the memory of a text, which an assignment would keep for the next one.
+void freeText(std::string &text)
+{
+    std::string().swap(text);
+}
 
 /// Hop-by-hop headers and those that the server sets itself.
 bool isOwnHeader(http::field field)
@@ -38,6 +59,20 @@
             || field == http::field::keep_alive;
 }
 
+/// A body is framed by one length or by chunks alone; anything else may be read differently by the
+/// next server on the way.
+bool isFramedClearly(const http::request<http::string_body> &message)
+{
+    const auto codings = message.equal_range(http::field::transfer_encoding);
+    const auto lengths = message.equal_range(http::field::content_length);
+    const auto codingCount = std::distance(codings.first, codings.second);
+    const auto lengthCount = std::distance(lengths.first, lengths.second);
+    if (codingCount == 0)
+        return lengthCount <= 1;
+    return codingCount == 1 && lengthCount == 0
+            && beast::iequals(codings.first->value(), "chunked");
+}
+
 } // namespace
 
 // ---- Connection ---------------------------------------------------------------------------------
@@ -54,6 +89,12 @@
     {
     }
 
+    /// Refuses requests that are being read until all together are within the limit.
+    void limitBytes();
+    /// Closes the connection that has waited longest for a request, if there is any.
+    /// @return whether there is a place for a new connection
+    bool makePlace();
+
     asio::io_context &io;
     HttpLimits limits;
     HttpHandler &handler;
@@ -61,6 +102,9 @@
     bool accepting = false;
     bool keepAlive = true; // connections outlive their answer
     int requestsInProgress = 0;
+    std::size_t bytesHeld = 0;       // of all requests
+    std::size_t bytesOfAnswered = 0; // of those that are being answered
+    HttpRefusals refusals;
     std::set<HttpConnection *> connections;
 };
 
@@ -72,6 +116,7 @@
         , m_stream(std::move(socket))
     {
         m_server->connections.insert(this);
+        m_progressAt = steadyNow();
         boost::system::error_code ignored;
         m_stream.socket().set_option(Tcp::no_delay(true), ignored);
     }
@@ -79,6 +124,7 @@
     ~HttpConnection() override
     {
         m_server->connections.erase(this);
+        setHeld(0);
         if (needsReset()) {
             boost::system::error_code ignored;
             m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
@@ -88,6 +134,21 @@
 
     asio::awaitable<void> run();
 
+    /// Ends the reading of the request, which is refused then.
+    void refuseForMemory();
+    /// Closes the connection, which waits for a request.
+    void giveUpPlace();
+    bool isReading() const { return m_isReading; }
+    bool isAnswering() const { return m_isAnswering; }
+    bool hasSentRequest() const { return m_requestNumber > 0; }
+    Instant progressAt() const { return m_progressAt; }
+    /// @return bytes held, times the time without progress
+    double weight(Instant now) const
+    {
+        constexpr double LeastTime = 1e3; // microseconds
+        return double(m_held) * (LeastTime + double((now - m_progressAt).count()));
+    }
+
     asio::awaitable<bool> send(int status, std::vector<HttpHeader> headers,
                                std::string body) override;
     asio::awaitable<bool> begin(int status, std::vector<HttpHeader> headers) override;
@@ -99,10 +160,17 @@
     bool begun() const override { return m_begun; }
 
 private:
+    using Parser = http::request_parser<http::string_body>;
+
     asio::awaitable<bool> readRequest();
+    asio::awaitable<boost::system::error_code> readMessage(Parser &parser);
+    asio::awaitable<void> linger();
+    void noteProgress(std::size_t bodyBytes);
+    void setHeld(std::size_t bytes);
+    bool mayAnswer() const;
     asio::awaitable<void> refuseRequest(boost::system::error_code failure);
     asio::awaitable<void> answerRequest();
-    void takeRequest(http::request<http::string_body> &&message);
+    void takeHead(const http::request<http::string_body> &message);
     void watchCaller();
     void noteCallerLeft();
     bool sent(boost::system::error_code failure);
@@ -120,9 +188,53 @@
     bool m_streaming = false;
     bool m_ended = false;
     bool m_callerLeft = false;
+    bool m_isReading = false;
+    bool m_isAnswering = false;
+    bool m_isRefusedForMemory = false;
+    std::size_t m_held = 0; // bytes of the request
+    Instant m_progressAt;   // latest bytes received, or end of the latest answer
     std::uint64_t m_requestNumber = 0;
 };
 
+void HttpServer::State::limitBytes()
+{
+    const Instant now = steadyNow();
+    while (bytesHeld > limits.maxBytesOfAll) {
+        HttpConnection *heaviest = nullptr;
+        for (HttpConnection *connection : connections) {
+            if (connection->isReading()
+                && (heaviest == nullptr || connection->weight(now) > heaviest->weight(now)))
+                heaviest = connection;
+        }
+        if (heaviest == nullptr)
+            return; // the rest belongs to requests that are being answered
+        heaviest->refuseForMemory();
+    }
+}
+
+bool HttpServer::State::makePlace()
+{
+    if (static_cast<int>(connections.size()) < limits.maxConnections)
+        return true;
+    // Connections that have sent a whole request before are kept longer.
+    const auto precedes = [](const HttpConnection *left, const HttpConnection *right) {
+        if (left->hasSentRequest() != right->hasSentRequest())
+            return right->hasSentRequest();
+        return left->progressAt() < right->progressAt();
+    };
+    HttpConnection *longest = nullptr;
+    for (HttpConnection *connection : connections) {
+        if (!connection->isAnswering() && (longest == nullptr || precedes(connection, longest)))
+            longest = connection;
+    }
+    if (longest == nullptr)
+        return false;
+    longest->giveUpPlace();
+    connections.erase(longest);
+    refusals.connections++;
+    return true;
+}
+
 asio::awaitable<void> HttpConnection::run()
 {
     const auto self = shared_from_this();
@@ -142,28 +254,107 @@
 
 asio::awaitable<bool> HttpConnection::readRequest()
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
-    parser.body_limit(m_server->limits.maxBodyBytes);
-
+    const HttpLimits limits = m_server->limits;
+    m_buffer.max_size(limits.maxHeaderBytes + BufferMargin);
     boost::system::error_code failure;
     if (m_buffer.size() == 0) {
-        m_stream.expires_after(m_server->limits.idleTimeout);
+        if (m_buffer.capacity() > MaxIdleBuffer)
+            m_buffer.shrink_to_fit();
+        setHeld(m_buffer.capacity());
+        m_stream.expires_after(limits.idleTimeout);
         const auto bytes =
                 co_await m_stream.async_read_some(m_buffer.prepare(4096), withError(failure));
         m_buffer.commit(bytes);
         if (failure)
             co_return false;
     }
-    m_stream.expires_after(m_server->limits.readTimeout);
-    co_await http::async_read(m_stream, m_buffer, parser, withError(failure));
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.body_limit(limits.maxBodyBytes);
+    m_stream.expires_after(limits.readTimeout);
+    m_isReading = true;
+    failure = co_await readMessage(parser);
+    m_isReading = false;
     m_stream.expires_never();
-    if (failure) {
-        co_await refuseRequest(failure);
-        co_return false;
+    if (!failure) {
+        m_request.body = std::move(parser.get().body());
+        setHeld(m_buffer.capacity() + AnsweredCopies * m_request.body.capacity());
+        if (mayAnswer())
+            co_return true;
+        m_isRefusedForMemory = true;
+        freeText(m_request.body);
     }
-    takeRequest(parser.release());
-    co_return true;
+    freeText(parser.get().body());
+    setHeld(m_buffer.capacity());
+    co_await refuseRequest(failure);
+    co_return false;
+}
+
+/// Reads the head, then the body; fields that come after the body are not taken.
+asio::awaitable<boost::system::error_code> HttpConnection::readMessage(Parser &parser)
+{
+    boost::system::error_code failure;
+    noteProgress(0);
+    co_await http::async_read_header(m_stream, m_buffer, parser, withError(failure));
+    if (failure)
+        co_return failure;
+    if (!isFramedClearly(parser.get()))
+        co_return http::error::bad_transfer_encoding;
+    takeHead(parser.get());
+    // Most bodies have arrived with the head.
+    parser.eager(true);
+    if (!parser.is_done() && m_buffer.size() > 0) {
+        m_buffer.consume(parser.put(m_buffer.data(), failure));
+        if (failure == http::error::need_more)
+            failure = {};
+    }
+    while (!failure && !parser.is_done()) {
+        noteProgress(parser.get().body().capacity());
+        if (m_isRefusedForMemory)
+            co_return asio::error::operation_aborted;
+        co_await http::async_read_some(m_stream, m_buffer, parser, withError(failure));
+    }
+    co_return failure;
+}
+
+void HttpConnection::noteProgress(std::size_t bodyBytes)
+{
+    m_progressAt = steadyNow();
+    setHeld(m_buffer.capacity() + bodyBytes);
+}
+
+void HttpConnection::setHeld(std::size_t bytes)
+{
+    m_server->bytesHeld += bytes - m_held; // wraps around where it falls
+    const bool isMore = bytes > m_held;
+    m_held = bytes;
+    if (isMore)
+        m_server->limitBytes();
+}
+
+/// @return whether a large request leaves room for others while it is being answered
+bool HttpConnection::mayAnswer() const
+{
+    const std::size_t share =
+            m_server->limits.maxBytesOfAll - m_server->limits.maxBytesOfAll / AnsweredShareDivisor;
+    return m_request.body.size() <= SmallRequest || m_server->bytesOfAnswered == 0
+            || m_server->bytesOfAnswered + m_held <= share;
+}
+
+void HttpConnection::refuseForMemory()
+{
+    m_isReading = false;
+    m_isRefusedForMemory = true;
+    m_server->bytesHeld -= m_held; // freed as soon as the reading has ended
+    m_held = 0;
+    boost::system::error_code ignored;
+    m_stream.socket().cancel(ignored);
+}
+
+void HttpConnection::giveUpPlace()
+{
+    m_keepAlive = false;
+    m_stream.close();
 }
 
 asio::awaitable<void> HttpConnection::refuseRequest(boost::system::error_code failure)
@@ -171,21 +362,52 @@
     m_begun = false;
     m_ended = false;
     m_keepAlive = false;
+    HttpRefusals &refusals = m_server->refusals;
     Error error { ResultCode::RequestMalformed, "malformed request: " + failure.message() };
-    if (failure == http::error::header_limit || failure == http::error::body_limit)
+    std::chrono::milliseconds retryAfter { 0 };
+    std::uint64_t *count = &refusals.malformed;
+    if (m_isRefusedForMemory) {
+        error = { ResultCode::RefusedOverload, "the requests being read hold too much memory" };
+        retryAfter = RetryAfterRefusal;
+        count = &refusals.memory;
+    } else if (failure == http::error::header_limit || failure == http::error::body_limit
+               || failure == http::error::buffer_overflow) {
         error = { ResultCode::RequestTooLarge, failure.message() };
-    else if (failure == beast::error::timeout)
+        count = &refusals.tooLarge;
+    } else if (failure == beast::error::timeout) {
         error = { ResultCode::RequestTooSlow, "the request was not received in time" };
-    else if (failure.category() != http::make_error_code(http::error::bad_method).category()
-             || failure == http::error::end_of_stream || failure == http::error::partial_message)
+        count = &refusals.tooSlow;
+    } else if (failure.category() != http::make_error_code(http::error::bad_method).category()
+               || failure == http::error::end_of_stream || failure == http::error::partial_message)
         co_return;
-    LOG(INFO) << "refused a request: " << error.message;
-    co_await sendError(*this, error);
+    ++*count;
+    LOG_EVERY_T(INFO, RefusalLogInterval.count())
+            << "refused a request: " << error.message << "; refused so far: malformed "
+            << refusals.malformed << ", too large " << refusals.tooLarge << ", too slow "
+            << refusals.tooSlow << ", for memory " << refusals.memory;
+    if (co_await sendError(*this, error, retryAfter))
+        co_await linger();
+}
+
+/// Reads and drops what the caller still sends, for a bounded time, so that it gets the answer.
+asio::awaitable<void> HttpConnection::linger()
+{
+    boost::system::error_code failure;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
+    m_stream.expires_after(LingerTime);
+    m_buffer.clear();
+    std::size_t dropped = 0;
+    while (!failure && dropped < MaxLingerBytes) {
+        dropped += co_await m_stream.async_read_some(m_buffer.prepare(MaxIdleBuffer / 2),
+                                                     withError(failure));
+        m_buffer.clear();
+    }
+    m_stream.expires_never();
 }
 
-void HttpConnection::takeRequest(http::request<http::string_body> &&message)
+void HttpConnection::takeHead(const http::request<http::string_body> &message)
 {
-    m_request = {};
+    m_request.headers.clear();
     m_request.method = std::string(message.method_string());
     m_request.target = std::string(message.target());
     m_request.host = std::string(message[http::field::host]);
@@ -196,7 +418,6 @@
     }
     m_keepAlive = message.keep_alive();
     m_knowsChunks = message.version() >= HttpVersion11;
-    m_request.body = std::move(message.body());
 }
 
 asio::awaitable<void> HttpConnection::answerRequest()
@@ -206,6 +427,9 @@
     m_ended = false;
     ++m_requestNumber;
     ++m_server->requestsInProgress;
+    m_isAnswering = true;
+    const std::size_t held = m_held;
+    m_server->bytesOfAnswered += held;
     watchCaller();
     try {
         co_await m_server->handler.handle(m_request, *this);
@@ -216,6 +440,11 @@
     m_onCallerLeft = nullptr;
     ++m_requestNumber;
     --m_server->requestsInProgress;
+    m_isAnswering = false;
+    m_server->bytesOfAnswered -= held;
+    m_progressAt = steadyNow();
+    freeText(m_request.body);
+    setHeld(m_buffer.capacity());
     boost::system::error_code ignored;
     m_stream.socket().cancel(ignored);
 }
@@ -361,8 +590,10 @@
             co_await sleepFor(AcceptRetryDelay);
             continue;
         }
-        if (static_cast<int>(state->connections.size()) >= state->limits.maxConnections)
+        if (!state->makePlace()) {
+            state->refusals.notAccepted++;
             continue;
+        }
         auto connection = std::make_shared<HttpConnection>(state, std::move(socket));
         asio::co_spawn(state->io, serveConnection(std::move(connection)), asio::detached);
     }
@@ -430,6 +661,16 @@
     return m_state->requestsInProgress;
 }
 
+std::size_t HttpServer::bytesHeld() const
+{
+    return m_state->bytesHeld;
+}
+
+const HttpRefusals &HttpServer::refusals() const
+{
+    return m_state->refusals;
+}
+
 // ---- Errors -------------------------------------------------------------------------------------
 
 std::string errorBody(const Error &error)
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -2,12 +2,19 @@
 //
 // Index
 //   HttpLimits    bounds on what a caller may send and how long it may take
+//   HttpRefusals  what the server itself refused, by limit
 //   HttpReply     the answer to one request: whole, or streamed with back-pressure
 //   HttpHandler   what a program does with a request
 //   HttpServer    accepts connections and calls the handler
 //
 // Every request is read whole, within the limits, before the handler sees it. A streamed write
 // completes only once the operating system took the bytes, so a slow caller slows its upstream.
+//
+// Answers the load of callers that do not keep to the limits. What all connections together hold of
+// requests is bounded. When the bound is reached, the connections that hold most for longest
+// without progress are refused (503, not run), not those that come and go. When all places for
+// connections are taken, a new one takes the place of one that has sent no whole request for
+// longest. Trailers are read within the bound of a head and dropped.
 #pragma once
 
 #include "base/instant.h"
@@ -29,10 +36,21 @@
 {
     std::size_t maxHeaderBytes = 16 * 1024;            // above it: 413
     std::size_t maxBodyBytes = 1024 * 1024;            // above it: 413
+    std::size_t maxBytesOfAll = 256 * 1024 * 1024;     // held of all requests together
     std::chrono::milliseconds readTimeout { 10'000 };  // to read one request, first byte to last
     std::chrono::milliseconds idleTimeout { 60'000 };  // between requests of a connection
     std::chrono::milliseconds writeTimeout { 30'000 }; // for one write to make progress
-    int maxConnections = 10'000;                       // above it new connections are closed
+    int maxConnections = 10'000;                       // at once
+};
+
+struct HttpRefusals
+{
+    std::uint64_t malformed = 0;   // 400
+    std::uint64_t tooLarge = 0;    // 413
+    std::uint64_t tooSlow = 0;     // 408
+    std::uint64_t memory = 0;      // 503, for the bytes of all requests together
+    std::uint64_t connections = 0; // closed, for the place of a new connection
+    std::uint64_t notAccepted = 0; // new connections closed, since all places were in use
 };
 
 // ---- Reply --------------------------------------------------------------------------------------
@@ -121,6 +139,12 @@
     /// @return requests being answered now
     int requestsInProgress() const;
 
+    /// @return bytes held of requests now
+    std::size_t bytesHeld() const;
+
+    /// @return what was refused since the start
+    const HttpRefusals &refusals() const;
+
     struct State; // shared with the open connections; defined in httpserver.cpp
 
 private:
--- a/src/settings/nodesettings.cpp
+++ b/src/settings/nodesettings.cpp
@@ -17,6 +17,7 @@
 constexpr IntegerBounds PortBounds { 1, 65'535 };
 constexpr IntegerBounds HeaderBytesBounds { 1'024, 1'048'576 };
 constexpr IntegerBounds BodyBytesBounds { 1'024, 67'108'864 };
+constexpr IntegerBounds RequestMemoryBounds { 1, 65'536 };  // megabytes
 constexpr IntegerBounds ReadTimeoutBounds { 100, 600'000 }; // milliseconds
 constexpr IntegerBounds OpenRequestsBounds { 1, 1'000'000 };
 constexpr IntegerBounds AnswerLifetimeBounds { 1'000, 60'000 }; // milliseconds
@@ -67,6 +68,8 @@
                            HeaderBytesBounds));
     settings.maxBodyBytes = static_cast<std::size_t>(reader.integer(
             "max_body_bytes", static_cast<std::int64_t>(settings.maxBodyBytes), BodyBytesBounds));
+    settings.maxRequestMemoryMb = static_cast<int>(reader.integer(
+            "max_request_memory_mb", settings.maxRequestMemoryMb, RequestMemoryBounds));
     settings.headerTimeout = readMilliseconds(reader, "header_timeout_ms", settings.headerTimeout,
                                               ReadTimeoutBounds);
     settings.bodyTimeout =
--- a/src/settings/nodesettings.h
+++ b/src/settings/nodesettings.h
@@ -53,6 +53,7 @@
     std::uint16_t platformPort = 0;         // its port
     std::size_t maxHeaderBytes = 16'384;    // bytes; a longer request header is refused
     std::size_t maxBodyBytes = 1'048'576;   // bytes; a longer request body is refused
+    int maxRequestMemoryMb = 256; // of all requests that are read or answered at the same time
     std::chrono::milliseconds headerTimeout { 5'000 };   // for a caller to finish the header
     std::chrono::milliseconds bodyTimeout { 15'000 };    // for a caller to finish the body
     int maxOpenRequests = 10'000;                        // at once; more are refused
--- a/tests/docs/test_pages.cpp
+++ b/tests/docs/test_pages.cpp
@@ -79,6 +79,7 @@
         std::to_string(settings.controlStatusPort),
         std::to_string(settings.maxHeaderBytes),
         std::to_string(settings.maxBodyBytes),
+        std::to_string(settings.maxRequestMemoryMb),
         std::to_string(settings.headerTimeout.count()),
         std::to_string(settings.bodyTimeout.count()),
         std::to_string(settings.maxOpenRequests),
