Keys and organisations of callers, and quotas over all nodes

Cause: the node knew no organisations.

Change: src/organisations finds the organisation of a key by a secretly seeded hash and keeps quotas by buckets that stand for the whole fleet, drained by notes between nodes (docs/design/organisations.md, quotas.md). A key is looked up again right before the first byte leaves. Queue, claims and urgency order by the organisation's priority first. All of it acts only where the configuration has a list of organisations.

Unit tests of adapter, edge, fleet and serving pass.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -31,7 +31,8 @@
     Copy = 3,
     Prompt = 5, // 4 is of earlier versions
     Limit = 6,
-    Suspects = 7
+    Suspects = 7,
+    Quota = 8,
 };
 
 json::array nodeToJson(const NodeInfo &node)
@@ -145,6 +146,30 @@
     return note;
 }
 
+json::array toJson(const QuotaNote &note)
+{
+    // Whole numbers are shorter; a fraction of a request or token does not matter.
+    const auto whole = [](double amount) {
+        return static_cast<std::int64_t>(std::llround(amount));
+    };
+    json::array list { static_cast<std::int64_t>(MessageType::Quota), note.node, note.startedMs };
+    for (const QuotaUse &use : note.uses)
+        list.emplace_back(json::array { use.organisation, whole(use.spent), whole(use.perSecond),
+                                        whole(use.level) });
+    return list;
+}
+
+QuotaNote quotaFromJson(const json::array &list)
+{
+    QuotaNote note { textAt(list, 1), list.at(2).to_number<std::uint64_t>(), {} };
+    for (std::size_t index = 3; index < list.size(); ++index) {
+        const auto &fields = list.at(index).as_array();
+        note.uses.push_back({ textAt(fields, 0), fields.at(1).to_number<double>(),
+                              fields.at(2).to_number<double>(), fields.at(3).to_number<double>() });
+    }
+    return note;
+}
+
 BeatMessage beatFromJson(const json::array &list)
 {
     BeatMessage message;
@@ -191,6 +216,8 @@
                             list.at(3).to_number<std::uint64_t>(), list.at(4).as_bool() };
     case MessageType::Limit:
         return limitFromJson(list);
+    case MessageType::Quota:
+        return quotaFromJson(list);
     }
     throw std::invalid_argument("unknown type of message");
 }
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -9,6 +9,7 @@
 #include "base/result.h"
 #include "edge/eventlog.h"
 #include "fleet/nodedirectory.h"
+#include "organisations/quotaledger.h"
 #include "placing/copyplacement.h"
 #include "serving/requestlimits.h"
 #include "suspects/crashsuspects.h"
@@ -64,8 +65,8 @@
     bool withdrawn = false;
 };
 
-using PeerMessage =
-        std::variant<BeatMessage, WantNote, CopyNote, SuspectNotes, PromptNote, LimitNote>;
+using PeerMessage = std::variant<BeatMessage, WantNote, CopyNote, SuspectNotes, PromptNote,
+                                 LimitNote, QuotaNote>;
 
 class BeatListener
 {
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -212,6 +212,9 @@
         else if (!m_state.directory.holder().ip.empty())
             m_link.send(note, { m_state.directory.holder().ip });
     };
+    m_state.configKnownAt = [this] {
+        return m_configWatch.knownAt();
+    };
     m_state.onReplicaForgotten = [this](const std::string &replica) {
         m_copies.placement().onReplicaRemoved(replica);
     };
@@ -436,6 +439,8 @@
         }
     } else if (const auto *limit = std::get_if<LimitNote>(&message)) {
         m_state.takeLimitNote(*limit);
+    } else if (const auto *quota = std::get_if<QuotaNote>(&message)) {
+        m_state.quotas.onNote(*quota, now);
     } else {
         m_state.suspects.onNotes(std::get<SuspectNotes>(message).notes);
     }
@@ -496,6 +501,13 @@
     return next;
 }
 
+void EdgeProgram::announceSpending()
+{
+    const Instant now = steadyNow();
+    if (const auto note = m_state.quotas.nextNote(now))
+        m_link.send(*note, m_state.directory.ingressAddresses(now));
+}
+
 void EdgeProgram::announceLimit(const LimitNote &note)
 {
     m_link.send(note, m_state.directory.ingressAddresses(steadyNow()));
@@ -522,18 +534,6 @@
     return message;
 }
 
-void EdgeProgram::sendBeat()
-{
-    const Instant now = steadyNow();
-    m_state.demand.update(now - m_lastDemand);
-    measureRequests(now - m_lastDemand);
-    m_lastDemand = now;
-    const std::vector<CopyDemand> demand = demandNow();
-    if (m_copies.holds())
-        m_copies.onDemand(m_state.profile.name, demand);
-
-    m_state.directory.setOwnState(m_requestRate, !m_replicaWatch.disturbed(now), now);
-    m_state.replicas.limits().setNodes(
 void EdgeProgram::measureServer()
 {
     const HttpRefusals &refusals = m_callers.refusals();
@@ -549,10 +549,29 @@
     m_state.metrics.set("burdock_caller_connections", double(m_callers.connections()));
 }
 
+void EdgeProgram::sendBeat()
+{
+    const Instant now = steadyNow();
+    measureServer();
+    m_state.demand.update(now - m_lastDemand);
+    measureRequests(now - m_lastDemand);
+    m_lastDemand = now;
+    const std::vector<CopyDemand> demand = demandNow();
+    if (m_copies.holds())
+        m_copies.onDemand(m_state.profile.name, demand);
+
+    m_state.directory.setOwnState(m_requestRate, !m_replicaWatch.disturbed(now), now);
+    m_state.replicas.limits().setNodes(
             m_state.profile.name, m_state.directory.senderCandidates(now),
             m_state.directory.nodeCount(), m_state.directory.isCutOff(now), now);
+    if (m_state.quotas.size() > 0) {
+        const bool reachesStore = !m_replicaWatch.disturbed(now);
+        m_state.quotas.setFleet({ m_state.directory.liveNodes(now),
+                                  m_state.directory.leavingNodes(), m_state.directory.isCutOff(now),
+                                  reachesStore },
+                                now);
+    }
     HeartbeatTargets targets = m_state.directory.heartbeatTargets(m_state.leaving, now);
-    measureServer();
     BeatMessage message = ownBeat();
     if (m_state.directory.isAlone(now)) {
         for (const std::string &seed : m_state.profile.seeds) {
@@ -631,6 +650,7 @@
         checkSilentAttempts(m_state);
     }
     m_copies.tick();
+    announceSpending();
     if (m_registerAt != Instant {} && now >= m_registerAt) {
         m_registerAt = {};
         asio::co_spawn(m_state.io, registerNode(), asio::detached);
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -87,6 +87,7 @@
     bool announcePrompt(const PromptNote &note) override;
     boost::asio::awaitable<void> announceLoss(BrokenRun run, Endpoint replica) override;
     void announceLimit(const LimitNote &note) override;
+    void announceSpending() override;
 
     void takeConfig(const StoredItem &item);
     void takeReplica(const StoredItem &item, Instant now);
@@ -98,8 +99,8 @@
     void noteDelay(Instant now);
     void tick();
     BeatMessage ownBeat() const;
-    void sendBeat();
     void measureServer();
+    void sendBeat();
     void sendSuspectNotes(const std::vector<SuspectNote> &notes,
                           const std::vector<std::string> &addresses);
     std::vector<std::string> nextIngressAddresses(std::size_t count);
--- a/src/edge/nodeprofile.h
+++ b/src/edge/nodeprofile.h
@@ -23,6 +23,11 @@
     std::chrono::milliseconds ceilingWindow { 5'000 }; // loads from the weight store count in it
     double loadBurstFactor = 1.1;                      // over the store's rate, in that window
     double retryRatio = 0.2;                           // sends beyond the first, against requests
+    /// Whether a node that does not know the configuration of this long ago stops serving requests
+    /// that need a key: keys may have been taken away since.
+    bool revokesStrictly = false;
+    std::chrono::milliseconds revocationTime { 5'000 };
+    std::chrono::milliseconds quotaWindow { 8'000 }; // over which quotas are judged
     double retrySlack = 50; // and this many more, in the budget's window, over all nodes
 };
 
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 
 namespace burdock {
 
@@ -42,6 +43,20 @@
     return shortest;
 }
 
+/// @return a number that callers cannot know
+std::uint64_t secretSeed()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+QuotaLedgerSettings quotaSettings(const ServingBounds &bounds)
+{
+    QuotaLedgerSettings settings;
+    settings.window = bounds.quotaWindow;
+    return settings;
+}
+
 ChooserSettings chooserSettings(const NodeProfile &profile)
 {
     ChooserSettings settings;
@@ -96,6 +111,9 @@
     , replicasHttp(io, { ReplicaConnectTimeout, ReplicaIdleLimit, ReplicaSilence })
     , config(std::make_shared<ServingConfig>())
     , routes(std::make_unique<RouteTable>(config))
+    , ranks(std::make_unique<RankTable>(*config))
+    , keySeed(secretSeed())
+    , quotas(profile.name, started, quotaSettings(profile.bounds))
     , chooser(replicas, chooserSettings(profile), hashText(profile.name) ^ started)
     , scheduler(replicas, chooser)
     , waiting(io, scheduler)
@@ -104,6 +122,7 @@
                 hashText(profile.name) + started)
     , random(hashText(profile.ip) ^ started)
 {
+    chooser.setConnections(*this);
 }
 
 RetryBudget &NodeState::budgetOf(const std::string &service)
@@ -215,6 +234,12 @@
         onReplicaForgotten(id);
 }
 
+bool NodeState::hasIdleConnection(const std::string &address) const
+{
+    const auto endpoint = parseEndpoint(address);
+    return isOk(endpoint) && replicasHttp.hasIdleConnection(valueOf(endpoint));
+}
+
 // ---- Suspects -----------------------------------------------------------------------------------
 
 bool NodeState::isOwner(std::uint64_t key, Instant now) const
@@ -283,6 +308,22 @@
     }
 }
 
+/// Logs what the configuration in force leaves out; operators see the first of many problems.
+void NodeState::logProblems()
+{
+    constexpr std::size_t MaxLogged = 10;
+    std::vector<std::string> problems = config->problems;
+    if (keys) {
+        for (const std::string &name : keys->conflicts())
+            problems.push_back("organisation " + name + " has a key in common with another one");
+    }
+    for (std::size_t index = 0; index < std::min(problems.size(), MaxLogged); ++index)
+        log.line("config_problem")
+                .field("version", config->version)
+                .field("problem", problems[index])
+                .field("problems", std::int64_t(problems.size()));
+}
+
 void NodeState::applyConfig(ServingConfig next)
 {
     const bool isSame = next.version == config->version && next.contentHash == config->contentHash;
@@ -295,9 +336,17 @@
             .field("content", next.contentHash)
             .field("earlier", config->version)
             .field("routes", std::int64_t(next.routes.size()))
-            .field("services", std::int64_t(next.services.size()));
+            .field("services", std::int64_t(next.services.size()))
+            .field("organisations",
+                   next.organisations ? std::int64_t(next.organisations->size()) : -1);
     config = std::make_shared<const ServingConfig>(std::move(next));
     routes = std::make_unique<RouteTable>(config);
+    ranks = std::make_unique<RankTable>(*config);
+    keys = config->organisations ? std::make_unique<KeyTable>(*config->organisations, keySeed)
+                                 : nullptr;
+    quotas.setOrganisations(config->organisations.value_or(std::vector<Organisation> {}),
+                            steadyNow());
+    logProblems();
     for (const auto &[name, service] : config->services) {
         if (service.engine)
             chooser.setEngineLimits(name, *service.engine, longestPause(*config, name));
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -9,6 +9,8 @@
 #include "fleet/nodedirectory.h"
 #include "net/httpclient.h"
 #include "net/metrics.h"
+#include "organisations/keytable.h"
+#include "organisations/quotaledger.h"
 #include "placing/copyplacement.h"
 #include "serving/processingdelay.h"
 #include "serving/promptclaims.h"
@@ -74,7 +76,7 @@
     std::string request;         // name of the caller's request; empty: an order or report request
 };
 
-struct NodeState : private SuspectFleet
+struct NodeState : private SuspectFleet, private ConnectionView
 {
     NodeState(boost::asio::io_context &context, NodeProfile nodeProfile, PlatformPorts platform);
 
@@ -84,6 +86,12 @@
     /// @return whether requests that arrive now are refused, because the process is about to end
     bool refuses(Instant now) const { return refuseFrom != Instant {} && now >= refuseFrom; }
 
+    /// @return how long ago the configuration in force was last known to be the newest
+    Duration configAge(Instant now) const
+    {
+        return configKnownAt ? now - configKnownAt() : Duration::zero();
+    }
+
     /// Takes the news of a copy into the table of replicas.
     void takeCopyChange(const AnnounceCopyChange &change);
 
@@ -120,6 +128,11 @@
     HttpClient replicasHttp; // requests to replicas
     std::shared_ptr<const ServingConfig> config;
     std::unique_ptr<RouteTable> routes;
+    std::unique_ptr<RankTable> ranks;
+    std::unique_ptr<KeyTable> keys;         // null: requests need no key
+    std::function<Instant()> configKnownAt; // when the store was last known to have this version
+    std::uint64_t keySeed;                  // of the hashes of keys; secret
+    QuotaLedger quotas;
     ReplicaTable replicas;
     ReplicaChooser chooser;
     RequestScheduler scheduler;
@@ -146,6 +159,7 @@
     std::function<void(const std::string &replica, std::uint64_t startedMs)> onReplicaLeaving;
 
 private:
+    bool hasIdleConnection(const std::string &address) const override;
     bool isOwner(std::uint64_t key, Instant now) const override;
     void sendSuspectNotes(const std::vector<SuspectNote> &notes, bool toAll) override;
     void onRefusalsChanged() override;
@@ -153,6 +167,7 @@
     void logSuspect(const SuspectNote &note, bool isRefused, const char *source) override;
 
     std::optional<LimitNote> takeLimit(const ReplicaSignals &signals, const SignalSource &source);
+    void logProblems();
     void logLimit(const std::string &replica, std::optional<double> limit,
                   const std::string &request);
 
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -158,6 +158,8 @@
     std::chrono::milliseconds timeLeft;       // the replica stops work then
     std::optional<std::uint64_t> resumeAfter; // go on after this event
     int urgency = 5;                          // 0 is first, 9 is last
+    CallerNaming naming = CallerNaming::AsSent;
+    std::string organisation = {}; // empty: none is known
 };
 
 /// What a replica says of itself in the head of any answer.
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -76,6 +76,8 @@
 
 RequestFlow::~RequestFlow()
 {
+    if (m_takenQuota > 0.0 && m_progress.runs == 0)
+        m_state.quotas.giveBack(m_request.organisation, m_takenQuota, steadyNow());
     m_state.flows.erase(this);
 }
 
@@ -121,7 +123,11 @@
         co_await answerOwn(StatusNotFound, {}, "no_route", std::move(reason));
         co_return;
     }
+    if (co_await refusedByKey())
+        co_return;
     buildRequest();
+    if (co_await refusedByQuota())
+        co_return;
     if (!m_state.delay.canAnswer(m_request.deadline, steadyNow())) {
         co_await answerOwn(StatusUnavailable, RetryElsewhere, "refused", "node_overloaded");
         co_return;
@@ -144,6 +150,76 @@
     return m_route != nullptr;
 }
 
+void RequestFlow::identifyCaller()
+{
+    m_organisation.reset();
+    if (!m_state.keys || m_caller.keys.size() != 1)
+        return;
+    if (const Organisation *organisation = m_state.keys->find(m_caller.keys.front()))
+        m_organisation = Organisation {
+            organisation->name, {}, organisation->priority, organisation->quota
+        };
+}
+
+bool RequestFlow::isAuthorized() const
+{
+    if (!m_state.keys || m_route->isPublic)
+        return true;
+    const Organisation *organisation =
+            m_caller.keys.size() == 1 ? m_state.keys->find(m_caller.keys.front()) : nullptr;
+    return organisation != nullptr && m_organisation && organisation->name == m_organisation->name;
+}
+
+asio::awaitable<bool> RequestFlow::refusedByKey()
+{
+    identifyCaller();
+    if (!m_state.keys || m_route->isPublic)
+        co_return false;
+    if (m_progress.runs > 0 || m_progress.eventsForwarded) {
+        if (m_organisation)
+            co_return false;
+        m_failure = "the key was removed";
+        co_await finish(finalStep(), AttemptResult::Lost);
+        co_return true;
+    }
+    // A node that is out of touch cannot know a key that was added, or that one was removed.
+    const ServingBounds &bounds = m_state.profile.bounds;
+    const Duration age = m_state.configAge(steadyNow());
+    const bool isOutdated = m_organisation ? bounds.revokesStrictly && age > bounds.revocationTime
+                                           : age > bounds.configApplyTime;
+    if (isOutdated) {
+        co_await answerOwn(StatusUnavailable, RetryElsewhere, "refused", "configuration_outdated");
+        co_return true;
+    }
+    if (m_organisation)
+        co_return false;
+    if (m_caller.keys.size() == 1)
+        m_failure = "key " + keyDigest(m_caller.keys.front(), m_state.keySeed);
+    co_await answerOwn(StatusUnauthorized, {}, "unauthorized",
+                       m_caller.keys.empty() ? "no_key" : "unknown_key");
+    co_return true;
+}
+
+asio::awaitable<bool> RequestFlow::refusedByQuota()
+{
+    if (!m_organisation || !m_organisation->quota)
+        co_return false;
+    const double cost =
+            requestCost(*m_organisation->quota, m_caller.promptTokens, m_caller.outputTokens);
+    const auto exceeded = m_state.quotas.tryTake(m_organisation->name, cost, steadyNow());
+    if (!exceeded) {
+        m_takenQuota = cost;
+        m_announcer.announceSpending();
+        co_return false;
+    }
+    // Callers return at different times, since the credit that comes is less than all ask for.
+    const auto spread = milliseconds(static_cast<std::int64_t>(
+            m_state.random.unit() * double(exceeded->retryAfter.count())));
+    co_await answerOwn(StatusTooMany, exceeded->retryAfter + spread, "quota_exceeded",
+                       "quota_exceeded");
+    co_return true;
+}
+
 void RequestFlow::buildRequest()
 {
     m_request.id = ++m_state.lastRequestId;
@@ -161,13 +237,17 @@
     m_request.repeatable = m_route->repeatable;
     m_request.resumable = m_route->resumable;
     m_request.streams = m_route->streams;
-    m_request.priority = m_route->priority;
+    m_request.organisation = m_organisation ? m_organisation->name : "";
+    m_request.priority =
+            m_state.ranks->rank(m_organisation ? m_organisation->priority : 0, m_route->priority);
     m_request.attempts = std::max(1, m_route->attempts);
     m_request.arrivedAt = m_arrived;
     m_request.firstByteObjective = m_arrived + m_route->latencyObjective;
     const milliseconds left =
             std::min(m_caller.timeLeft.value_or(m_route->timeout), m_route->timeout);
     m_request.deadline = m_arrived + left;
+    if (m_route->firstEventTimeout.count() > 0)
+        m_request.firstByteDeadline = m_arrived + m_route->firstEventTimeout;
     m_lastEvent = m_caller.resumeAfter;
     const std::uint64_t target = hashText(m_raw.method + " " + m_raw.host + m_raw.target);
     const std::uint64_t content = hashPair(hashPair(target, m_raw.body), m_caller.model);
@@ -178,6 +258,14 @@
     m_keys = m_state.suspects.keysOf(content, parts);
 }
 
+/// @return the urgency towards engines; with organisations all ranks are told apart if they fit
+int RequestFlow::urgency() const
+{
+    const int ranks = static_cast<int>(m_state.ranks->count());
+    const int first = std::clamp(LastUrgency + 1 - ranks, 0, FirstUrgency);
+    return std::min(first + m_request.priority, LastUrgency);
+}
+
 void RequestFlow::onCallerLeft()
 {
     m_callerLeft = true;
@@ -258,7 +346,7 @@
 {
     bool attempted = false;
     while (true) {
-        if (attempted && co_await refusedAsSuspect())
+        if (attempted && (co_await refusedAsSuspect() || co_await refusedByKey()))
             co_return;
         const auto decision = co_await m_state.waiting.submit(m_request, m_excluded, attempted);
         if (std::holds_alternative<CallerGone>(decision)) {
@@ -439,6 +527,8 @@
         attempt.withheld = "replica_left";
     else if (attempt.isDropped)
         attempt.withheld = "not_needed";
+    else if (!isAuthorized())
+        attempt.withheld = "key_removed";
     if (*attempt.withheld != '\0')
         return false;
     attempt.run = { m_keys, {}, {}, {} };
@@ -463,7 +553,9 @@
     send.replica = choice.id;
     send.timeLeft = toMilliseconds(left);
     send.resumeAfter = m_lastEvent;
-    send.urgency = std::min(FirstUrgency + m_request.priority, LastUrgency);
+    send.urgency = urgency();
+    send.naming = m_state.keys ? CallerNaming::Organisation : CallerNaming::AsSent;
+    send.organisation = m_organisation ? m_organisation->name : "";
 
     // Whether a request arrived on a kept connection that its replica has just dropped is not
     // certain, and only requests that may be repeated can be sent again then.
@@ -946,6 +1038,7 @@
             .field("unfinished_bytes", m_attempt ? m_attempt->unfinishedBytes : 0)
             .field("replica_limit", m_attempt ? m_attempt->replicaLimit : "")
             .field("route", m_route == nullptr ? std::string_view() : m_route->name)
+            .field("organisation", m_organisation ? m_organisation->name : "")
             .field("copy", copyName(m_request.model, m_request.adapter))
             .field("queued", std::int64_t(m_state.scheduler.queued()))
             .field("config", m_state.config->version)
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -36,6 +36,9 @@
 
     /// A replica stated a limit on the requests of all nodes together, or lifted it.
     virtual void announceLimit(const LimitNote &note) = 0;
+
+    /// An organisation's quota was spent; the others are told as soon as they need to know.
+    virtual void announceSpending() = 0;
 };
 
 class RequestFlow
@@ -106,7 +109,16 @@
     using OpenResult = std::variant<HttpResponseHead, AttemptResult>;
 
     bool findRoute();
+    /// Finds the organisation that the caller's key belongs to, in the configuration in force.
+    void identifyCaller();
+    /// @return whether the configuration in force lets the caller's organisation use the route
+    bool isAuthorized() const;
+    /// @return whether the request was refused because of its key
+    boost::asio::awaitable<bool> refusedByKey();
+    /// @return whether the request was refused because it is beyond its organisation's quota
+    boost::asio::awaitable<bool> refusedByQuota();
     void buildRequest();
+    int urgency() const;
     boost::asio::awaitable<void> serve();
     /// @return how the request ends when no further attempt is made
     NextStep finalStep() const;
@@ -164,6 +176,8 @@
     std::shared_ptr<const ServingConfig> m_config; // keeps the route
     const ServingRoute *m_route = nullptr;
     CallerRequest m_caller;
+    std::optional<Organisation> m_organisation; // that the caller's key belongs to; without keys
+    double m_takenQuota = 0.0;                  // of the organisation's quota, for this request
     ServingRequest m_request;
     RequestProgress m_progress;
     std::vector<SuspectKey> m_keys; // of what may crash a replica
--- a/src/fleet/nodedirectory.cpp
+++ b/src/fleet/nodedirectory.cpp
@@ -429,4 +429,24 @@
     return infos;
 }
 
+std::unordered_set<std::string> NodeDirectory::liveNodes(Instant now) const
+{
+    std::unordered_set<std::string> names;
+    for (const auto &[name, row] : m_nodes) {
+        if (isLive(row, now))
+            names.insert(name);
+    }
+    return names;
+}
+
+std::unordered_set<std::string> NodeDirectory::leavingNodes() const
+{
+    std::unordered_set<std::string> names;
+    for (const auto &[name, row] : m_nodes) {
+        if (row.leaving)
+            names.insert(name);
+    }
+    return names;
+}
+
 } // namespace burdock
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -39,6 +39,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace burdock {
@@ -193,6 +194,12 @@
     ///         depends neither on traffic nor on short silences, so that all nodes agree on it.
     std::vector<std::string> senderCandidates(Instant now) const;
 
+    /// @return names of the other nodes that are live
+    std::unordered_set<std::string> liveNodes(Instant now) const;
+
+    /// @return names of the other nodes that said that they stop
+    std::unordered_set<std::string> leavingNodes() const;
+
     /// @return whether this node knows others and has no recent heartbeat of any
     bool isCutOff(Instant now) const { return isAlone(now) && !m_nodes.empty(); }
 
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -52,6 +52,7 @@
 constexpr int StatusCreated = 201;
 constexpr int StatusNoContent = 204;
 constexpr int StatusBadRequest = 400;
+constexpr int StatusUnauthorized = 401;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
 constexpr int StatusGone = 410;
--- /dev/null
+++ b/src/organisations/quotaledger.h
@@ -0,0 +1,197 @@
+// Keeps organisations within quotas that hold for all nodes together, without asking other nodes.
+//
+// Index
+//   QuotaUse, QuotaNote     what a node tells the others about its spending
+//   FleetView               what is known of the other nodes
+//   QuotaExceeded           when a refused caller may come back
+//   QuotaLedgerSettings
+//   QuotaLedger             the buckets of all organisations, as this node sees them
+//
+// Answers the load of an organisation that sends many times its quota through any number of nodes,
+// while callers move between nodes and nodes come and go. Every node keeps one token bucket for
+// each organisation that stands for the whole fleet. It refills at the full rate, and both the
+// node's own requests and those that other nodes report are taken from it:
+//
+//   if (const auto refusal = ledger.tryTake(name, cost, now))
+//       ... 429, with refusal->retryAfter ...
+//   ledger.giveBack(name, cost, now);                // the request never ran
+//   if (const auto note = ledger.nextNote(now))      // often, at least ten times a second
+//       ... to the other nodes that take callers ...
+//   ledger.onNote(note, now);                        // from another node
+//
+// A request is admitted while the bucket is not empty, and may overdraw it. What several nodes
+// overdraw before they hear of each other is a debt that is paid before anything else is admitted.
+// The fleet therefore spends the quota's rate over time, and at most what arrives within the delay
+// of the notes beyond it. Between two notes, a node's spending is estimated by its latest rate.
+//
+// A note states totals since the start of the sender's process, so that a lost, repeated or late
+// note changes nothing for good. docs/design/quotas.md says what happens when nodes start, stop,
+// are suspended or cut off.
+#pragma once
+
+#include "base/instant.h"
+#include "organisations/organisation.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace burdock {
+
+// ---- Notes --------------------------------------------------------------------------------------
+
+struct QuotaUse
+{
+    std::string organisation;
+    double spent = 0.0;     // since the sender's process started
+    double perSecond = 0.0; // spent lately
+    double level = 0.0;     // of the sender's bucket; below 0: debt
+};
+
+/// Uses that fit into one datagram.
+constexpr std::size_t MaxQuotaUses = 40;
+
+struct QuotaNote
+{
+    std::string node;            // name of the sender
+    std::uint64_t startedMs = 0; // start of its process, Unix ms
+    std::vector<QuotaUse> uses;  // at most MaxQuotaUses
+};
+
+// ---- Ledger -------------------------------------------------------------------------------------
+
+struct FleetView
+{
+    std::unordered_set<std::string> live; // other nodes with a recent heartbeat
+    std::unordered_set<std::string> left; // other nodes that said that they stop
+    bool isCutOff = false;                // other nodes are known, and none of them is heard
+    bool reachesStore = true;             // recent calls to the store have not failed
+};
+
+struct QuotaExceeded
+{
+    std::chrono::milliseconds retryAfter { 0 }; // until the bucket has credit again
+};
+
+struct QuotaLedgerSettings
+{
+    Duration window = std::chrono::seconds(8); // span over which quotas are judged
+    // Interval of notes while something was spent that other nodes need not know at once.
+    Duration noteInterval = std::chrono::milliseconds(500);
+    // Interval while it matters: the bucket is below urgentLevel, or urgentShare of the burst was
+    // spent since the latest note.
+    Duration urgentNoteInterval = std::chrono::milliseconds(50);
+    double urgentLevel = 0.5;  // share of the burst
+    double urgentShare = 0.03; // of the burst
+    // Least time for which a full bucket lasts at the quota's rate, whatever the burst.
+    Duration minBurstTime = std::chrono::milliseconds(100);
+    // Time constant of the spending that notes state.
+    Duration rateTime = std::chrono::milliseconds(500);
+    // A live node that has sent no note for this long spends nothing.
+    Duration quietTime = std::chrono::milliseconds(1'200);
+    // update() or another call was not made for this long: the process was suspended, and knows the
+    // spending of other nodes no more than a new process.
+    Duration maxUpdateGap = std::chrono::seconds(2);
+    // Least share of a quota that a node which is cut off uses, of an organisation that spent at it
+    // in the window before.
+    double minShare = 0.02;
+    std::chrono::milliseconds minRetryAfter { 100 };
+    std::chrono::milliseconds maxRetryAfter { 5'000 };
+};
+
+class QuotaLedger
+{
+public:
+    /// @param node name of this node
+    /// @param startedMs start of this process, Unix ms
+    QuotaLedger(std::string node, std::uint64_t startedMs, QuotaLedgerSettings settings = {});
+
+    /// Sets the quotas in force. A lower quota holds at once, a higher one fills up at its rate.
+    void setOrganisations(const std::vector<Organisation> &organisations, Instant now);
+
+    /// Sets what is known of the other nodes. Call it with each heartbeat.
+    void setFleet(const FleetView &fleet, Instant now);
+
+    /// Takes a request from the organisation's bucket.
+    /// @param cost see requestCost()
+    /// @return nothing if it may be sent
+    std::optional<QuotaExceeded> tryTake(const std::string &organisation, double cost, Instant now);
+
+    /// Gives back what was taken for a request that has not run and will not.
+    void giveBack(const std::string &organisation, double cost, Instant now);
+
+    /// Takes what another node has spent.
+    void onNote(const QuotaNote &note, Instant now);
+
+    /// @return the note that is due now, if any
+    std::optional<QuotaNote> nextNote(Instant now);
+
+    // ---- Queries ----
+
+    struct Status
+    {
+        double level = 0.0;           // of the bucket; below 0: debt
+        double ownPerSecond = 0.0;    // spent at this node
+        double othersPerSecond = 0.0; // spent at other nodes, by their latest notes
+    };
+
+    /// @return nothing if the organisation has no quota
+    std::optional<Status> status(const std::string &organisation, Instant now);
+
+    /// @return number of organisations with a quota
+    std::size_t size() const { return m_accounts.size(); }
+
+private:
+    /// The spending of another node for one organisation.
+    struct PeerUse
+    {
+        double spent = 0.0;     // as its latest note states
+        double perSecond = 0.0; // estimated spending since then
+        Instant heardAt;        // of the latest note with it
+    };
+
+    struct Account
+    {
+        Quota quota;
+        double level = 0.0;
+        Instant updatedAt;
+        bool isSynced = false;  // whether another node's level was taken over, or none needs to be
+        double spent = 0.0;     // by this process
+        double noted = 0.0;     // spent as of the latest note
+        double perSecond = 0.0; // spent lately by this process
+        bool wasNoted = false;  // the latest note stated a rate above 0
+        double share = 1.0;     // of the quota that this node may use
+        double othersPerSecond = 0.0;                   // sum over peers
+        std::unordered_map<std::string, PeerUse> peers; // by node
+    };
+
+    struct Peer
+    {
+        std::uint64_t startedMs = 0; // of its process
+    };
+
+    void restart(Instant now);
+    void noteCall(Instant now);
+    void update(Account &account, Instant now) const;
+    void setPeerRate(Account &account, PeerUse &use, double perSecond) const;
+    void expirePeers(Account &account, Instant now);
+    void setShares(Instant now);
+    void noteUrgency(const Account &account);
+    double burstOf(const Account &account) const;
+
+    std::string m_node;
+    std::uint64_t m_startedMs;
+    QuotaLedgerSettings m_settings;
+    FleetView m_fleet;
+    Instant m_cutOffSince;   // zero: this node is not cut off
+    Instant m_calledAt;      // latest call
+    Instant m_notedAt;       // latest note
+    bool m_isUrgent = false; // the next note is due after urgentNoteInterval
+    std::unordered_map<std::string, Account> m_accounts; // by organisation
+    std::unordered_map<std::string, Peer> m_peers;       // by node
+};
+
+} // namespace burdock
--- a/src/serving/servingconfig.cpp
+++ b/src/serving/servingconfig.cpp
@@ -12,6 +12,30 @@
     return found == engine.models.end() ? nullptr : &*found;
 }
 
+RankTable::RankTable(const ServingConfig &config)
+    : m_hasOrganisations(config.organisations.has_value())
+{
+    if (!m_hasOrganisations)
+        return;
+    for (const ServingRoute &route : config.routes) {
+        for (const Organisation &organisation : *config.organisations)
+            m_pairs.emplace_back(organisation.priority, route.priority);
+        if (route.isPublic)
+            m_pairs.emplace_back(0, route.priority); // callers without a key
+    }
+    std::sort(m_pairs.begin(), m_pairs.end());
+    m_pairs.erase(std::unique(m_pairs.begin(), m_pairs.end()), m_pairs.end());
+}
+
+int RankTable::rank(int organisationPriority, int routePriority) const
+{
+    if (!m_hasOrganisations)
+        return routePriority;
+    const auto position = std::lower_bound(m_pairs.begin(), m_pairs.end(),
+                                           std::pair(organisationPriority, routePriority));
+    return static_cast<int>(position - m_pairs.begin());
+}
+
 RouteTable::RouteTable(std::shared_ptr<const ServingConfig> config)
     : m_config(std::move(config))
 {
--- a/src/serving/servingconfig.h
+++ b/src/serving/servingconfig.h
@@ -6,6 +6,7 @@
 //   EngineModel, EngineLimits      models of a service's replicas, and the capacity of one replica
 //   ServingService
 //   CallerLimits                   limits on what callers may send
+//   RankTable                      ranks of the priorities that a configuration uses
 //   ServingConfig                  one version of the complete configuration
 //   RouteTable                     finds the route of a request
 //   chooseService()                selects a service of a route
@@ -16,6 +17,7 @@
 #pragma once
 
 #include "base/instant.h"
+#include "organisations/organisation.h"
 
 #include <cstdint>
 #include <map>
@@ -24,6 +26,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace burdock {
@@ -48,9 +51,12 @@
     // Target time from arrival to the first byte; a later response has less value for the caller.
     std::chrono::milliseconds latencyObjective { 1'000 };
     std::chrono::milliseconds gapObjective { 0 }; // longest pause between events; 0: no limit
-    int priority = 0;                             // 0 is the most urgent
+    // Callers of a stream leave if its first event has not come after this time; 0: no limit.
+    std::chrono::milliseconds firstEventTimeout { 0 };
+    int priority = 0;                  // 0 is the most urgent
     int attempts = 1;                  // maximum number of replicas that may run one request
     bool hasModels = false;            // whether requests name a model
+    bool isPublic = false;             // whether requests need no key of an organisation
     std::vector<ServiceShare> targets; // several targets share the requests by weight
 };
 
@@ -105,6 +111,28 @@
     std::vector<ServingRoute> routes;
     std::map<std::string, ServingService> services; // by name
     CallerLimits limits;
+    // Organisations whose callers are served; nothing: requests need no key.
+    std::optional<std::vector<Organisation>> organisations;
+    std::vector<std::string> problems; // parts that could not be read and are left out, for the log
+};
+
+/// Orders the pairs of an organisation's and a route's priority that a configuration uses.
+class RankTable
+{
+public:
+    explicit RankTable(const ServingConfig &config);
+
+    /// @param organisationPriority, routePriority used by the configuration
+    /// @return 0 for the most urgent pair, 1 for the next; without organisations the route's
+    ///         priority itself
+    int rank(int organisationPriority, int routePriority) const;
+
+    /// @return number of ranks; 0 without organisations
+    std::size_t count() const { return m_pairs.size(); }
+
+private:
+    bool m_hasOrganisations = false;
+    std::vector<std::pair<int, int>> m_pairs; // sorted, the most urgent first
 };
 
 /// Finds the route of a request: among the routes of its host, the one with the longest prefix of
--- a/tests/adapter/test_latenode.cpp
+++ b/tests/adapter/test_latenode.cpp
@@ -23,6 +23,7 @@
     }
     asio::awaitable<void> announceLoss(BrokenRun, Endpoint) override { co_return; }
     void announceLimit(const LimitNote &) override { }
+    void announceSpending() override { }
 
     NodeState &state;
     bool isRemoved = false;
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -22,6 +22,7 @@
     }
     asio::awaitable<void> announceLoss(BrokenRun, Endpoint) override { co_return; }
     void announceLimit(const LimitNote &) override { }
+    void announceSpending() override { }
 
     NodeState &state;
     int claims = 0;
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -23,6 +23,7 @@
     bool announcePrompt(const PromptNote &) override { return false; }
     asio::awaitable<void> announceLoss(BrokenRun, Endpoint) override { co_return; }
     void announceLimit(const LimitNote &) override { }
+    void announceSpending() override { }
 };
 
 inline ServingRoute route(const char *prefix, bool streams, bool repeatable)
