Choice of replicas by their stated work time and by idle connections; streams leave the queue in time

Cause: the fourth figure of a replica's load was dropped. More than one connection was opened for two requests.

Change: the stated work time, smoothed and bounded, scales expected times and the prompts allowed within a pause. Where replicas state it, one with an idle connection is preferred. A stream's time in the queue ends with its caller's patience. Withdrawn prompts are found by their tokens, since their read time may have changed.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -564,6 +564,13 @@
     co_return ConnectOutcome::Accepted;
 }
 
+bool HttpClient::hasIdleConnection(const Endpoint &endpoint) const
+{
+    const auto connections = m_state->idle.find(endpoint);
+    return connections != m_state->idle.end() && !connections->second.empty()
+            && steadyNow() < connections->second.back()->usableUntil;
+}
+
 std::uint64_t HttpClient::connectionsOpened() const
 {
     return m_state->opened;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -211,6 +211,9 @@
     /// @param deadline when to give up
     boost::asio::awaitable<ConnectOutcome> tryConnect(Endpoint endpoint, Instant deadline);
 
+    /// @return whether a connection to the upstream is kept that a request may use
+    bool hasIdleConnection(const Endpoint &endpoint) const;
+
     /// @return connections opened so far
     std::uint64_t connectionsOpened() const;
 
--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -68,11 +68,14 @@
         candidate.freshTokens = std::max(0, request.promptTokens - cached);
         const Duration prefill =
                 m_table.prefillAhead(row, now) + m_table.prefillTime(row, candidate.freshTokens);
-        candidate.firstByteUs = double(prefill.count() + m_settings.stepTime.count())
-                + load * double(m_settings.stepTimePerRequest.count());
+        candidate.firstByteUs = double(prefill.count())
+                + row.workTime
+                        * (double(m_settings.stepTime.count())
+                           + load * double(m_settings.stepTimePerRequest.count()));
     }
     if (request.model.empty())
-        candidate.firstByteUs *= m_table.slowness(row, now); // prefillTime() includes it for models
+        candidate.firstByteUs *=
+                m_table.slowness(row, now) * row.workTime; // prefillTime() includes both for models
     if (now < row.coldUntil)
         candidate.firstByteUs *= 1.5; // a cold replica runs at about two thirds of its speed
     const double zoneCost =
@@ -82,8 +85,13 @@
         && m_table.prefillTime(row, candidate.freshTokens)
                 > m_engines[request.service].prefillLimit)
         streamCost = load * double(m_settings.disturbedStreamCost.count());
+    const bool needsConnection = row.statesWorkTime && m_connections != nullptr
+            && !m_connections->hasIdleConnection(row.info.address);
+    const double connectionCost =
+            needsConnection ? double(m_settings.newConnectionCost.count()) : 0.0;
     const double failureFactor = 1.0 + m_settings.failureWeight * row.failureRate;
-    candidate.cost = (candidate.firstByteUs * failureFactor + zoneCost + streamCost)
+    candidate.cost =
+            (candidate.firstByteUs * failureFactor + zoneCost + streamCost + connectionCost)
             * (1.0 + m_settings.costJitter * m_random.unit());
     return candidate;
 }
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -3,6 +3,7 @@
 //
 // Index
 //   ReplicaChoice, NoReplica   the two kinds of result
+//   ConnectionView             tells to which replicas a connection is open
 //   ChooserSettings
 //   ServiceProfile             averages over the requests of a service
 //   ReplicaChooser             the choice
@@ -61,11 +62,25 @@
 
 using ChooserResult = std::variant<ReplicaChoice, NoReplica>;
 
+/// What is known of the connections to replicas.
+class ConnectionView
+{
+public:
+    virtual ~ConnectionView() = default;
+
+    /// @param address of a replica, "IP:PORT"
+    /// @return whether a request to it needs no new connection
+    virtual bool hasIdleConnection(const std::string &address) const = 0;
+};
+
 struct ChooserSettings
 {
     std::string zone; // availability zone of this node
     // Cost of a replica in another availability zone, for the latency and the traffic.
     Duration otherZoneCost = std::chrono::milliseconds(12);
+    // Cost of a replica to which no connection is idle, where replicas share their VMs with others:
+    // a new connection takes work there before the request does.
+    Duration newConnectionCost = std::chrono::milliseconds(15);
     Duration stepTime = std::chrono::milliseconds(10); // one step of a batch
     // Added to the step time by each request in the batch.
     Duration stepTimePerRequest = std::chrono::microseconds(300);
@@ -109,6 +124,10 @@
     void setEngineLimits(const std::string &service, const EngineLimits &engine,
                          std::chrono::milliseconds maxPause);
 
+    /// Lets the choice prefer replicas to which a connection is idle.
+    /// @param connections must outlive the chooser
+    void setConnections(const ConnectionView &connections) { m_connections = &connections; }
+
     /// Chooses a replica. The caller reports with onSent() if it uses the choice.
     /// @param chain prefix hashes of the request's prompt
     /// @param excluded ids of replicas that must not be chosen
@@ -149,6 +168,7 @@
 
     const ReplicaTable &m_table;
     ChooserSettings m_settings;
+    const ConnectionView *m_connections = nullptr; // null: nothing is known of connections
     Random m_random;
     PrefixCacheEstimate m_prefixCaches;
     std::map<std::string, ServiceProfile> m_profiles; // by service
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -279,7 +279,7 @@
     std::erase_if(row->prompts, [&](const AssignedPrompt &prompt) {
         return now - prompt.assignedAt > m_settings.promptHistory;
     });
-    row->prompts.push_back({ now, readTime });
+    row->prompts.push_back({ now, readTime, freshTokens });
 }
 
 void ReplicaTable::onPromptWithdrawn(const std::string &id, int freshTokens, Instant now)
@@ -287,13 +287,13 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr)
         return;
-    const Duration readTime = prefillTime(*row, freshTokens);
-    row->prefillDoneAt = std::max(now, row->prefillDoneAt - readTime);
-    const auto prompt =
-            std::find_if(row->prompts.rbegin(), row->prompts.rend(),
-                         [&](const AssignedPrompt &each) { return each.readTime == readTime; });
-    if (prompt != row->prompts.rend())
-        row->prompts.erase(std::next(prompt).base());
+    const auto prompt = std::find_if(
+            row->prompts.rbegin(), row->prompts.rend(),
+            [&](const AssignedPrompt &each) { return each.freshTokens == freshTokens; });
+    if (prompt == row->prompts.rend())
+        return;
+    row->prefillDoneAt = std::max(now, row->prefillDoneAt - prompt->readTime);
+    row->prompts.erase(std::next(prompt).base());
 }
 
 Duration ReplicaTable::prefillTime(const ReplicaRow &row, int freshTokens) const
@@ -303,7 +303,8 @@
     const double tokens = freshTokens;
     const double ms = tokens / m_settings.prefillTokensPerMs
             + m_settings.msPerMillionTokenPairs * tokens * tokens / Million;
-    return Duration(static_cast<Duration::rep>(ms * row.slowness * MicrosecondsPerMs));
+    return Duration(
+            static_cast<Duration::rep>(ms * row.slowness * row.workTime * MicrosecondsPerMs));
 }
 
 Duration ReplicaTable::prefillAhead(const ReplicaRow &row, Instant now) const
@@ -329,6 +330,13 @@
     if (row == nullptr)
         return;
     row->load = report;
+    if (report.workTimePercent > 0) {
+        constexpr double Percent = 100.0;
+        const double stated = std::clamp(double(report.workTimePercent) / Percent,
+                                         m_settings.minWorkTime, m_settings.maxWorkTime);
+        row->workTime += m_settings.workTimeSmoothing * (stated - row->workTime);
+        row->statesWorkTime = true;
+    }
     row->loadReceivedAt = now;
     row->changeSinceReport = 0;
 }
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -70,6 +70,9 @@
     int running = 0; // requests that the replica is serving
     int waiting = 0; // requests queued at the replica
     int slots = 0;   // requests that it serves at once; 0: not reported
+    // How long work takes on the replica's VM, which it shares with others, at this moment: 100 is
+    // usual; 0: not reported.
+    int workTimePercent = 0;
 };
 
 enum class ReplicaOutcome {
@@ -86,6 +89,7 @@
 {
     Instant assignedAt;   // when this node sent it or received the peer's announcement
     Duration readTime {}; // estimated time that the replica needs to read it
+    int freshTokens = 0;  // tokens of it that the replica has to read
 };
 
 struct ReplicaRow
@@ -99,12 +103,14 @@
     Instant loadReceivedAt;              // when it arrived; zero: none has arrived
     // Requests that this node sent since the load report, less those that finished since then.
     int changeSinceReport = 0;
-    double failureRate = 0.0; // smoothed share of failed requests
-    double slowness = 1.0;    // smoothed ratio of observed to expected time to the first byte
-    Instant firstByteAt;      // of the latest response in it
-    int connectFailures = 0;  // consecutive failed connections
-    Instant avoidUntil;       // no requests are sent until then
-    Instant pausedUntil;      // the replica asked for no requests until then
+    double failureRate = 0.0;    // smoothed share of failed requests
+    double slowness = 1.0;       // smoothed ratio of observed to expected time to the first byte
+    Instant firstByteAt;         // of the latest response in it
+    double workTime = 1.0;       // smoothed ratio of work time to the usual one, as reported
+    bool statesWorkTime = false; // whether the replica reports it
+    int connectFailures = 0;     // consecutive failed connections
+    Instant avoidUntil;          // no requests are sent until then
+    Instant pausedUntil;         // the replica asked for no requests until then
     Instant drainedAt; // it said that it terminates: no requests from then on; zero: it stays
     Instant removeAt;  // unlisted: no requests from the end of its grace period on; zero: listed
     Instant coldUntil; // below its normal speed until then
@@ -153,6 +159,12 @@
     // Longest pause that a replica can ask for.
     Duration maxRequestedPause = std::chrono::minutes(5);
     double smoothing = 0.15; // weight of the latest value in smoothed rates and ratios
+    // Weight of the latest reported work time, which changes many times a second.
+    double workTimeSmoothing = 0.3;
+    // Bounds of the reported work time, so that a wrong figure neither draws nor scares all
+    // requests; the observed slowness corrects what is left.
+    double minWorkTime = 0.5;
+    double maxWorkTime = 4.0;
     Duration slownessHalfLife = std::chrono::milliseconds(400); // of plain services' replicas
     // Initial prefill speed, that of the engines in use; the observed slowness corrects it per
     // replica.
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -98,7 +98,7 @@
 Instant RequestScheduler::initialQueueDeadline(const QueuedRequest &waiting, Instant now) const
 {
     const ServingRequest &request = waiting.request;
-    const Duration remaining = request.deadline - now;
+    const Duration remaining = std::min(request.deadline, request.firstByteDeadline) - now;
     const auto afterShare = [&](double share) {
         return now + Duration(static_cast<Duration::rep>(double(remaining.count()) * share));
     };
@@ -125,7 +125,8 @@
 Instant RequestScheduler::extendedQueueDeadline(const QueuedRequest &waiting, Instant now) const
 {
     const ServingRequest &request = waiting.request;
-    const Duration timeLimit = request.deadline - request.arrivedAt;
+    const Duration timeLimit =
+            std::min(request.deadline, request.firstByteDeadline) - request.arrivedAt;
     const Instant latest = request.arrivedAt
             + Duration(static_cast<Duration::rep>(double(timeLimit.count())
                                                   * m_settings.maxLoadWaitShare));
