An adapter slot is kept for the adapter that it was freed for

Cause: an adapter that requests have waited for unloads one in use. When its last requests had ended, seconds later, the slot went to whichever adapter was requested or preloaded then. The requests of the claimant had been refused by that time, and its turn was lost.

Change: an accepted unload leaves a claim of the adapter that it was ordered for. The slot counts as taken for all others until the claimant is loaded, or for CopyPlacementSettings::reservationTime. The claimant is loaded as soon as the slot is free, also when its requests have been refused meanwhile. It orders no second unload within maxAdapterUnloadWait.

Measured: the new test ASlotIsKeptForTheAdapterThatItWasFreedFor fails before (a6 is loaded instead of a5) and passes now; 23 tests of test_placing_copyplacement (rapidcheck), 3 of test_placing_starvedcopies, 4 of largefleet and 6 of demandtable pass.

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -68,6 +68,10 @@
                   [&](const std::string &model) { return listedCopy(engine, model) == nullptr; });
     std::erase_if(engine.unloadingAdapters,
                   [&](const auto &entry) { return !holdsCopy(info.models, entry.first); });
+    for (auto &[claimant, claim] : engine.slotClaims) {
+        if (!engine.unloadingAdapters.contains(claim.victim))
+            claim.victim.clear();
+    }
     std::erase_if(engine.evictableAt, [&](const auto &entry) { return now >= entry.second; });
     if (now >= engine.reportExpiresAt)
         engine.reported.clear();
@@ -142,6 +146,14 @@
     }
     engine.ordersAccepted = command.ordersAccepted + 1;
     engine.lastOrderAt = now;
+    if (isAdapterUnload && !engine.openOrderClaimant.empty()) {
+        // An adapter without requests is unloaded at once.
+        const bool isInUse = result == OrderResult::Accepted;
+        engine.slotClaims[engine.openOrderClaimant] = {
+            isInUse ? copyName(command.model, command.adapter) : "", now,
+            now + m_settings.reservationTime
+        };
+    }
     if (command.adapter.empty() && command.load) {
         const auto service = m_services.find(engine.info.service);
         const EngineModel *model = service == m_services.end()
@@ -272,6 +284,8 @@
             engine.orderCountKnown = false; // the load failed, or listings do not arrive
             engine.nextReportAt = now;
         }
+        std::erase_if(engine.slotClaims,
+                      [&](const auto &entry) { return now >= entry.second.expiresAt; });
         if (now >= engine.nextReportAt)
             engine.reportOpen = false;
         openReports += engine.reportOpen ? 1 : 0;
@@ -316,6 +330,7 @@
     engine.openOrder = command;
     engine.openOrderDeadline = now + m_settings.orderTimeout;
     engine.openOrderUsesToken = false;
+    engine.openOrderClaimant.clear();
     m_actions.emplace_back(
             SendCommand { std::move(command), engine.info.address, reason, demand, copies });
 }
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -18,9 +18,10 @@
 // one copy of each model, a requested model without one replaces an idle one, and after
 // CopyPlacementSettings::maxMissingTime also one that is not idle. Adapters are loaded ahead of
 // demand while adapter slots are free; a requested adapter replaces an idle one, and one in use
-// after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take turns. The last
-// replica that can take the adapters of a model is kept free of model loads for less demand: a load
-// makes its replica refuse all other orders for seconds.
+// after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take turns. The slot that
+// is freed for it is kept for it, for a bounded time. The last replica that can take the adapters
+// of a model is kept free of model loads for less demand: a load makes its replica refuse all other
+// orders for seconds.
 //
 // Orders with an unknown outcome. Each order carries the number of orders that the replica had
 // accepted when the holder learned what it holds. The replica carries out the order only while that
@@ -85,7 +86,7 @@
     /// Delay of the report request after a conflict, in which the replica finishes the order that
     /// it is carrying out.
     Duration conflictReportDelay = std::chrono::milliseconds(150);
-    /// Memory freed for a model is reserved for it this long.
+    /// Memory freed for a model is reserved for it this long, and an adapter slot for an adapter.
     Duration reservationTime = std::chrono::seconds(8);
     /// Within this time after its load, a new copy is not evicted for a model that has one already.
     Duration minResidencyTime = std::chrono::seconds(6);
@@ -307,12 +308,16 @@
     const char *evictForModel(Plan &plan, const ModelView &view, Instant now);
     void placeAdapters(Plan &plan, Instant now);
     void forgetServedWaits(const Plan &plan, Instant now);
+    void placeClaimants(Plan &plan, Instant now);
     void preloadAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
                       AdapterNeed need, Instant now);
+    bool loadAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
+                     const char *reason, Instant now);
     std::vector<std::pair<std::string, std::string>> loadedAdapters(const EngineRecord &engine,
                                                                     Instant now) const;
-    const char *evictAdapter(Plan &plan, const ModelView &model, bool mayBeInUse, Instant now);
+    const char *evictAdapter(Plan &plan, const ModelView &model, const std::string &claimant,
+                             bool mayBeInUse, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
     bool canTakeAdapter(const EngineRecord &engine, Instant now) const;
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -546,6 +546,7 @@
 void CopyPlacement::placeAdapters(Plan &plan, Instant now)
 {
     forgetServedWaits(plan, now);
+    placeClaimants(plan, now);
     const auto waitingSince = [&](const RequestedCopy *request) {
         const auto wait = m_adapterWaits.find(
                 std::pair(request->service, copyName(request->model, request->adapter)));
@@ -577,6 +578,26 @@
     });
 }
 
+/// Loads the adapters for which slots were freed. Their requests may have been refused by now; when
+/// their callers return, the adapter is there.
+void CopyPlacement::placeClaimants(Plan &plan, Instant now)
+{
+    std::vector<std::pair<Instant, std::string>> claimants;
+    for (const EngineView &engine : plan.engines) {
+        std::erase_if(engine.record->slotClaims,
+                      [&](const auto &entry) { return plan.heldAdapters.contains(entry.first); });
+        for (const auto &[copy, claim] : engine.record->slotClaims)
+            claimants.emplace_back(claim.claimedAt, copy);
+    }
+    std::sort(claimants.begin(), claimants.end());
+    for (const auto &[claimedAt, copy] : claimants) {
+        const auto slash = copy.find('/');
+        const ModelView *model = plan.find(std::string_view(copy).substr(0, slash));
+        if (model != nullptr && !plan.heldAdapters.contains(copy))
+            loadAdapter(plan, *model, copy.substr(slash + 1), "claimed", now);
+    }
+}
+
 /// Loads adapters that no request waits for, those with the highest demand first.
 void CopyPlacement::preloadAdapters(Plan &plan, Instant now)
 {
@@ -620,13 +641,27 @@
         plan.unplaced[copy] = "unknown_adapter";
         return false;
     }
+    if (loadAdapter(plan, model, adapter, need == AdapterNeed::None ? "preload" : "wanted", now))
+        return true;
+    if (need != AdapterNeed::None)
+        plan.unplaced[copy] = evictAdapter(plan, model, copy, need == AdapterNeed::Overdue, now);
+    return false;
+}
+
+/// Orders the adapter to be loaded on the replica of its model with the most free slots.
+/// @return whether a replica has a slot for it
+bool CopyPlacement::loadAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
+                                const char *reason, Instant now)
+{
+    const std::string copy = copyName(model.model->name, adapter);
     EngineView *best = nullptr;
     int bestCount = 0;
     for (EngineView *engine : model.listed) {
         if (!engine->takesOrders || !canTakeAdapter(*engine->record, now)
             || engine->record->unloadingAdapters.contains(copy))
             continue;
-        const int count = maxHeldAdapters(*engine->record);
+        const int count =
+                maxHeldAdapters(*engine->record) + slotsClaimedByOthers(*engine->record, copy, now);
         if (count >= plan.limits.adapterSlots)
             continue;
         if (best == nullptr || count < bestCount) {
@@ -634,23 +669,20 @@
             bestCount = count;
         }
     }
-    if (best != nullptr) {
-        EngineCommand command;
-        command.model = model.model->name;
-        command.adapter = adapter;
-        send(*best->record, std::move(command), need == AdapterNeed::None ? "preload" : "wanted",
-             plan.demandOf(model.model->name, adapter), 0, now);
-        if (need != AdapterNeed::None)
-            best->record->evictableAt[copy] =
-                    now + m_settings.adapterLoadTime + m_settings.minAdapterResidencyTime;
-        best->takesOrders = false;
-        plan.openAdapterOrders++;
-        plan.heldAdapters.insert(copy);
-        return true;
-    }
-    if (need != AdapterNeed::None)
-        plan.unplaced[copy] = evictAdapter(plan, model, need == AdapterNeed::Overdue, now);
-    return false;
+    if (best == nullptr)
+        return false;
+    EngineCommand command;
+    command.model = model.model->name;
+    command.adapter = adapter;
+    send(*best->record, std::move(command), reason, plan.demandOf(model.model->name, adapter), 0,
+         now);
+    if (reason != std::string_view("preload"))
+        best->record->evictableAt[copy] =
+                now + m_settings.adapterLoadTime + m_settings.minAdapterResidencyTime;
+    best->takesOrders = false;
+    plan.openAdapterOrders++;
+    plan.heldAdapters.insert(copy);
+    return true;
 }
 
 /// @return model and adapter names of all loaded adapters, listed or not, that stay loaded
@@ -674,13 +706,20 @@
 }
 
 /// Unloads the adapter with the lowest demand, on the replicas that hold the model.
+/// @param claimant "model/adapter" that the slot is freed for
 /// @param mayBeInUse it need not be idle; its slot is free once its last request has ended
 /// @return the state of that for the log
-const char *CopyPlacement::evictAdapter(Plan &plan, const ModelView &model, bool mayBeInUse,
-                                        Instant now)
+const char *CopyPlacement::evictAdapter(Plan &plan, const ModelView &model,
+                                        const std::string &claimant, bool mayBeInUse, Instant now)
 {
     if (model.listed.empty())
         return "model_not_resident";
+    for (const EngineView *engine : model.listed) {
+        const auto claim = engine->record->slotClaims.find(claimant);
+        if (claim != engine->record->slotClaims.end()
+            && now < claim->second.claimedAt + m_settings.maxAdapterUnloadWait)
+            return "unload_pending";
+    }
     EngineView *best = nullptr;
     bool isAnyFree = false; // to take orders
     std::string victimModel;
@@ -719,6 +758,7 @@
     command.model = victimModel;
     command.adapter = victim;
     send(*best->record, std::move(command), "make_room", lowestDemand, 1, now);
+    best->record->openOrderClaimant = claimant;
     best->takesOrders = false;
     return "unload_ordered";
 }
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -54,6 +54,16 @@
     return static_cast<int>(names.size());
 }
 
+int slotsClaimedByOthers(const EngineRecord &engine, const std::string &copy, Instant now)
+{
+    return static_cast<int>(std::count_if(
+            engine.slotClaims.begin(), engine.slotClaims.end(), [&](const auto &entry) {
+                const auto &[claimant, claim] = entry;
+                return claimant != copy && claim.victim.empty() && now < claim.expiresAt
+                        && listedCopy(engine, claimant.substr(0, claimant.find('/'))) != nullptr;
+            }));
+}
+
 Duration loadTime(const EngineRecord &engine, const EngineModel *model)
 {
     if (model == nullptr)
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -2,9 +2,9 @@
 //
 // Index
 //   ModelCatalog                             models of a service by name
-//   EngineRecord                             the state
+//   SlotClaim, EngineRecord                  the state
 //   resetRecord                              starts the record of a new process
-//   listedCopy, maxHeldAdapters              what the replica holds
+//   listedCopy, maxHeldAdapters, slotsClaimedByOthers   what the replica holds
 //   canTakeOrder, freeMemory, isProtected    whether the replica can take more, or give up a copy
 //   loadTime                                 cost of a load
 #pragma once
@@ -43,6 +43,14 @@
     double m_adapterSlotsMb = 0.0;
 };
 
+/// An adapter slot that was freed, or is being freed, for one adapter.
+struct SlotClaim
+{
+    std::string victim; // adapter whose last requests still use the slot; empty: the slot is free
+    Instant claimedAt;
+    Instant expiresAt; // from then on other adapters may take the slot
+};
+
 struct EngineRecord
 {
     ReplicaInfo info;                 // as listed
@@ -54,6 +62,7 @@
     std::optional<EngineCommand> openOrder; // order that was sent and has no response yet
     Instant openOrderDeadline;              // from then on the order counts as unanswered
     bool openOrderUsesToken = false;        // the order took a token of the load rate limiter
+    std::string openOrderClaimant;          // "model/adapter" that the order frees a slot for
 
     /// Models ordered but not listed yet, with the time from which the load counts as failed.
     std::map<std::string, Instant> loading;
@@ -68,6 +77,8 @@
     /// eviction ends.
     std::map<std::string, Instant> evictableAt;
 
+    std::map<std::string, SlotClaim> slotClaims; // by the adapter ("model/adapter") that claims it
+
     std::string reservedFor;      // model for which a copy was evicted here
     Instant reservationExpiresAt; // from then on other models may use the memory
 
@@ -87,6 +98,10 @@
 ///         report and the orders
 int maxHeldAdapters(const EngineRecord &engine);
 
+/// @param copy "model/adapter"
+/// @return number of free adapter slots that are kept for other adapters than this one
+int slotsClaimedByOthers(const EngineRecord &engine, const std::string &copy, Instant now);
+
 /// @return whether an order may be sent: a replica carries out one load or unload of a model at a
 ///         time, and no order may have an unknown outcome
 bool canTakeOrder(const EngineRecord &engine);
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -462,6 +462,45 @@
     CHECK_EQUAL(std::string("a5"), load->adapter);
 }
 
+// A slot freed for an adapter, when the last requests of the one before it had ended, was taken by
+// another adapter that was requested in the meantime.
+TEST(CopyPlacement, ASlotIsKeptForTheAdapterThatItWasFreedFor)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config());
+    FakeReplica replica;
+    replica.id = "r0";
+    replica.models["m0"] = { "a1", "a2", "a3", "a4" };
+    placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    placement.onReport("r0", replica.report(Start + 3s), Start + 3s);
+    placement.takeActions();
+    const auto nextOrder = [&](Instant now) {
+        placement.tick(now);
+        std::optional<EngineCommand> ordered;
+        for (const PlacingAction &action : placement.takeActions()) {
+            const auto *send = std::get_if<SendCommand>(&action);
+            if (send != nullptr && !send->command.adapter.empty())
+                ordered = send->command;
+        }
+        return ordered;
+    };
+    placement.onCopyRequest("pool", "m0", "a5", Start + 3'100ms);
+    const auto unload = nextOrder(Start + 3'100ms);
+    CHECK(unload && !unload->load);
+    placement.onOrderResult(*unload, OrderResult::Accepted, Start + 3'110ms);
+    placement.takeActions();
+
+    // Requests for a5 have been refused when those for the unloaded adapter end.
+    std::erase(replica.models["m0"], unload->adapter);
+    placement.onReplica(replica.listing(), Start + 6s);
+    placement.onCopyRequest("pool", "m0", "a6", Start + 6s);
+    const auto load = nextOrder(Start + 6'100ms);
+    CHECK(load && load->load);
+    CHECK_EQUAL(std::string("a5"), load->adapter);
+}
+
 TEST(CopyPlacement, ReplicaOfAServiceWithoutModelsGetsNoReportRequests)
 {
     CopyPlacement placement(onNode1());
