A model load takes the replica that adapters depend on last

Cause: whether a replica is the last one that takes the adapters of a model was found out once a plan, before its orders. Two missing models were loaded on both replicas of a model at once, and all adapter orders for it were refused for the time of the loads (8.6 s from the weight store). A missing model with more demand than the adapters was also loaded on the only such replica whenever that one had less to do than others, or when the others had not answered an adapter order for some milliseconds.

Change: replicas are compared first by what requests for adapters lose (EngineView::adapterRole), then by load as before; the replica with the only copy of a model comes last. This is found out again after each model order of a plan. A load waits for up to CopyPlacementSettings::maxAnswerWait (1 s) for the answer of a replica with memory. The bounds of held back loads are unchanged.

Measured: three new tests fail before and pass now (OneOfTwoReplicasForAdaptersInDemandGetsNoModelLoad, OnlyReplicaForAdaptersIsTheLastChoiceForAModelLoad, and AModelLoadWaitsForTheAnswerOfAReplicaWithoutWaitingAdapters, this one with maxAnswerWait set to 0). 26 tests of test_placing_copyplacement (rapidcheck), 3 of starvedcopies, 6 of largefleet pass.

--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -138,7 +138,9 @@
     /// a model without a copy, and of one that has copies.
     Duration maxHeldBackTime = std::chrono::seconds(10);
     Duration maxHeldBackCopyTime = std::chrono::seconds(30);
-    /// That time is forgotten when no plan has asked for the load for this long.
+    /// And if another replica only has to answer an adapter order first, after this time.
+    Duration maxAnswerWait = std::chrono::seconds(1);
+    /// These times are forgotten when no plan has asked for the load for this long.
     Duration heldBackLoadLifetime = std::chrono::seconds(2);
     /// Models for which one planning pass looks for a copy to evict.
     std::size_t maxEvictionsTried = 8;
@@ -243,6 +245,7 @@
     std::vector<PlacingAction> takeActions();
 
 private:
+    enum class AdapterRole;
     struct EngineView; // one replica, for one planning pass
     struct ModelView;  // one model over all replicas of its service, for one planning pass
     struct Plan;
@@ -302,6 +305,9 @@
     void placeModels(Plan &plan, Instant now);
     void noteMissing(Plan &plan, Instant now);
     PlaceResult placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
+    bool canWaitForAnswer(const Plan &plan, const ModelView &view, Instant now);
+    const HeldBackLoad &heldBackLoad(const std::string &service, const ModelView &view,
+                                     Instant now);
     bool canReceiveCopy(const ModelView &view, const EngineView &engine, Instant now) const;
     bool mayReplaceLastCopy(const Plan &plan, const ModelView &view, const ModelView &victim,
                             Instant now) const;
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -32,15 +32,24 @@
 
 // ---- Plan ---------------------------------------------------------------------------------------
 
+/// What a model load on a replica takes from requests for adapters, the least first.
+enum class CopyPlacement::AdapterRole {
+    None,      // no request waits for an adapter that it could take
+    OneOfMany, // requests wait, and other replicas take orders for adapters of that model
+    LastFree,  // it is the last one that takes such orders now; requests wait, or there is demand
+    OnlyCopy,  // and it has the only copy of that model
+};
+
 struct CopyPlacement::EngineView
 {
     EngineRecord *record = nullptr;
     double freeMb = 0.0;              // left for models
     double load = 0.0;                // tokens per second
     bool takesOrders = false;         // see canTakeOrder()
-    bool reservedForAdapters = false; // requests wait for adapters: it gets no model loads
+    bool reservedForAdapters = false; // requests wait for adapters that only it could take now
     /// Demand for adapters that no other replica could take; in tokens per second.
     double adapterDemand = 0.0;
+    AdapterRole adapterRole = AdapterRole::None;
 
     const std::string &id() const { return record->info.id; }
 };
@@ -255,10 +264,15 @@
     }
 }
 
-/// Excludes replicas from model loads if requests wait for an adapter that no other replica could
-/// take: a model load makes its replica refuse all other orders for seconds.
+/// Notes which replicas requests for adapters depend on: a model load makes its replica refuse all
+/// other orders for seconds. To be repeated after each such order.
 void CopyPlacement::reserveForAdapters(Plan &plan, Instant now) const
 {
+    for (EngineView &engine : plan.engines) {
+        engine.reservedForAdapters = false;
+        engine.adapterDemand = 0.0;
+        engine.adapterRole = AdapterRole::None;
+    }
     const auto canTake = [&](const EngineRecord &engine) {
         if (maxHeldAdapters(engine) < plan.limits.adapterSlots)
             return true;
@@ -267,13 +281,15 @@
             return plan.demandOf(held.first, held.second) < m_settings.idleAdapterDemand;
         });
     };
+    std::unordered_set<const ModelView *> waitedFor; // requests wait for adapters of these models
     for (const auto &[key, request] : m_requestedCopies) {
-        if (request.service != plan.service.name || request.adapter.empty()
-            || plan.heldAdapters.contains(copyName(request.model, request.adapter)))
-            continue;
-        const ModelView *model = plan.find(request.model);
+        const ModelView *model = request.service == plan.service.name && !request.adapter.empty()
+                        && !plan.heldAdapters.contains(copyName(request.model, request.adapter))
+                ? plan.find(request.model)
+                : nullptr;
         if (model == nullptr)
             continue;
+        waitedFor.insert(model);
         EngineView *only = nullptr;
         int holders = 0;
         for (EngineView *engine : model->listed) {
@@ -290,15 +306,24 @@
         if (const ModelView *model = plan.find(std::string_view(copy).substr(0, copy.find('/'))))
             demandByModel[model] += demand;
     }
+    for (const ModelView *model : waitedFor)
+        demandByModel.try_emplace(model, 0.0);
     for (const auto &[model, demand] : demandByModel) {
-        EngineView *only = nullptr;
-        int holders = 0;
+        const bool isWaitedFor = waitedFor.contains(model);
+        const bool isNeeded = isWaitedFor || demand >= m_settings.idleAdapterDemand;
+        const auto free = std::count_if(model->listed.begin(), model->listed.end(),
+                                        [](const EngineView *each) { return each->takesOrders; });
         for (EngineView *engine : model->listed) {
-            only = engine->takesOrders ? engine : only;
-            holders += engine->takesOrders ? 1 : 0;
+            if (!engine->takesOrders)
+                continue;
+            AdapterRole role = isWaitedFor ? AdapterRole::OneOfMany : AdapterRole::None;
+            if (free == 1) {
+                engine->adapterDemand += demand;
+                if (isNeeded)
+                    role = model->copies <= 1 ? AdapterRole::OnlyCopy : AdapterRole::LastFree;
+            }
+            engine->adapterRole = std::max(engine->adapterRole, role);
         }
-        if (holders == 1)
-            only->adapterDemand += demand;
     }
 }
 
@@ -310,11 +335,7 @@
     if (engine.adapterDemand < m_settings.idleAdapterDemand
         || (view.copies == 0 && view.demand >= engine.adapterDemand))
         return false;
-    HeldBackLoad &load = m_heldBackLoads
-                                 .try_emplace({ engine.record->info.service, view.model->name },
-                                              HeldBackLoad { now, now })
-                                 .first->second;
-    load.expiresAt = now + m_settings.heldBackLoadLifetime;
+    const HeldBackLoad &load = heldBackLoad(engine.record->info.service, view, now);
     return now < load.since
             + (view.copies == 0 ? m_settings.maxHeldBackTime : m_settings.maxHeldBackCopyTime);
 }
@@ -411,6 +432,7 @@
     std::map<std::string_view, int> copiesByZone;
     for (const EngineView *holder : view.holders)
         copiesByZone[holder->record->info.zone]++;
+    const bool isOtherAnswering = canWaitForAnswer(plan, view, now);
     EngineView *best = nullptr;
     double bestCost = 0.0;
     bool bestNeedsStore = true;
@@ -420,7 +442,7 @@
             continue;
         const bool isKeptFree = isReserved(view, engine, now);
         fits = fits || !isKeptFree || engine.reservedForAdapters;
-        if (isKeptFree)
+        if (isKeptFree || (isOtherAnswering && engine.adapterRole >= AdapterRole::LastFree))
             continue;
         const bool needsStore = view.needsStore(engine);
         if (needsStore && !canLoadFromStore)
@@ -431,7 +453,8 @@
         const double cost = engine.load
                 + m_settings.tokensPerCopy
                         * (0.25 * zoneCopies + (needsStore ? m_settings.storeLoadPenalty : 0.0));
-        if (best == nullptr || cost < bestCost) {
+        if (best == nullptr
+            || std::pair(engine.adapterRole, cost) < std::pair(best->adapterRole, bestCost)) {
             best = &engine;
             bestCost = cost;
             bestNeedsStore = needsStore;
@@ -452,9 +475,39 @@
     view.copies++;
     view.holders.push_back(best);
     best->load += view.demand / view.copies;
+    reserveForAdapters(plan, now);
     return PlaceResult::Ordered;
 }
 
+/// @return whether a replica that no requests for adapters depend on has memory for the model, and
+///         takes orders again within a round trip. It is waited for, for a bounded time.
+bool CopyPlacement::canWaitForAnswer(const Plan &plan, const ModelView &view, Instant now)
+{
+    const bool isAny =
+            std::any_of(plan.engines.begin(), plan.engines.end(), [&](const EngineView &engine) {
+                const EngineRecord &record = *engine.record;
+                const bool isAdapterOrder = record.openOrder && !record.openOrder->adapter.empty();
+                return isAdapterOrder && record.loading.empty() && record.unloading.empty()
+                        && engine.adapterRole < AdapterRole::LastFree && !view.isHeldBy(engine)
+                        && engine.freeMb >= view.model->memoryMb;
+            });
+    if (!isAny)
+        return false;
+    const HeldBackLoad &load = heldBackLoad(plan.service.name, view, now);
+    return now < load.since + m_settings.maxAnswerWait;
+}
+
+/// @return the load of the model as one that is held back from now on, if it was not already
+const CopyPlacement::HeldBackLoad &CopyPlacement::heldBackLoad(const std::string &service,
+                                                               const ModelView &view, Instant now)
+{
+    HeldBackLoad &load =
+            m_heldBackLoads.try_emplace({ service, view.model->name }, HeldBackLoad { now, now })
+                    .first->second;
+    load.expiresAt = now + m_settings.heldBackLoadLifetime;
+    return load;
+}
+
 /// @return whether the replica may be ordered to load the model; does not check its memory
 bool CopyPlacement::canReceiveCopy(const ModelView &view, const EngineView &engine,
                                    Instant now) const
@@ -516,7 +569,8 @@
             const double cost = victimDemandPerCopy + (isSurplus ? 0.0 : m_settings.tokensPerCopy)
                     + (needsStore ? m_settings.storeLoadPenalty * m_settings.tokensPerCopy : 0.0)
                     + double(copy.adapters.size()) - double(victim->copies);
-            if (best == nullptr || cost < bestCost) {
+            if (best == nullptr
+                || std::pair(engine.adapterRole, cost) < std::pair(best->adapterRole, bestCost)) {
                 best = &engine;
                 bestVictim = victim;
                 bestCost = cost;
@@ -538,6 +592,7 @@
             AnnounceCopyChange { best->id(), command.model, CopyChange::Unloading, {} });
     send(*best->record, std::move(command), "make_room", bestVictim->demand, bestVictim->copies + 1,
          now);
+    reserveForAdapters(plan, now);
     return "unload_ordered";
 }
 
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -253,6 +253,29 @@
     double listingShare = 0.1; // share of the steps in which a replica's listing arrives
 };
 
+/// @return the model loads that a holder orders in its first plan with the demand
+std::vector<EngineCommand> modelLoads(CopyPlacement &placement,
+                                      const std::vector<FakeReplica> &replicas,
+                                      const std::vector<CopyDemand> &demand)
+{
+    for (const FakeReplica &replica : replicas)
+        placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    for (const FakeReplica &replica : replicas)
+        placement.onReport(replica.id, replica.report(Start + 3s), Start + 3s);
+    placement.takeActions();
+    placement.onDemand("node-1", demand, Start + 10s);
+    placement.tick(Start + 10s);
+    std::vector<EngineCommand> loads;
+    for (const PlacingAction &action : placement.takeActions()) {
+        const auto *send = std::get_if<SendCommand>(&action);
+        if (send != nullptr && send->command.load && send->command.adapter.empty())
+            loads.push_back(send->command);
+    }
+    return loads;
+}
+
 } // namespace
 
 TEST_GROUP(CopyPlacement) {};
@@ -704,6 +727,89 @@
     CHECK_EQUAL(1, loads);
 }
 
+// Models without a copy were loaded on all replicas of a model at once: each was the other's
+// substitute when the plan began. Nobody took adapter orders for that model for the time of a load.
+TEST(CopyPlacement, OneOfTwoReplicasForAdaptersInDemandGetsNoModelLoad)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config(16));
+    std::vector<FakeReplica> replicas(2);
+    for (std::size_t index = 0; index < replicas.size(); ++index) {
+        replicas[index].id = "r" + std::to_string(index);
+        replicas[index].models["m0"] = { index == 0 ? "a1" : "a2" };
+    }
+    const std::vector<CopyDemand> demand { { "pool", "m0", "", 4'000.0 },
+                                           { "pool", "m0", "a1", 900.0 },
+                                           { "pool", "m2", "", 300.0 },
+                                           { "pool", "m3", "", 200.0 } };
+    const auto loads = modelLoads(placement, replicas, demand);
+    CHECK_EQUAL(1U, loads.size());
+}
+
+// A model without a copy, with more demand than the adapters of another model, was loaded on the
+// only replica for these adapters, since that one had less to do than the others.
+TEST(CopyPlacement, OnlyReplicaForAdaptersIsTheLastChoiceForAModelLoad)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config(16));
+    std::vector<FakeReplica> replicas(2);
+    replicas[0].id = "only";
+    replicas[0].models["m0"] = { "a1" };
+    replicas[1].id = "other";
+    replicas[1].models["m1"];
+    const std::vector<CopyDemand> demand { { "pool", "m0", "", 1'500.0 },
+                                           { "pool", "m0", "a1", 900.0 },
+                                           { "pool", "m1", "", 7'000.0 },
+                                           { "pool", "m2", "", 5'000.0 } };
+    const auto loads = modelLoads(placement, replicas, demand);
+    CHECK(!loads.empty());
+    CHECK_EQUAL(std::string("m2"), loads.front().model);
+    CHECK_EQUAL(std::string("other"), loads.front().replica);
+    CHECK_EQUAL(1U, loads.size());
+}
+
+// The same while the other replica had not answered an adapter order yet: it took no orders for the
+// few milliseconds until then.
+TEST(CopyPlacement, AModelLoadWaitsForTheAnswerOfAReplicaWithoutWaitingAdapters)
+{
+    CopyPlacement placement(onNode1());
+    ServingConfig twoWithAdapters = config(16);
+    twoWithAdapters.services["pool"].engine->models[1].adapters = 4;
+    placement.onConfig(twoWithAdapters);
+    std::vector<FakeReplica> replicas(2);
+    replicas[0].id = "only";
+    replicas[0].models["m0"] = { "a1", "a2", "a3", "a4" };
+    replicas[1].id = "other";
+    replicas[1].models["m1"];
+    for (const FakeReplica &replica : replicas)
+        placement.onReplica(replica.listing(), Start - 10s);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 50ms);
+    for (const FakeReplica &replica : replicas)
+        placement.onReport(replica.id, replica.report(Start + 50ms), Start + 50ms);
+    placement.takeActions();
+    placement.onCopyRequest("pool", "m1", "a1", Start + 100ms);
+    const auto ordersAt = [&](Instant now) {
+        placement.tick(now);
+        std::vector<EngineCommand> orders;
+        for (const PlacingAction &action : placement.takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action))
+                orders.push_back(send->command);
+        }
+        return orders;
+    };
+    const auto adapterOrders = ordersAt(Start + 100ms);
+    CHECK_EQUAL(1U, adapterOrders.size());
+    placement.onDemand("node-1", { { "pool", "m0", "a1", 900.0 }, { "pool", "m2", "", 5'000.0 } },
+                       Start + 610ms);
+    CHECK(ordersAt(Start + 620ms).empty());
+    placement.onOrderResult(adapterOrders.front(), OrderResult::Accepted, Start + 630ms);
+    const auto loads = ordersAt(Start + 640ms);
+    CHECK_EQUAL(1U, loads.size());
+    CHECK_EQUAL(std::string("other"), loads.front().replica);
+    CHECK_EQUAL(std::string("m2"), loads.front().model);
+}
+
 // The model of a replica that had said in its answers that it leaves was loaded elsewhere only when
 // the replica was gone.
 TEST(CopyPlacement, CopiesOfAReplicaThatSaysItLeavesAreReplacedAtOnce)
