Requests for adapters hold a model load back for a bounded time only

Cause: a replica that alone could take a requested adapter got no model load for as long as such requests came. With more adapters in turn than slots, the requests never end, and a model that fits nowhere else was never loaded.

Change: this hold has the bounds of the one for demand (maxHeldBackTime, maxHeldBackCopyTime).

Measured: WaitingAdaptersHoldAModelLoadBackForABoundedTime fails before (no load in 27 s) and passes now; 27 tests of test_placing_copyplacement (rapidcheck), 3 of starvedcopies, 6 of largefleet pass.

--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -330,10 +330,9 @@
 /// @return whether the replica is kept free of a load of the model, for the sake of adapters
 bool CopyPlacement::isReserved(const ModelView &view, const EngineView &engine, Instant now)
 {
-    if (engine.reservedForAdapters)
-        return true;
-    if (engine.adapterDemand < m_settings.idleAdapterDemand
-        || (view.copies == 0 && view.demand >= engine.adapterDemand))
+    const bool isForDemand = engine.adapterDemand >= m_settings.idleAdapterDemand
+            && (view.copies > 0 || view.demand < engine.adapterDemand);
+    if (!engine.reservedForAdapters && !isForDemand)
         return false;
     const HeldBackLoad &load = heldBackLoad(engine.record->info.service, view, now);
     return now < load.since
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -810,6 +810,40 @@
     CHECK_EQUAL(std::string("m2"), loads.front().model);
 }
 
+// While requests for adapters always waited, a model was never loaded on the only replica with
+// memory for it.
+TEST(CopyPlacement, WaitingAdaptersHoldAModelLoadBackForABoundedTime)
+{
+    CopyPlacement placement(onNode1());
+    ServingConfig twoModels = config(16);
+    twoModels.services["pool"].engine->models.resize(2);
+    placement.onConfig(twoModels);
+    FakeReplica only;
+    only.id = "only";
+    only.models["m0"];
+    placement.onReplica(only.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    Instant loadedAt = Instant::max();
+    int next = 0;
+    for (Instant now = Start + 3s; now < Start + 30s && loadedAt == Instant::max(); now += 50ms) {
+        placement.onCopyRequest("pool", "m0", "a" + std::to_string(1 + next++ % 16), now);
+        placement.onCopyRequest("pool", "m1", "", now);
+        placement.onReplica(only.listing(), now);
+        placement.tick(now);
+        for (const PlacingAction &action : placement.takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action)) {
+                if (send->command.model == "m1")
+                    loadedAt = now;
+                placement.onOrderResult(send->command, only.order(send->command, now), now);
+            } else if (std::holds_alternative<RequestReport>(action)) {
+                placement.onReport(only.id, only.report(now), now);
+            }
+        }
+    }
+    CHECK(loadedAt < Start + 15s); // maxHeldBackTime is 10 s
+}
+
 // The model of a replica that had said in its answers that it leaves was loaded elsewhere only when
 // the replica was gone.
 TEST(CopyPlacement, CopiesOfAReplicaThatSaysItLeavesAreReplacedAtOnce)
