A new holder learns since when callers have waited for adapters

Cause: requests for copies are dropped while nobody holds the placement lease. The next holder took each adapter as wanted since it first heard of it, and served them in the order of that, not the longest wait first.

A holder uses it in the first 5 s of a term, never in the first term of a lease. tests/support/placementday.h drops requests while nobody holds the lease, as nodes do; before, the simulated holder remembered them.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr std::size_t MostDatagram = 8 * 1024;
+constexpr std::int64_t MaxWaitedMs = 60'000; // that a note may state; waits are forgotten earlier
 
 enum class MessageType : std::int64_t {
     Beat = 1,
@@ -83,7 +84,8 @@
 
 json::array toJson(const WantNote &note)
 {
-    return { static_cast<std::int64_t>(MessageType::Want), note.service, note.model, note.adapter };
+    return { static_cast<std::int64_t>(MessageType::Want), note.service, note.model, note.adapter,
+             note.waited.count() };
 }
 
 json::array toJson(const CopyNote &note)
@@ -199,13 +201,22 @@
     return static_cast<CopyChange>(number);
 }
 
+WantNote wantFromJson(const json::array &list)
+{
+    WantNote note { textAt(list, 1), textAt(list, 2), textAt(list, 3), {} };
+    if (list.size() > 4) // earlier versions do not state it
+        note.waited = std::chrono::milliseconds(
+                std::clamp<std::int64_t>(list.at(4).to_number<std::int64_t>(), 0, MaxWaitedMs));
+    return note;
+}
+
 PeerMessage fromJson(const json::array &list)
 {
     switch (static_cast<MessageType>(list.at(0).to_number<std::int64_t>())) {
     case MessageType::Beat:
         return beatFromJson(list);
     case MessageType::Want:
-        return WantNote { textAt(list, 1), textAt(list, 2), textAt(list, 3) };
+        return wantFromJson(list);
     case MessageType::Copy:
         return CopyNote { textAt(list, 1), textAt(list, 2), copyChangeFrom(list.at(3)),
                           std::chrono::milliseconds(list.at(4).to_number<std::int64_t>()) };
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -16,6 +16,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
     std::string service;
     std::string model;
     std::string adapter;
+    std::chrono::milliseconds waited { 0 }; // since the first such request at the sender
 };
 
 struct CopyNote
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -135,7 +135,7 @@
 {
     if (!holds())
         return;
-    m_placement.onCopyRequest(want.service, want.model, want.adapter, steadyNow());
+    m_placement.onCopyRequest(want.service, want.model, want.adapter, steadyNow(), want.waited);
     tickPlacement();
 }
 
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -202,7 +202,10 @@
     , m_workEnd(io)
 {
     m_state.waiting.onCopyRequest = [this](const CopyRequest &want) {
-        const WantNote note { want.service, want.model, want.adapter };
+        const Duration waited = m_state.wantAges.onWant(
+                want.service, copyName(want.model, want.adapter), steadyNow());
+        const WantNote note { want.service, want.model, want.adapter,
+                              std::chrono::duration_cast<std::chrono::milliseconds>(waited) };
         m_state.log.line("want_copy")
                 .field("service", want.service)
                 .field("copy", copyName(want.model, want.adapter))
--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -298,6 +298,7 @@
     switch (change.change) {
     case CopyChange::Usable:
         replicas.onCopyAdded(change.replica, change.copy, now + change.usableIn);
+        wantAges.onLoaded(change.copy);
         break;
     case CopyChange::Loading:
         replicas.onCopyLoading(change.replica, change.copy, now + change.usableIn);
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -12,6 +12,7 @@
 #include "organisations/keytable.h"
 #include "organisations/quotaledger.h"
 #include "placing/copyplacement.h"
+#include "placing/wantages.h"
 #include "serving/processingdelay.h"
 #include "serving/promptclaims.h"
 #include "serving/replicachooser.h"
@@ -141,6 +142,7 @@
     PromptClaims claims;
     ProcessingDelay delay;
     CopyDemandMeter demand;
+    WantAges wantAges { CopyPlacementSettings {}.adapterWaitLifetime };
     NodeDirectory directory;
     Random random;
     std::set<RequestFlow *> flows; // requests under way
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -101,7 +101,7 @@
 }
 
 void CopyPlacement::onCopyRequest(const std::string &service, const std::string &model,
-                                  const std::string &adapter, Instant now)
+                                  const std::string &adapter, Instant now, Duration waited)
 {
     m_requestedCopies[service + "/" + copyName(model, adapter)] = {
         service, model, adapter, now + m_settings.requestLifetime
@@ -112,6 +112,8 @@
             m_adapterWaits
                     .try_emplace({ service, copyName(model, adapter) }, AdapterWait { now, now })
                     .first->second;
+    if (now < m_waitsKnownAt)
+        wait.since = std::min<Instant>(wait.since, now - waited);
     wait.expiresAt = now + m_settings.adapterWaitLifetime;
 }
 
@@ -230,8 +232,10 @@
 
 void CopyPlacement::setHolder(bool isHolder, std::uint64_t term, Instant now)
 {
-    if (isHolder && !m_isHolder && term != FirstTerm)
+    if (isHolder && !m_isHolder && term != FirstTerm) {
         m_demandKnownAt = now + m_settings.demandSettleTime;
+        m_waitsKnownAt = now + m_settings.waitHandoverTime;
+    }
     if (isHolder && (!m_isHolder || term != m_term)) {
         for (auto &[service, limiter] : m_loadLimiters)
             limiter.reset(now, term == FirstTerm);
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -113,6 +113,8 @@
     /// An adapter that requests have waited for this long may replace one that is not idle, so that
     /// no adapter is starved. The time counts from the first request on, over several callers.
     Duration maxAdapterWait = std::chrono::milliseconds(200);
+    /// A new holder takes over since when requests have waited from nodes for this long.
+    Duration waitHandoverTime = std::chrono::seconds(5);
     /// That time is forgotten when no request has come for the adapter for this long.
     Duration adapterWaitLifetime = std::chrono::seconds(15);
     /// While an adapter in use is being unloaded, no further one is, for at most this long.
@@ -223,8 +225,10 @@
     void onDemand(const std::string &node, const std::vector<CopyDemand> &demand, Instant now);
     /// Records that a request waits for the copy.
     /// @param adapter empty: the request needs only the model
+    /// @param waited time since the first such request at its node (see WantAges). It counts only
+    ///        for a new holder: later ones have heard of the first request, and of loads since.
     void onCopyRequest(const std::string &service, const std::string &model,
-                       const std::string &adapter, Instant now);
+                       const std::string &adapter, Instant now, Duration waited = {});
     /// Takes the outcome of an order. It is ignored if the order has timed out or the replica has
     /// restarted since.
     void onOrderResult(const EngineCommand &command, OrderResult result, Instant now);
@@ -331,6 +335,7 @@
     CopyPlacementSettings m_settings;
     bool m_isHolder = false;
     std::uint64_t m_term = 0;
+    Instant m_waitsKnownAt;  // from then on this holder itself knows since when requests wait
     Instant m_demandKnownAt; // nodes have reported their demand to this holder from then on
     std::map<std::string, ServingService> m_services;      // services with models
     std::map<std::string, LoadRateLimiter> m_loadLimiters; // by service
--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -64,6 +64,25 @@
     CHECK(prompt.withdrawn);
 }
 
+// Guards against messages that cannot be read, or overflow, for the wait that they do not state or
+// that is absurd.
+TEST(PeerMessages, AWantStatesHowLongItsRequestsHaveWaited)
+{
+    const auto waitedIn = [](const std::string &text) {
+        const auto message = decodePeerMessage(text);
+        CHECK(message.has_value());
+        return std::get<WantNote>(*message).waited;
+    };
+    const std::string sent = encodePeerMessage(WantNote { "pool", "m", "a1", 2'500ms });
+    CHECK(waitedIn(sent) == 2'500ms);
+    const std::string withWait = ",2500]";
+    CHECK(sent.ends_with(withWait));
+    const std::string start = sent.substr(0, sent.size() - withWait.size());
+    CHECK(waitedIn(start + "]") == 0ms);
+    CHECK(waitedIn(start + ",-5]") == 0ms);
+    CHECK(waitedIn(start + ",9000000000000]") == 60s);
+}
+
 TEST(PeerMessages, WhatIsNoMessageIsNothing)
 {
     for (const char *text : { "", "[]", "{}", "[9]", "[1]", "[3,\"r\",\"c\",7,1]",
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -1,6 +1,7 @@
 // Tests of CopyPlacement against simulated replicas that carry out orders, lose responses, or carry
 // out orders late.
 #include "placing/copyplacement.h"
+#include "placing/wantages.h"
 
 #include "base/random.h"
 #include "support/replicas.h"
@@ -890,6 +891,41 @@
         CHECK(simulation.copiesOf("m" + std::to_string(model)) >= 1);
 }
 
+// Requests for copies are dropped while nobody holds the lease. The next holder served adapters in
+// the order in which it heard of them, not those first that had waited longest.
+TEST(CopyPlacement, NewHolderServesTheLongestWaitFirst)
+{
+    const auto firstLoaded = [](std::uint64_t term) {
+        CopyPlacement placement(onNode1());
+        placement.onConfig(config(6));
+        FakeReplica replica;
+        replica.id = "r0";
+        replica.models["m0"];
+        placement.onReplica(replica.listing(), Start - 10s);
+        placement.setHolder(true, term, Start);
+        placement.tick(Start + 50ms);
+        placement.onReport("r0", replica.report(Start + 50ms), Start + 50ms);
+        placement.takeActions();
+        WantAges atNode(15s); // a6 has been wanted for 6 s, a5 was loaded in the meantime
+        for (const char *copy : { "m0/a5", "m0/a6" })
+            atNode.onWant("pool", copy, Start - 6s);
+        atNode.onLoaded("m0/a5");
+        for (const char *adapter : { "a1", "a5", "a6" })
+            placement.onCopyRequest(
+                    "pool", "m0", adapter, Start + 100ms,
+                    atNode.onWant("pool", std::string("m0/") + adapter, Start + 100ms));
+        placement.tick(Start + 100ms);
+        std::string loaded;
+        for (const PlacingAction &action : placement.takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action))
+                loaded = send->command.adapter;
+        }
+        return loaded;
+    };
+    CHECK_EQUAL(std::string("a6"), firstLoaded(2));
+    CHECK_EQUAL(std::string("a1"), firstLoaded(1)); // no requests were dropped before that term
+}
+
 TEST(CopyPlacement, NamesThatAreNoAdapterOfTheModelEvictNothing)
 {
     Simulation simulation(10, 6);
--- a/tests/support/placementday.h
+++ b/tests/support/placementday.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "placing/copyplacement.h"
+#include "placing/wantages.h"
 #include "support/replicas.h"
 
 #include <CppUTest/TestHarness.h>
@@ -249,6 +250,7 @@
     void loseHolder(bool isStoreAway)
     {
         placement->setHolder(false, 0, now);
+        m_isHeld = false;
         m_storeAway = isStoreAway;
     }
 
@@ -263,6 +265,7 @@
             placement->onReplicaRemoved(id);
         m_gone.clear();
         placement->setHolder(true, ++m_term, now);
+        m_isHeld = true;
         m_demandReportedFrom = now + 200ms;
     }
 
@@ -529,7 +532,11 @@
             }
             if (now >= caller.nextWantAt && !isResident(caller)) {
                 caller.nextWantAt = std::min(now + 250ms, caller.givesUpAt);
-                placement->onCopyRequest(service.name, caller.model, caller.adapter, now);
+                const Duration waited = m_wantAges.onWant(
+                        service.name, copyName(caller.model, caller.adapter), now);
+                if (m_isHeld) // otherwise it is dropped
+                    placement->onCopyRequest(service.name, caller.model, caller.adapter, now,
+                                             waited);
             }
             return false;
         });
@@ -559,7 +566,10 @@
     void carryOut()
     {
         for (PlacingAction &action : placement->takeActions()) {
-            if (const auto *send = std::get_if<SendCommand>(&action)) {
+            if (const auto *change = std::get_if<AnnounceCopyChange>(&action)) {
+                if (change->change == CopyChange::Usable)
+                    m_wantAges.onLoaded(change->copy);
+            } else if (const auto *send = std::get_if<SendCommand>(&action)) {
                 orders++;
                 DayReplica *replica = find(send->command.replica);
                 const OrderResult result = replica == nullptr
@@ -579,7 +589,9 @@
     }
 
     std::uint64_t m_term = 0;
+    bool m_isHeld = true; // somebody holds the lease
     bool m_storeAway = false;
+    WantAges m_wantAges { CopyPlacementSettings {}.adapterWaitLifetime };
     std::vector<std::string> m_gone; // while the store was away
     std::vector<Caller> m_waiting;
     std::map<std::pair<std::string, std::string>, Row> m_demand;
