--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -68,6 +68,10 @@
                   [&](const std::string &model) { return listedCopy(engine, model) == nullptr; });
     std::erase_if(engine.unloadingAdapters,
                   [&](const auto &entry) { return !holdsCopy(info.models, entry.first); });
+    for (auto &[claimant, claim] : engine.slotClaims) {
+        if (!engine.unloadingAdapters.contains(claim.victim))
+            claim.victim.clear();
+    }
     std::erase_if(engine.evictableAt, [&](const auto &entry) { return now >= entry.second; });
     if (now >= engine.reportExpiresAt)
         engine.reported.clear();
@@ -97,7 +101,7 @@
 }
 
 void CopyPlacement::onCopyRequest(const std::string &service, const std::string &model,
-                                  const std::string &adapter, Instant now)
+                                  const std::string &adapter, Instant now, Duration waited)
 {
     m_requestedCopies[service + "/" + copyName(model, adapter)] = {
         service, model, adapter, now + m_settings.requestLifetime
@@ -108,6 +112,8 @@
             m_adapterWaits
                     .try_emplace({ service, copyName(model, adapter) }, AdapterWait { now, now })
                     .first->second;
+    if (now < m_waitsKnownAt)
+        wait.since = std::min<Instant>(wait.since, now - waited);
     wait.expiresAt = now + m_settings.adapterWaitLifetime;
 }
 
@@ -142,6 +148,14 @@
     }
     engine.ordersAccepted = command.ordersAccepted + 1;
     engine.lastOrderAt = now;
+    if (isAdapterUnload && !engine.openOrderClaimant.empty()) {
+        // An adapter without requests is unloaded at once.
+        const bool isInUse = result == OrderResult::Accepted;
+        engine.slotClaims[engine.openOrderClaimant] = {
+            isInUse ? copyName(command.model, command.adapter) : "", now,
+            now + m_settings.reservationTime
+        };
+    }
     if (command.adapter.empty() && command.load) {
         const auto service = m_services.find(engine.info.service);
         const EngineModel *model = service == m_services.end()
@@ -218,8 +232,10 @@
 
 void CopyPlacement::setHolder(bool isHolder, std::uint64_t term, Instant now)
 {
-    if (isHolder && !m_isHolder && term != FirstTerm)
+    if (isHolder && !m_isHolder && term != FirstTerm) {
         m_demandKnownAt = now + m_settings.demandSettleTime;
+        m_waitsKnownAt = now + m_settings.waitHandoverTime;
+    }
     if (isHolder && (!m_isHolder || term != m_term)) {
         for (auto &[service, limiter] : m_loadLimiters)
             limiter.reset(now, term == FirstTerm);
@@ -272,6 +288,8 @@
             engine.orderCountKnown = false; // the load failed, or listings do not arrive
             engine.nextReportAt = now;
         }
+        std::erase_if(engine.slotClaims,
+                      [&](const auto &entry) { return now >= entry.second.expiresAt; });
         if (now >= engine.nextReportAt)
             engine.reportOpen = false;
         openReports += engine.reportOpen ? 1 : 0;
@@ -316,6 +334,7 @@
     engine.openOrder = command;
     engine.openOrderDeadline = now + m_settings.orderTimeout;
     engine.openOrderUsesToken = false;
+    engine.openOrderClaimant.clear();
     m_actions.emplace_back(
             SendCommand { std::move(command), engine.info.address, reason, demand, copies });
 }
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -18,9 +18,10 @@
 // one copy of each model, a requested model without one replaces an idle one, and after
 // CopyPlacementSettings::maxMissingTime also one that is not idle. Adapters are loaded ahead of
 // demand while adapter slots are free; a requested adapter replaces an idle one, and one in use
-// after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take turns. The last
-// replica that can take the adapters of a model is kept free of model loads for less demand: a load
-// makes its replica refuse all other orders for seconds.
+// after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take turns. The slot that
+// is freed for it is kept for it, for a bounded time. The last replica that can take the adapters
+// of a model is kept free of model loads for less demand: a load makes its replica refuse all other
+// orders for seconds.
 //
 // Orders with an unknown outcome. Each order carries the number of orders that the replica had
 // accepted when the holder learned what it holds. The replica carries out the order only while that
@@ -85,7 +86,7 @@
     /// Delay of the report request after a conflict, in which the replica finishes the order that
     /// it is carrying out.
     Duration conflictReportDelay = std::chrono::milliseconds(150);
-    /// Memory freed for a model is reserved for it this long.
+    /// Memory freed for a model is reserved for it this long, and an adapter slot for an adapter.
     Duration reservationTime = std::chrono::seconds(8);
     /// Within this time after its load, a new copy is not evicted for a model that has one already.
     Duration minResidencyTime = std::chrono::seconds(6);
@@ -112,6 +113,8 @@
     /// An adapter that requests have waited for this long may replace one that is not idle, so that
     /// no adapter is starved. The time counts from the first request on, over several callers.
     Duration maxAdapterWait = std::chrono::milliseconds(200);
+    /// A new holder takes over since when requests have waited from nodes for this long.
+    Duration waitHandoverTime = std::chrono::seconds(5);
     /// That time is forgotten when no request has come for the adapter for this long.
     Duration adapterWaitLifetime = std::chrono::seconds(15);
     /// While an adapter in use is being unloaded, no further one is, for at most this long.
@@ -137,7 +140,9 @@
     /// a model without a copy, and of one that has copies.
     Duration maxHeldBackTime = std::chrono::seconds(10);
     Duration maxHeldBackCopyTime = std::chrono::seconds(30);
-    /// That time is forgotten when no plan has asked for the load for this long.
+    /// And if another replica only has to answer an adapter order first, after this time.
+    Duration maxAnswerWait = std::chrono::seconds(1);
+    /// These times are forgotten when no plan has asked for the load for this long.
     Duration heldBackLoadLifetime = std::chrono::seconds(2);
     /// Models for which one planning pass looks for a copy to evict.
     std::size_t maxEvictionsTried = 8;
@@ -220,8 +225,10 @@
     void onDemand(const std::string &node, const std::vector<CopyDemand> &demand, Instant now);
     /// Records that a request waits for the copy.
     /// @param adapter empty: the request needs only the model
+    /// @param waited time since the first such request at its node (see WantAges). It counts only
+    ///        for a new holder: later ones have heard of the first request, and of loads since.
     void onCopyRequest(const std::string &service, const std::string &model,
-                       const std::string &adapter, Instant now);
+                       const std::string &adapter, Instant now, Duration waited = {});
     /// Takes the outcome of an order. It is ignored if the order has timed out or the replica has
     /// restarted since.
     void onOrderResult(const EngineCommand &command, OrderResult result, Instant now);
@@ -242,6 +249,7 @@
     std::vector<PlacingAction> takeActions();
 
 private:
+    enum class AdapterRole;
     struct EngineView; // one replica, for one planning pass
     struct ModelView;  // one model over all replicas of its service, for one planning pass
     struct Plan;
@@ -301,18 +309,25 @@
     void placeModels(Plan &plan, Instant now);
     void noteMissing(Plan &plan, Instant now);
     PlaceResult placeModel(Plan &plan, ModelView &view, const char *reason, Instant now);
+    bool canWaitForAnswer(const Plan &plan, const ModelView &view, Instant now);
+    const HeldBackLoad &heldBackLoad(const std::string &service, const ModelView &view,
+                                     Instant now);
     bool canReceiveCopy(const ModelView &view, const EngineView &engine, Instant now) const;
     bool mayReplaceLastCopy(const Plan &plan, const ModelView &view, const ModelView &victim,
                             Instant now) const;
     const char *evictForModel(Plan &plan, const ModelView &view, Instant now);
     void placeAdapters(Plan &plan, Instant now);
     void forgetServedWaits(const Plan &plan, Instant now);
+    void placeClaimants(Plan &plan, Instant now);
     void preloadAdapters(Plan &plan, Instant now);
     bool placeAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
                       AdapterNeed need, Instant now);
+    bool loadAdapter(Plan &plan, const ModelView &model, const std::string &adapter,
+                     const char *reason, Instant now);
     std::vector<std::pair<std::string, std::string>> loadedAdapters(const EngineRecord &engine,
                                                                     Instant now) const;
-    const char *evictAdapter(Plan &plan, const ModelView &model, bool mayBeInUse, Instant now);
+    const char *evictAdapter(Plan &plan, const ModelView &model, const std::string &claimant,
+                             bool mayBeInUse, Instant now);
     void send(EngineRecord &engine, EngineCommand command, const char *reason, double demand,
               int copies, Instant now);
     bool canTakeAdapter(const EngineRecord &engine, Instant now) const;
@@ -320,6 +335,7 @@
     CopyPlacementSettings m_settings;
     bool m_isHolder = false;
     std::uint64_t m_term = 0;
+    Instant m_waitsKnownAt;  // from then on this holder itself knows since when requests wait
     Instant m_demandKnownAt; // nodes have reported their demand to this holder from then on
     std::map<std::string, ServingService> m_services;      // services with models
     std::map<std::string, LoadRateLimiter> m_loadLimiters; // by service
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -1,6 +1,7 @@
 // Tests of CopyPlacement against simulated replicas that carry out orders, lose responses, or carry
 // out orders late.
 #include "placing/copyplacement.h"
+#include "placing/wantages.h"
 
 #include "base/random.h"
 #include "support/replicas.h"
@@ -253,6 +254,29 @@
     double listingShare = 0.1; // share of the steps in which a replica's listing arrives
 };
 
+/// @return the model loads that a holder orders in its first plan with the demand
+std::vector<EngineCommand> modelLoads(CopyPlacement &placement,
+                                      const std::vector<FakeReplica> &replicas,
+                                      const std::vector<CopyDemand> &demand)
+{
+    for (const FakeReplica &replica : replicas)
+        placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    for (const FakeReplica &replica : replicas)
+        placement.onReport(replica.id, replica.report(Start + 3s), Start + 3s);
+    placement.takeActions();
+    placement.onDemand("node-1", demand, Start + 10s);
+    placement.tick(Start + 10s);
+    std::vector<EngineCommand> loads;
+    for (const PlacingAction &action : placement.takeActions()) {
+        const auto *send = std::get_if<SendCommand>(&action);
+        if (send != nullptr && send->command.load && send->command.adapter.empty())
+            loads.push_back(send->command);
+    }
+    return loads;
+}
+
 } // namespace
 
 TEST_GROUP(CopyPlacement) {};
@@ -462,6 +486,45 @@
     CHECK_EQUAL(std::string("a5"), load->adapter);
 }
 
+// A slot freed for an adapter, when the last requests of the one before it had ended, was taken by
+// another adapter that was requested in the meantime.
+TEST(CopyPlacement, ASlotIsKeptForTheAdapterThatItWasFreedFor)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config());
+    FakeReplica replica;
+    replica.id = "r0";
+    replica.models["m0"] = { "a1", "a2", "a3", "a4" };
+    placement.onReplica(replica.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    placement.onReport("r0", replica.report(Start + 3s), Start + 3s);
+    placement.takeActions();
+    const auto nextOrder = [&](Instant now) {
+        placement.tick(now);
+        std::optional<EngineCommand> ordered;
+        for (const PlacingAction &action : placement.takeActions()) {
+            const auto *send = std::get_if<SendCommand>(&action);
+            if (send != nullptr && !send->command.adapter.empty())
+                ordered = send->command;
+        }
+        return ordered;
+    };
+    placement.onCopyRequest("pool", "m0", "a5", Start + 3'100ms);
+    const auto unload = nextOrder(Start + 3'100ms);
+    CHECK(unload && !unload->load);
+    placement.onOrderResult(*unload, OrderResult::Accepted, Start + 3'110ms);
+    placement.takeActions();
+
+    // Requests for a5 have been refused when those for the unloaded adapter end.
+    std::erase(replica.models["m0"], unload->adapter);
+    placement.onReplica(replica.listing(), Start + 6s);
+    placement.onCopyRequest("pool", "m0", "a6", Start + 6s);
+    const auto load = nextOrder(Start + 6'100ms);
+    CHECK(load && load->load);
+    CHECK_EQUAL(std::string("a5"), load->adapter);
+}
+
 TEST(CopyPlacement, ReplicaOfAServiceWithoutModelsGetsNoReportRequests)
 {
     CopyPlacement placement(onNode1());
@@ -665,6 +728,123 @@
     CHECK_EQUAL(1, loads);
 }
 
+// Models without a copy were loaded on all replicas of a model at once: each was the other's
+// substitute when the plan began. Nobody took adapter orders for that model for the time of a load.
+TEST(CopyPlacement, OneOfTwoReplicasForAdaptersInDemandGetsNoModelLoad)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config(16));
+    std::vector<FakeReplica> replicas(2);
+    for (std::size_t index = 0; index < replicas.size(); ++index) {
+        replicas[index].id = "r" + std::to_string(index);
+        replicas[index].models["m0"] = { index == 0 ? "a1" : "a2" };
+    }
+    const std::vector<CopyDemand> demand { { "pool", "m0", "", 4'000.0 },
+                                           { "pool", "m0", "a1", 900.0 },
+                                           { "pool", "m2", "", 300.0 },
+                                           { "pool", "m3", "", 200.0 } };
+    const auto loads = modelLoads(placement, replicas, demand);
+    CHECK_EQUAL(1U, loads.size());
+}
+
+// A model without a copy, with more demand than the adapters of another model, was loaded on the
+// only replica for these adapters, since that one had less to do than the others.
+TEST(CopyPlacement, OnlyReplicaForAdaptersIsTheLastChoiceForAModelLoad)
+{
+    CopyPlacement placement(onNode1());
+    placement.onConfig(config(16));
+    std::vector<FakeReplica> replicas(2);
+    replicas[0].id = "only";
+    replicas[0].models["m0"] = { "a1" };
+    replicas[1].id = "other";
+    replicas[1].models["m1"];
+    const std::vector<CopyDemand> demand { { "pool", "m0", "", 1'500.0 },
+                                           { "pool", "m0", "a1", 900.0 },
+                                           { "pool", "m1", "", 7'000.0 },
+                                           { "pool", "m2", "", 5'000.0 } };
+    const auto loads = modelLoads(placement, replicas, demand);
+    CHECK(!loads.empty());
+    CHECK_EQUAL(std::string("m2"), loads.front().model);
+    CHECK_EQUAL(std::string("other"), loads.front().replica);
+    CHECK_EQUAL(1U, loads.size());
+}
+
+// The same while the other replica had not answered an adapter order yet: it took no orders for the
+// few milliseconds until then.
+TEST(CopyPlacement, AModelLoadWaitsForTheAnswerOfAReplicaWithoutWaitingAdapters)
+{
+    CopyPlacement placement(onNode1());
+    ServingConfig twoWithAdapters = config(16);
+    twoWithAdapters.services["pool"].engine->models[1].adapters = 4;
+    placement.onConfig(twoWithAdapters);
+    std::vector<FakeReplica> replicas(2);
+    replicas[0].id = "only";
+    replicas[0].models["m0"] = { "a1", "a2", "a3", "a4" };
+    replicas[1].id = "other";
+    replicas[1].models["m1"];
+    for (const FakeReplica &replica : replicas)
+        placement.onReplica(replica.listing(), Start - 10s);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 50ms);
+    for (const FakeReplica &replica : replicas)
+        placement.onReport(replica.id, replica.report(Start + 50ms), Start + 50ms);
+    placement.takeActions();
+    placement.onCopyRequest("pool", "m1", "a1", Start + 100ms);
+    const auto ordersAt = [&](Instant now) {
+        placement.tick(now);
+        std::vector<EngineCommand> orders;
+        for (const PlacingAction &action : placement.takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action))
+                orders.push_back(send->command);
+        }
+        return orders;
+    };
+    const auto adapterOrders = ordersAt(Start + 100ms);
+    CHECK_EQUAL(1U, adapterOrders.size());
+    placement.onDemand("node-1", { { "pool", "m0", "a1", 900.0 }, { "pool", "m2", "", 5'000.0 } },
+                       Start + 610ms);
+    CHECK(ordersAt(Start + 620ms).empty());
+    placement.onOrderResult(adapterOrders.front(), OrderResult::Accepted, Start + 630ms);
+    const auto loads = ordersAt(Start + 640ms);
+    CHECK_EQUAL(1U, loads.size());
+    CHECK_EQUAL(std::string("other"), loads.front().replica);
+    CHECK_EQUAL(std::string("m2"), loads.front().model);
+}
+
+// While requests for adapters always waited, a model was never loaded on the only replica with
+// memory for it.
+TEST(CopyPlacement, WaitingAdaptersHoldAModelLoadBackForABoundedTime)
+{
+    CopyPlacement placement(onNode1());
+    ServingConfig twoModels = config(16);
+    twoModels.services["pool"].engine->models.resize(2);
+    placement.onConfig(twoModels);
+    FakeReplica only;
+    only.id = "only";
+    only.models["m0"];
+    placement.onReplica(only.listing(), Start);
+    placement.setHolder(true, 2, Start);
+    placement.tick(Start + 3s);
+    Instant loadedAt = Instant::max();
+    int next = 0;
+    for (Instant now = Start + 3s; now < Start + 30s && loadedAt == Instant::max(); now += 50ms) {
+        placement.onCopyRequest("pool", "m0", "a" + std::to_string(1 + next++ % 16), now);
+        placement.onCopyRequest("pool", "m1", "", now);
+        placement.onReplica(only.listing(), now);
+        placement.tick(now);
+        for (const PlacingAction &action : placement.takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action)) {
+                if (send->command.model == "m1")
+                    loadedAt = now;
+                placement.onOrderResult(send->command, only.order(send->command, now), now);
+            } else if (std::holds_alternative<RequestReport>(action)) {
+                placement.onReport(only.id, only.report(now), now);
+            }
+        }
+    }
+    CHECK(loadedAt < Start + 15s); // maxHeldBackTime is 10 s
+}
+
 // The model of a replica that had said in its answers that it leaves was loaded elsewhere only when
 // the replica was gone.
 TEST(CopyPlacement, CopiesOfAReplicaThatSaysItLeavesAreReplacedAtOnce)
@@ -711,6 +891,41 @@
         CHECK(simulation.copiesOf("m" + std::to_string(model)) >= 1);
 }
 
+// Requests for copies are dropped while nobody holds the lease. The next holder served adapters in
+// the order in which it heard of them, not those first that had waited longest.
+TEST(CopyPlacement, NewHolderServesTheLongestWaitFirst)
+{
+    const auto firstLoaded = [](std::uint64_t term) {
+        CopyPlacement placement(onNode1());
+        placement.onConfig(config(6));
+        FakeReplica replica;
+        replica.id = "r0";
+        replica.models["m0"];
+        placement.onReplica(replica.listing(), Start - 10s);
+        placement.setHolder(true, term, Start);
+        placement.tick(Start + 50ms);
+        placement.onReport("r0", replica.report(Start + 50ms), Start + 50ms);
+        placement.takeActions();
+        WantAges atNode(15s); // a6 has been wanted for 6 s, a5 was loaded in the meantime
+        for (const char *copy : { "m0/a5", "m0/a6" })
+            atNode.onWant("pool", copy, Start - 6s);
+        atNode.onLoaded("m0/a5");
+        for (const char *adapter : { "a1", "a5", "a6" })
+            placement.onCopyRequest(
+                    "pool", "m0", adapter, Start + 100ms,
+                    atNode.onWant("pool", std::string("m0/") + adapter, Start + 100ms));
+        placement.tick(Start + 100ms);
+        std::string loaded;
+        for (const PlacingAction &action : placement.takeActions()) {
+            if (const auto *send = std::get_if<SendCommand>(&action))
+                loaded = send->command.adapter;
+        }
+        return loaded;
+    };
+    CHECK_EQUAL(std::string("a6"), firstLoaded(2));
+    CHECK_EQUAL(std::string("a1"), firstLoaded(1)); // no requests were dropped before that term
+}
+
 TEST(CopyPlacement, NamesThatAreNoAdapterOfTheModelEvictNothing)
 {
     Simulation simulation(10, 6);
