Unreadable figures of a replica's load no longer shift the others

Cause: an entry that is not a number was left out, so that "3,x,8,140" was read as 3 running, 8 waiting and 140 slots. With three figures such a header had been dropped as too short.

Change: an unreadable entry among the first three drops the header, an unreadable fourth one counts as absent.

--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -211,6 +211,14 @@
             200, { { "Attempt-Id", "q1" }, { "Server-Seal", "s" }, { "Instance-Load", "3,1,8" } });
     CHECK_EQUAL(3, loaded.load->running);
     CHECK_EQUAL(8, loaded.load->slots);
+    CHECK_EQUAL(0, loaded.load->workTimePercent);
+    const auto load = [&](const char *text) {
+        return read(200, { { "Instance-Load", text } }).load;
+    };
+    CHECK_EQUAL(140, load("3,1,8,140")->workTimePercent);
+    for (const char *absurd : { "3,1,8,-5", "3,1,8,x", "3,1,8,99999999999" })
+        CHECK_EQUAL(0, load(absurd)->workTimePercent);
+    CHECK(!load("3,x,8,140")); // the figures must not be taken for one another
 }
 
 TEST(PlatformDialect, ReadsFromEveryAnswerWhetherItsReplicaLeaves)
