Stated work time fades and is corrected as a whole; idle connections decide only near ties

The queue deadline of a stream could lie after its caller's patience if its objective did.

Change: ReplicaTable::workRatio() is the stated work time times the slowness. It fades with the age of the report to what was observed over many requests, and that to the usual. The latest report is smoothed and bounded as before. A connection costs 1 ms and decides between costs that differ by at most the share of the jitter. A stream's queue deadline is at most the time at which its caller leaves.

--- a/src/serving/replicachooser.cpp
+++ b/src/serving/replicachooser.cpp
@@ -57,6 +57,7 @@
     candidate.wantsNews = m_table.limits().wantsNews(row.info.id, now);
     const ServiceProfile &profile = m_profiles[request.service];
     const double load = m_table.estimatedLoad(row, now);
+    const double workRatio = m_table.workRatio(row, now);
     if (request.model.empty()) {
         const double excess = std::max(0.0, load + 1.0 - slots(row)) / slots(row);
         const double utilization = load / slots(row); // spreads requests while slots are free, too
@@ -66,33 +67,29 @@
         if (preferred)
             cached = std::max(cached, chain.sharedTokens);
         candidate.freshTokens = std::max(0, request.promptTokens - cached);
-        const Duration prefill =
-                m_table.prefillAhead(row, now) + m_table.prefillTime(row, candidate.freshTokens);
+        const Duration prefill = m_table.prefillAhead(row, now)
+                + m_table.prefillTime(row, candidate.freshTokens, now);
+        // A wrong work time is corrected by the slowness, so that the two belong together.
+        const double stepFactor = row.statesWorkTime ? workRatio : 1.0;
         candidate.firstByteUs = double(prefill.count())
-                + row.workTime
+                + stepFactor
                         * (double(m_settings.stepTime.count())
                            + load * double(m_settings.stepTimePerRequest.count()));
     }
     if (request.model.empty())
-        candidate.firstByteUs *=
-                m_table.slowness(row, now) * row.workTime; // prefillTime() includes both for models
+        candidate.firstByteUs *= workRatio; // prefillTime() includes both for models
     if (now < row.coldUntil)
         candidate.firstByteUs *= 1.5; // a cold replica runs at about two thirds of its speed
     const double zoneCost =
             row.info.zone == m_settings.zone ? 0.0 : double(m_settings.otherZoneCost.count());
     double streamCost = 0.0;
     if (!request.model.empty()
-        && m_table.prefillTime(row, candidate.freshTokens)
+        && m_table.prefillTime(row, candidate.freshTokens, now)
                 > m_engines[request.service].prefillLimit)
         streamCost = load * double(m_settings.disturbedStreamCost.count());
-    const bool needsConnection = row.statesWorkTime && m_connections != nullptr
-            && !m_connections->hasIdleConnection(row.info.address);
-    const double connectionCost =
-            needsConnection ? double(m_settings.newConnectionCost.count()) : 0.0;
     const double failureFactor = 1.0 + m_settings.failureWeight * row.failureRate;
-    candidate.cost =
-            (candidate.firstByteUs * failureFactor + zoneCost + streamCost + connectionCost)
-            * (1.0 + m_settings.costJitter * m_random.unit());
+    candidate.costBeforeJitter = candidate.firstByteUs * failureFactor + zoneCost + streamCost;
+    candidate.cost = candidate.costBeforeJitter * (1.0 + m_settings.costJitter * m_random.unit());
     return candidate;
 }
 
@@ -118,7 +115,7 @@
         return true;
     const EngineBounds &bounds = m_engines[request.service];
     const Duration recent = m_table.recentPrefill(row, bounds.prefillWindow, now);
-    const Duration own = m_table.prefillTime(row, candidate.freshTokens);
+    const Duration own = m_table.prefillTime(row, candidate.freshTokens, now);
     return recent <= m_settings.negligiblePrefill || recent + own <= bounds.prefillLimit;
 }
 
@@ -133,6 +130,33 @@
     return left.wantsNews == right.wantsNews ? left.cost < right.cost : left.wantsNews;
 }
 
+/// @return whether a request to a replica that states its work time needs a new connection
+bool ReplicaChooser::needsConnection(const ReplicaRow &row) const
+{
+    return row.statesWorkTime && m_connections != nullptr
+            && !m_connections->hasIdleConnection(row.info.address);
+}
+
+/// @param best needs a new connection
+/// @param others candidates that state their work time
+/// @return the best candidate with an idle connection whose cost is nearly equal, or `best`
+ReplicaChooser::Candidate
+ReplicaChooser::preferConnected(const Candidate &best, const std::vector<Candidate> &others) const
+{
+    const double highestCost = best.costBeforeJitter * (1.0 + m_settings.equalCostShare)
+            + double(m_settings.newConnectionCost.count());
+    Candidate preferred = best;
+    for (const Candidate &other : others) {
+        const bool isNearlyEqual = other.costBeforeJitter <= highestCost
+                && other.wantsNews == best.wantsNews
+                && (other.row->drainedAt != Instant {}) == (best.row->drainedAt != Instant {});
+        if (isNearlyEqual && (preferred.row == best.row || isBetter(other, preferred))
+            && !needsConnection(*other.row))
+            preferred = other;
+    }
+    return preferred;
+}
+
 ChooserResult ReplicaChooser::choose(const ServingRequest &request, const PromptChain &chain,
                                      const std::vector<std::string> &excluded, Instant now)
 {
@@ -170,15 +194,20 @@
         }
     }
     Candidate best;
+    std::vector<Candidate> usable;
     for (const ReplicaRow *row : holders) {
         const Candidate candidate = evaluate(*row, request, chain, row == preferred, now);
         if (!hasCapacity(candidate, request, now))
             continue;
         if (best.row == nullptr || isBetter(candidate, best))
             best = candidate;
+        if (row->statesWorkTime && m_connections != nullptr)
+            usable.push_back(candidate);
     }
     if (best.row == nullptr)
         return NoReplica::Full;
+    if (needsConnection(*best.row))
+        best = preferConnected(best, usable);
 
     ReplicaChoice choice;
     choice.id = best.row->info.id;
--- a/src/serving/replicachooser.h
+++ b/src/serving/replicachooser.h
@@ -78,9 +78,11 @@
     std::string zone; // availability zone of this node
     // Cost of a replica in another availability zone, for the latency and the traffic.
     Duration otherZoneCost = std::chrono::milliseconds(12);
-    // Cost of a replica to which no connection is idle, where replicas share their VMs with others:
-    // a new connection takes work there before the request does.
-    Duration newConnectionCost = std::chrono::milliseconds(15);
+    // Cost of a replica to which no connection is idle, where replicas state their work time.
+    Duration newConnectionCost = std::chrono::milliseconds(1);
+    // Costs that differ by at most this share are nearly equal: the jitter decides between them
+    // anyway, so that an idle connection may.
+    double equalCostShare = 0.15;
     Duration stepTime = std::chrono::milliseconds(10); // one step of a batch
     // Added to the step time by each request in the batch.
     Duration stepTimePerRequest = std::chrono::microseconds(300);
@@ -153,16 +155,19 @@
     struct Candidate
     {
         const ReplicaRow *row = nullptr;
-        double cost = 0.0;        // in microseconds, with all factors and surcharges
-        double firstByteUs = 0.0; // expected time to the first byte
-        int freshTokens = 0;      // prompt tokens that the replica has to read
-        bool wantsNews = false;   // see RequestLimits::wantsNews()
+        double costBeforeJitter = 0.0; // in microseconds, with all factors and surcharges
+        double cost = 0.0;             // the same with jitter
+        double firstByteUs = 0.0;      // expected time to the first byte
+        int freshTokens = 0;           // prompt tokens that the replica has to read
+        bool wantsNews = false;        // see RequestLimits::wantsNews()
     };
 
     Candidate evaluate(const ReplicaRow &row, const ServingRequest &request,
                        const PromptChain &chain, bool preferred, Instant now);
     bool hasCapacity(const Candidate &candidate, const ServingRequest &request, Instant now);
     static bool isBetter(const Candidate &left, const Candidate &right);
+    Candidate preferConnected(const Candidate &best, const std::vector<Candidate> &others) const;
+    bool needsConnection(const ReplicaRow &row) const;
     double maxRequests(const ReplicaRow &row, const ServingRequest &request);
     int slots(const ReplicaRow &row) const;
 
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -12,6 +12,16 @@
 
 const std::vector<std::string> NoReplicas;
 
+// These bounds keep one outlier from making a replica look idle or dead.
+constexpr double MinRatio = 0.25;
+constexpr double MaxRatio = 8.0;
+
+/// @return the share of a value that is left after a time
+double remaining(Duration age, Duration halfLife)
+{
+    return std::exp2(-std::max(0.0, double(age.count()) / double(halfLife.count())));
+}
+
 std::string modelKey(const std::string &service, const std::string &model)
 {
     return service + "/" + model;
@@ -274,7 +284,7 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr || freshTokens <= 0)
         return;
-    const Duration readTime = prefillTime(*row, freshTokens);
+    const Duration readTime = prefillTime(*row, freshTokens, now);
     row->prefillDoneAt = std::max(row->prefillDoneAt, now) + readTime;
     std::erase_if(row->prompts, [&](const AssignedPrompt &prompt) {
         return now - prompt.assignedAt > m_settings.promptHistory;
@@ -296,15 +306,15 @@
     row->prompts.erase(std::next(prompt).base());
 }
 
-Duration ReplicaTable::prefillTime(const ReplicaRow &row, int freshTokens) const
+Duration ReplicaTable::prefillTime(const ReplicaRow &row, int freshTokens, Instant now) const
 {
     constexpr double Million = 1e6;
     constexpr double MicrosecondsPerMs = 1e3;
+    const double ratio = row.statesWorkTime ? workRatio(row, now) : row.slowness;
     const double tokens = freshTokens;
     const double ms = tokens / m_settings.prefillTokensPerMs
             + m_settings.msPerMillionTokenPairs * tokens * tokens / Million;
-    return Duration(
-            static_cast<Duration::rep>(ms * row.slowness * row.workTime * MicrosecondsPerMs));
+    return Duration(static_cast<Duration::rep>(ms * ratio * MicrosecondsPerMs));
 }
 
 Duration ReplicaTable::prefillAhead(const ReplicaRow &row, Instant now) const
@@ -336,18 +346,32 @@
                                          m_settings.minWorkTime, m_settings.maxWorkTime);
         row->workTime += m_settings.workTimeSmoothing * (stated - row->workTime);
         row->statesWorkTime = true;
+        row->workTimeAt = now;
     }
     row->loadReceivedAt = now;
     row->changeSinceReport = 0;
 }
 
+double ReplicaTable::workRatio(const ReplicaRow &row, Instant now) const
+{
+    if (!row.statesWorkTime)
+        return slowness(row, now);
+    const Duration age = now - row.workTimeAt;
+    const double ratio = 1.0
+            + (row.meanWorkRatio - 1.0) * remaining(age, m_settings.meanWorkRatioHalfLife)
+            + (row.slowness * row.workTime - row.meanWorkRatio)
+                    * remaining(age, m_settings.workTimeHalfLife);
+    return std::clamp(ratio, MinRatio, MaxRatio);
+}
+
 double ReplicaTable::slowness(const ReplicaRow &row, Instant now) const
 {
+    if (row.statesWorkTime)
+        return workRatio(row, now) / row.workTime;
     if (!row.info.models.empty() || row.slowness <= 1.0 || row.firstByteAt == Instant {})
         return row.slowness;
-    const double halfLives =
-            double((now - row.firstByteAt).count()) / double(m_settings.slownessHalfLife.count());
-    return 1.0 + (row.slowness - 1.0) * std::exp2(-std::max(0.0, halfLives));
+    return 1.0
+            + (row.slowness - 1.0) * remaining(now - row.firstByteAt, m_settings.slownessHalfLife);
 }
 
 void ReplicaTable::onFirstByte(const std::string &id, std::uint64_t generation, double ratio,
@@ -356,13 +380,20 @@
     ReplicaRow *row = findRow(id);
     if (row == nullptr || row->generation != generation)
         return;
-    // These bounds keep one outlier from making a replica look idle or dead.
-    constexpr double MinRatio = 0.25;
-    constexpr double MaxRatio = 8.0;
     row->connectFailures = 0;
-    row->slowness = slowness(*row, now);
+    const double bounded = std::clamp(ratio, MinRatio, MaxRatio);
+    double weight = m_settings.smoothing;
+    if (row->statesWorkTime) {
+        // A replica that a wrong figure keeps away gets a request only now and then.
+        const double known = remaining(now - row->firstByteAt, m_settings.workTimeHalfLife);
+        weight = std::min(1.0 - (1.0 - weight) * known, m_settings.maxSparseSmoothing);
+        row->meanWorkRatio +=
+                m_settings.meanWorkRatioSmoothing * (bounded * row->workTime - row->meanWorkRatio);
+    } else {
+        row->slowness = slowness(*row, now);
+    }
     row->firstByteAt = now;
-    row->slowness += m_settings.smoothing * (std::clamp(ratio, MinRatio, MaxRatio) - row->slowness);
+    row->slowness += weight * (bounded - row->slowness);
 }
 
 void ReplicaTable::onFinished(const std::string &id, std::uint64_t generation,
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -103,11 +103,15 @@
     Instant loadReceivedAt;              // when it arrived; zero: none has arrived
     // Requests that this node sent since the load report, less those that finished since then.
     int changeSinceReport = 0;
-    double failureRate = 0.0;    // smoothed share of failed requests
-    double slowness = 1.0;       // smoothed ratio of observed to expected time to the first byte
-    Instant firstByteAt;         // of the latest response in it
-    double workTime = 1.0;       // smoothed ratio of work time to the usual one, as reported
+    double failureRate = 0.0; // smoothed share of failed requests
+    double slowness = 1.0;    // smoothed ratio of observed to expected time to the first byte
+    Instant firstByteAt;      // of the latest response in it
+    double workTime = 1.0;    // smoothed ratio of work time to the usual one, as reported
+    // Smoothed ratio of the observed time to the first byte to the one that is usual for replicas,
+    // whatever they report.
+    double meanWorkRatio = 1.0;
     bool statesWorkTime = false; // whether the replica reports it
+    Instant workTimeAt;          // of the latest report of it
     int connectFailures = 0;     // consecutive failed connections
     Instant avoidUntil;          // no requests are sent until then
     Instant pausedUntil;         // the replica asked for no requests until then
@@ -161,6 +165,15 @@
     double smoothing = 0.15; // weight of the latest value in smoothed rates and ratios
     // Weight of the latest reported work time, which changes many times a second.
     double workTimeSmoothing = 0.3;
+    // Highest weight of an observation of a replica that reports its work time; the longer ago the
+    // previous one was, the more it counts.
+    double maxSparseSmoothing = 0.5;
+    double meanWorkRatioSmoothing = 0.05; // weight of the latest observation in meanWorkRatio
+    // The figure comes with answers only: a replica that reported a high one gets no requests while
+    // others are idle, and could not report a lower one. The estimate therefore fades within
+    // moments to what was observed over many requests, and that within seconds to the usual.
+    Duration workTimeHalfLife = std::chrono::milliseconds(400);
+    Duration meanWorkRatioHalfLife = std::chrono::seconds(5);
     // Bounds of the reported work time, so that a wrong figure neither draws nor scares all
     // requests; the observed slowness corrects what is left.
     double minWorkTime = 0.5;
@@ -306,15 +319,21 @@
 
     /// @return ratio of the replica's time to the first byte to the usual one. That of a plain
     ///         service's replica fades without responses: while others are idle, none would come
-    ///         from one that was slow once.
+    ///         from one that was slow once. Of a replica that reports its work time: the factor by
+    ///         which workRatio() differs from that.
     double slowness(const ReplicaRow &row, Instant now) const;
 
     /// @return estimated number of requests at the replica, from the latest load report and this
     /// node's own counts
     double estimatedLoad(const ReplicaRow &row, Instant now) const;
 
+    /// @return ratio of the time that work takes at the replica to the usual one: the work time
+    /// that
+    ///         it reports, corrected by its slowness; slowness() without reports
+    double workRatio(const ReplicaRow &row, Instant now) const;
+
     /// @return estimated time that the replica needs to read that many prompt tokens
-    Duration prefillTime(const ReplicaRow &row, int freshTokens) const;
+    Duration prefillTime(const ReplicaRow &row, int freshTokens, Instant now) const;
 
     /// @return estimated time until the replica has read all prompts assigned to it
     Duration prefillAhead(const ReplicaRow &row, Instant now) const;
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -116,8 +116,9 @@
     case NoReplica::Limited:
         break;
     }
-    return std::max(std::min(request.firstByteObjective, request.deadline),
-                    afterShare(m_settings.maxLateShare));
+    return std::max(
+            std::min({ request.firstByteObjective, request.deadline, request.firstByteDeadline }),
+            afterShare(m_settings.maxLateShare));
 }
 
 /// @return the new deadline of a request that was queued because no replica held its copy: later
@@ -172,7 +173,7 @@
     Duration queued {};
     for (const QueuedRequest &other : m_queues.at(request.service)) {
         if (other.key == waiting.key && !hasPrecedence(request, other.request))
-            queued += m_table.prefillTime(*holder, other.request.promptTokens);
+            queued += m_table.prefillTime(*holder, other.request.promptTokens, now);
     }
     return minPrefillAhead + queued / holders;
 }
--- a/tests/serving/test_replicatable.cpp
+++ b/tests/serving/test_replicatable.cpp
@@ -137,7 +137,7 @@
     table.onAnnounced(replica("r1"), Start);
     table.onSent("r1", 1'800, Start);
     table.onPromptAssigned("r1", 1'800, Start); // announced by a peer
-    const auto readTime = table.prefillTime(*table.find("r1"), 1'800);
+    const auto readTime = table.prefillTime(*table.find("r1"), 1'800, Start);
     CHECK(table.prefillAhead(*table.find("r1"), Start) == 2 * readTime);
     CHECK(table.prefillAhead(*table.find("r1"), Start + readTime) == readTime);
     CHECK_EQUAL(1, table.find("r1")->inFlight);
@@ -288,3 +288,43 @@
         }
     }));
 }
+
+// Guards against one reading, an absurd one or an old one that decides over a replica's speed.
+TEST(ReplicaTable, StatedWorkTimeIsSmoothedBoundedAndFades)
+{
+    table.onAnnounced(replica("r1"), Start);
+    const auto ratio = [&](Instant now) {
+        return table.workRatio(*table.find("r1"), now);
+    };
+    table.onLoadReport("r1", { 1, 0, 8 }, Start);
+    CHECK_EQUAL(1.0, ratio(Start));
+    table.onLoadReport("r1", { 1, 0, 8, 2'000'000'000 }, Start);
+    CHECK(ratio(Start) > 1.5 && ratio(Start) < 2.0); // the weight of one report
+    CHECK(ratio(Start + 4s) < 1.01);
+    for (int i = 0; i < 1'000; ++i)
+        table.onLoadReport("r1", { 1, 0, 8, 2'000'000'000 }, Start);
+    CHECK(ratio(Start) <= 4.0);
+    for (int i = 0; i < 1'000; ++i)
+        table.onLoadReport("r1", { 1, 0, 8, 1 }, Start);
+    CHECK(ratio(Start) >= 0.5);
+    const std::uint64_t generation = table.find("r1")->generation;
+    for (int i = 0; i < 100; ++i) // it states half of the usual time and takes three times that
+        table.onFirstByte("r1", generation, 6.0, Start);
+    CHECK(ratio(Start) > 2.9 && ratio(Start) < 3.1);
+    CHECK(ratio(Start + 2s) > 2.0); // a slow replica is known as such for seconds, not for good
+    CHECK(ratio(Start + 1min) < 1.01);
+}
+
+TEST(ReplicaTable, AWithdrawnPromptIsTakenBackAfterTheWorkTimeChanged)
+{
+    table.onAnnounced(replica("r1"), Start);
+    table.onPromptAssigned("r1", 900, Start);
+    const auto before = table.prefillAhead(*table.find("r1"), Start);
+    table.onPromptAssigned("r1", 1'800, Start);
+    table.onLoadReport("r1", { 1, 0, 8, 300 }, Start);
+    table.onPromptWithdrawn("r1", 1'800, Start);
+    CHECK(table.prefillAhead(*table.find("r1"), Start) == before);
+    CHECK(table.recentPrefill(*table.find("r1"), 300ms, Start) == before);
+    table.onPromptWithdrawn("r1", 700, Start); // never assigned
+    CHECK(table.prefillAhead(*table.find("r1"), Start) == before);
+}
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -105,7 +105,7 @@
         for (const StartRequest &start : actions<StartRequest>()) {
             starts++;
             const Duration readTime =
-                    table.prefillTime(*table.find("r1"), start.choice.freshTokens);
+                    table.prefillTime(*table.find("r1"), start.choice.freshTokens, now);
             replica.unreadPrefill += readTime;
             totalReadTime += readTime;
             table.onFinished("r1", start.choice.generation, ReplicaOutcome::Served, now);
@@ -368,3 +368,29 @@
     scheduler.submit(modelRequest(8, 10, Start + 3s), {}, false, Start + 3s);
     CHECK_EQUAL(0, actions<StartRequest>().size());
 }
+
+// Guards against streams that stay queued after their callers left, and against refusing the rest
+// of a stream whose first byte came long ago.
+TEST(RequestScheduler, AStreamIsRefusedBeforeItsCallerLeaves)
+{
+    for (const auto objective : { 500ms, 1'200ms }) {
+        table.onAnnounced(engine("r1", { { "m1", {} } }), Start);
+        for (int i = 0; i < 64; ++i)
+            table.onSent("r1", 0, Start); // no slot is free
+        ServingRequest stream = modelRequest(1, 100, Start);
+        stream.firstByteObjective = Start + objective;
+        stream.firstByteDeadline = Start + 1s;
+        scheduler.submit(stream, {}, false, Start);
+        ServingRequest rest = modelRequest(2, 100, Start - 3s);
+        scheduler.submit(rest, {}, true, Start);
+        CHECK(actions<RefuseRequest>().empty());
+        scheduler.tick(Start + 400ms);
+        CHECK(actions<RefuseRequest>().empty());
+        scheduler.tick(Start + 1s);
+        const auto refusals = actions<RefuseRequest>();
+        CHECK_EQUAL(1, refusals.size());
+        CHECK_EQUAL(1, refusals.at(0).id);
+        scheduler.cancel(2);
+        table.onDelisted("r1", {}, Start + 1s);
+    }
+}
