The rest of a stream whose events were forwarded is not refused for its first byte

Cause: the queue deadline ends with the time by which a caller wants the first byte. A stream that breaks off later than that and waits for another replica would have been refused at the next tick, although its caller has the first byte and waits for the rest.

Change: RequestFlow lifts that bound once events were forwarded. The scheduler's side is tested by AStreamIsRefusedBeforeItsCallerLeaves; the flow itself was built, not run.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -348,6 +348,8 @@
     while (true) {
         if (attempted && (co_await refusedAsSuspect() || co_await refusedByKey()))
             co_return;
+        if (m_progress.eventsForwarded)
+            m_request.firstByteDeadline = Instant::max(); // the caller has the first byte
         const auto decision = co_await m_state.waiting.submit(m_request, m_excluded, attempted);
         if (std::holds_alternative<CallerGone>(decision)) {
             logDone("caller_left", 0, "while_queued");
