Organisations of one rank take turns in the queue

Cause: a queue is ordered by priority and due time, so that an organisation that sends many times its usual holds most of it. Requests on arrival also took each capacity that came free before the next pump, and a full queue refused everybody.

Within a rank the next request is that of the organisation with the fewest; within an organisation the due time decides as before. pump() visits a queue of n requests of k organisations in n log k. The wait expected on arrival counts, of other organisations, only the requests that take turns before. A newcomer with an organisation does not overtake on-time requests of its rank that wait for capacity at its copy. A full queue drops the last request of the organisation that has most. Without organisations the order is unchanged.

--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -4,6 +4,8 @@
 #include "base/text.h"
 
 #include <algorithm>
+#include <numeric>
+#include <string_view>
 #include <utility>
 
 namespace burdock {
@@ -49,11 +51,29 @@
     QueuedRequest waiting {
         request, copyKey(request), promptChain(request), std::move(excluded), isRetry, now, {}
     };
-    if (tryStart(waiting, now))
+    if (!isBehindOthers(waiting, now) && tryStart(waiting, now))
         return;
     enqueue(std::move(waiting), now);
 }
 
+/// @return whether a new request has to let those of its rank go first that wait for capacity at
+/// the same copy. Otherwise whoever sends most takes each capacity that comes free before the next
+/// pump(), and short prompts overtake a long one for as long as they keep coming.
+bool RequestScheduler::isBehindOthers(const QueuedRequest &newcomer, Instant now) const
+{
+    if (newcomer.request.organisation.empty())
+        return false;
+    const auto rate = m_rates.find(newcomer.key);
+    if (rate == m_rates.end() || rate->second.waiting == 0)
+        return false;
+    const Queue &queue = m_queues.at(newcomer.request.service);
+    return std::any_of(queue.begin(), queue.end(), [&](const QueuedRequest &waiting) {
+        return waiting.key == newcomer.key && waiting.cause == NoReplica::Full
+                && waiting.excluded.empty() && waiting.request.priority <= newcomer.request.priority
+                && now < waiting.request.firstByteObjective;
+    });
+}
+
 std::optional<StartRequest> RequestScheduler::startNow(const ServingRequest &request,
                                                        std::vector<std::string> excluded,
                                                        Instant now)
@@ -88,6 +108,8 @@
     auto &choice = std::get<ReplicaChoice>(result);
     m_table.onSent(choice.id, choice.freshTokens, now);
     m_chooser.onSent(waiting.request, waiting.chain, choice);
+    m_shares[waiting.request.service].onStarted(waiting.request.organisation,
+                                                FairShare::cost(waiting.request.promptTokens), now);
     if (const auto rate = m_rates.find(waiting.key);
         rate != m_rates.end() && rate->second.waiting > 0)
         rate->second.starts++;
@@ -136,16 +158,61 @@
     return expected < latest ? latest : now;
 }
 
-/// @return number of queued requests for the same copy that are started before this one
-std::size_t RequestScheduler::requestsAhead(const QueuedRequest &waiting) const
+/// @param reader the replica whose time to read prompts counts; null: none
+/// @return the queued requests for the same copy that are started before this one: those of a more
+/// urgent rank, those of its own organisation before it in the queue, and of each other
+/// organisation of its rank as many as take turns with these
+RequestScheduler::RequestsAhead RequestScheduler::requestsAhead(const QueuedRequest &waiting,
+                                                                const ReplicaRow *reader,
+                                                                Instant now) const
 {
-    const auto queue = m_queues.find(waiting.request.service);
+    struct Other
+    {
+        RequestsAhead requests;
+        double cost = 0.0;
+    };
+    RequestsAhead ahead;
+    const ServingRequest &request = waiting.request;
+    const auto queue = m_queues.find(request.service);
     if (queue == m_queues.end())
-        return 0;
-    std::size_t ahead = 0;
-    for (const QueuedRequest &other : queue->second) {
-        if (other.key == waiting.key && !hasPrecedence(waiting.request, other.request))
-            ++ahead;
+        return ahead;
+    const auto add = [&](RequestsAhead &sum, const ServingRequest &each) {
+        sum.count += 1.0;
+        if (reader != nullptr)
+            sum.readTimeUs += double(m_table.prefillTime(*reader, each.promptTokens, now).count());
+    };
+    std::unordered_map<std::string_view, Other> others; // organisations of its rank
+    double ownCost = 0.0;
+    for (const QueuedRequest &each : queue->second) {
+        if (each.request.priority > request.priority)
+            break;
+        if (each.key != waiting.key)
+            continue;
+        const double cost = FairShare::cost(each.request.promptTokens);
+        if (each.request.priority == request.priority
+            && each.request.organisation != request.organisation) {
+            Other &other = others[each.request.organisation];
+            add(other.requests, each.request);
+            other.cost += cost;
+        } else if (!hasPrecedence(request, each.request)) {
+            add(ahead, each.request);
+            if (each.request.priority == request.priority)
+                ownCost += cost;
+        }
+    }
+    const auto found = m_shares.find(request.service);
+    if (found == m_shares.end())
+        return ahead;
+    const double own = found->second.startedLately(request.organisation, now) + ownCost;
+    for (const auto &[organisation, other] : others) {
+        const double theirs = found->second.startedLately(std::string(organisation), now);
+        if (theirs > own)
+            continue;
+        // Its turns end with the request that takes its count above this organisation's.
+        const double turns = own - theirs + other.cost / other.requests.count;
+        const double share = std::min(1.0, turns / other.cost);
+        ahead.count += share * other.requests.count;
+        ahead.readTimeUs += share * other.requests.readTimeUs;
     }
     return ahead;
 }
@@ -170,12 +237,8 @@
     }
     if (holder == nullptr)
         return {};
-    Duration queued {};
-    for (const QueuedRequest &other : m_queues.at(request.service)) {
-        if (other.key == waiting.key && !hasPrecedence(request, other.request))
-            queued += m_table.prefillTime(*holder, other.request.promptTokens, now);
-    }
-    return minPrefillAhead + queued / holders;
+    const auto queued = static_cast<Duration::rep>(requestsAhead(waiting, holder, now).readTimeUs);
+    return minPrefillAhead + Duration(queued) / holders;
 }
 
 /// @return expected queueing time: the longer of the estimates from the prompts ahead and from the
@@ -186,7 +249,7 @@
     if (!waiting.request.model.empty() && m_queues.contains(waiting.request.service))
         wait = promptsAhead(waiting, now);
     if (const double rate = startsPerSecond(waiting.key); rate > 0.0) {
-        const double byRate = 1e6 * double(requestsAhead(waiting) + 1) / rate;
+        const double byRate = 1e6 * (requestsAhead(waiting, nullptr, now).count + 1.0) / rate;
         wait = std::max(wait, Duration(static_cast<Duration::rep>(byRate)));
     }
     return wait;
@@ -204,7 +267,7 @@
 void RequestScheduler::enqueue(QueuedRequest waiting, Instant now)
 {
     waiting.queueDeadline = initialQueueDeadline(waiting, now);
-    if (m_serviceById.size() >= m_settings.maxQueued) {
+    if (m_serviceById.size() >= m_settings.maxQueued && !makeRoom(waiting, now)) {
         refuse(waiting, "queue_full", now);
         return;
     }
@@ -265,22 +328,122 @@
 void RequestScheduler::pumpQueue(Queue &queue, std::unordered_set<std::string> &blocked, bool late,
                                  Instant now)
 {
-    for (auto position = queue.begin(); position != queue.end();) {
-        const bool isLate = now >= position->request.firstByteObjective;
-        if (isLate != late || (position->excluded.empty() && blocked.contains(position->key))) {
-            ++position;
-            continue;
-        }
+    const auto isSelected = [&](const QueuedRequest &waiting) {
+        return (now >= waiting.request.firstByteObjective) == late;
+    };
+    const auto start = [&](Queue::iterator position) {
+        if (position->excluded.empty() && blocked.contains(position->key))
+            return false;
         if (!tryStart(*position, now)) {
             if (position->excluded.empty())
                 blocked.insert(position->key);
-            ++position;
-            continue;
+            return false;
+        }
+        dequeue(queue, position);
+        return true;
+    };
+    visitInOrder(queue, isSelected, start, now);
+}
+
+/// Visits requests in the order in which they are to be started: rank by rank, within a rank always
+/// the first one of the organisation that has had the least lately.
+void RequestScheduler::visitInOrder(Queue &queue, const Selection &selection, const Visit &visit,
+                                    Instant now)
+{
+    struct Turn
+    {
+        Queue::iterator position;
+        std::size_t index = 0; // in the queue's order
+        double cost = 0.0;
+    };
+    struct Line // the requests of one organisation
+    {
+        double started = 0.0;
+        std::vector<Turn> turns;
+        std::size_t next = 0;
+    };
+    const auto found =
+            queue.empty() ? m_shares.end() : m_shares.find(queue.front().request.service);
+    const auto startedLately = [&](const std::string &organisation) {
+        return found == m_shares.end() ? 0.0 : found->second.startedLately(organisation, now);
+    };
+    for (auto position = queue.begin(); position != queue.end();) {
+        const int priority = position->request.priority;
+        std::unordered_map<std::string_view, std::size_t> indexes; // of lines by organisation
+        std::vector<Line> lines;
+        const std::string *latest = nullptr;
+        std::size_t line = 0;
+        std::size_t index = 0;
+        for (; position != queue.end() && position->request.priority == priority; ++position) {
+            if (!selection(*position))
+                continue;
+            const std::string &organisation = position->request.organisation;
+            if (latest == nullptr || *latest != organisation) {
+                line = indexes.try_emplace(organisation, lines.size()).first->second;
+                if (line == lines.size())
+                    lines.push_back({ startedLately(organisation), {}, 0 });
+                latest = &organisation;
+            }
+            lines[line].turns.push_back(
+                    { position, index++, FairShare::cost(position->request.promptTokens) });
+        }
+        const auto isAfter = [&](std::size_t left, std::size_t right) {
+            const Line &a = lines[left];
+            const Line &b = lines[right];
+            if (a.started != b.started)
+                return a.started > b.started;
+            return a.turns[a.next].index > b.turns[b.next].index;
+        };
+        std::vector<std::size_t> heap(lines.size()); // the line whose turn it is comes first
+        std::iota(heap.begin(), heap.end(), std::size_t(0));
+        std::make_heap(heap.begin(), heap.end(), isAfter);
+        while (!heap.empty()) {
+            std::pop_heap(heap.begin(), heap.end(), isAfter);
+            Line &first = lines[heap.back()];
+            const Turn turn = first.turns[first.next++];
+            if (visit(turn.position))
+                first.started += turn.cost;
+            if (first.next < first.turns.size())
+                std::push_heap(heap.begin(), heap.end(), isAfter);
+            else
+                heap.pop_back();
         }
-        position = dequeue(queue, position);
     }
 }
 
+/// Refuses the last request of the organisation that has most requests in the newcomer's queue, if
+/// it has more than the newcomer's and is of no more urgent rank: an organisation that fills the
+/// queue must not keep others out of it.
+/// @return whether there is room now
+bool RequestScheduler::makeRoom(const QueuedRequest &newcomer, Instant now)
+{
+    struct Line
+    {
+        std::size_t requests = 0;
+        std::optional<Queue::iterator> last; // that had no attempt
+    };
+    std::unordered_map<std::string_view, Line> lines;
+    Queue &queue = m_queues[newcomer.request.service];
+    for (auto position = queue.begin(); position != queue.end(); ++position) {
+        Line &line = lines[position->request.organisation];
+        line.requests++;
+        if (!position->isRetry)
+            line.last = position;
+    }
+    const std::size_t own = lines[newcomer.request.organisation].requests;
+    const auto longest =
+            std::max_element(lines.begin(), lines.end(), [](const auto &left, const auto &right) {
+                return left.second.requests < right.second.requests;
+            });
+    if (!longest->second.last || longest->second.requests <= own + 1
+        || (*longest->second.last)->request.priority < newcomer.request.priority)
+        return false;
+    const Queue::iterator last = *longest->second.last;
+    refuse(*last, "queue_full", now);
+    dequeue(queue, last);
+    return true;
+}
+
 void RequestScheduler::measureRates(Instant now)
 {
     for (auto &[key, rate] : m_rates) {
@@ -306,6 +469,9 @@
 void RequestScheduler::tick(Instant now)
 {
     measureRates(now);
+    for (auto &[service, share] : m_shares)
+        share.tick(now);
+    std::erase_if(m_shares, [](const auto &entry) { return entry.second.size() == 0; });
     std::erase_if(m_nextCopyRequestAt, [&](const auto &entry) { return now >= entry.second; });
     pump(now);
     for (auto &[service, queue] : m_queues) {
@@ -337,7 +503,7 @@
     const double rate = startsPerSecond(waiting.key);
     std::chrono::milliseconds retryAfter = m_settings.minRetryAfter;
     if (rate > 0.0) {
-        const double ms = 1e3 * double(requestsAhead(waiting)) / rate;
+        const double ms = 1e3 * requestsAhead(waiting, nullptr, now).count / rate;
         retryAfter += std::chrono::milliseconds(static_cast<std::int64_t>(ms));
     }
     const auto remaining =
@@ -402,12 +568,12 @@
         refuseUntil(waiting, "limited", interval);
         return true;
     }
-    std::size_t ahead = requestsAhead(waiting);
+    double ahead = requestsAhead(waiting, nullptr, now).count;
     if (m_serviceById.contains(request.id))
-        ahead--; // it is queued itself
+        ahead -= 1.0; // it is queued itself
     Instant expected = earliest;
     if (sharePerSecond > 0.0)
-        expected += Duration(static_cast<Duration::rep>(1e6 * double(ahead) / sharePerSecond));
+        expected += Duration(static_cast<Duration::rep>(1e6 * ahead / sharePerSecond));
     if (expected <= waiting.queueDeadline)
         return false;
     refuseUntil(waiting, "limited", expected - now);
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -8,12 +8,13 @@
 //
 // Designed for demand that rises to a multiple of what the replicas can serve, and for requests for
 // models that are not resident yet. A queue is ordered by priority, then by the time at which the
-// first byte is due. Requests that are already late are started after those that can still be on
-// time. A request is refused on arrival if it would start too late, judged by the prompts queued
-// before it and by the rate at which requests are started. Callers thus learn early that they have
-// to retry, and capacity goes to requests that can still be on time. While all replicas that could
-// run a request have asked for a pause, it is refused at once with a time after the pause; while
-// they have stated request limits, it waits for this node's share if that comes in time.
+// first byte is due; organisations of equal priority take turns as FairShare says. Requests that
+// are already late are started after those that can still be on time. A request is refused on
+// arrival if it would start too late, judged by the prompts queued before it and by the rate at
+// which requests are started. Callers thus learn early that they have to retry, and capacity goes
+// to requests that can still be on time. While all replicas that could run a request have asked for
+// a pause, it is refused at once with a time after the pause; while they have stated request
+// limits, it waits for this node's share if that comes in time.
 //
 // The scheduler does no I/O. It returns its decisions as actions; each submitted request leads to
 // one StartRequest or RefuseRequest unless it is cancelled:
@@ -23,8 +24,10 @@
 //       ...
 #pragma once
 
+#include "serving/fairshare.h"
 #include "serving/replicachooser.h"
 
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -140,7 +143,18 @@
         Instant queueDeadline;             // the request is refused if it is still queued then
         NoReplica cause = NoReplica::Full; // why it was not started at the latest try
     };
-    using Queue = std::list<QueuedRequest>; // most urgent first
+    using Queue = std::list<QueuedRequest>; // by priority, then by due time
+    using Selection = std::function<bool(const QueuedRequest &)>;
+    /// Handles a request of a queue, which it may remove.
+    /// @return whether the request uses up a part of its organisation's share
+    using Visit = std::function<bool(Queue::iterator)>;
+
+    /// The requests for the same copy that are started before a request.
+    struct RequestsAhead
+    {
+        double count = 0.0;
+        double readTimeUs = 0.0; // of their prompts, at one replica
+    };
 
     /// The rate at which this node starts requests for one copy, measured while requests are
     /// queued. Without a backlog, the starts reflect the demand and not what the replicas can
@@ -157,6 +171,7 @@
     Queue::iterator dequeue(Queue &queue, Queue::iterator position);
     void measureRates(Instant now);
     void pumpQueue(Queue &queue, std::unordered_set<std::string> &blocked, bool late, Instant now);
+    bool isBehindOthers(const QueuedRequest &newcomer, Instant now) const;
     bool tryStart(QueuedRequest &waiting, Instant now);
     std::optional<StartRequest> place(QueuedRequest &waiting, Instant now);
     void enqueue(QueuedRequest waiting, Instant now);
@@ -170,7 +185,10 @@
     double startsPerSecond(const std::string &key) const;
     Duration expectedWait(const QueuedRequest &waiting, Instant now) const;
     Duration promptsAhead(const QueuedRequest &waiting, Instant now) const;
-    std::size_t requestsAhead(const QueuedRequest &waiting) const;
+    RequestsAhead requestsAhead(const QueuedRequest &waiting, const ReplicaRow *reader,
+                                Instant now) const;
+    void visitInOrder(Queue &queue, const Selection &selection, const Visit &visit, Instant now);
+    bool makeRoom(const QueuedRequest &newcomer, Instant now);
 
     ReplicaTable &m_table;
     ReplicaChooser &m_chooser;
@@ -178,6 +196,7 @@
     std::map<std::string, Queue> m_queues;                        // by service
     std::unordered_map<std::uint64_t, std::string> m_serviceById; // of the queued requests
     std::unordered_map<std::string, StartRate> m_rates;           // by copyKey()
+    std::map<std::string, FairShare> m_shares;                    // by service
     std::unordered_map<std::string, Instant> m_nextCopyRequestAt; // by copyKey()
     Instant m_tickedAt;                                           // time of the previous tick
     Instant m_windowEnd;                                          // of the current rate window
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -394,3 +394,98 @@
         table.onDelisted("r1", {}, Start + 1s);
     }
 }
+
+// Guards against one organisation that sends five times its usual and keeps the others of its rank
+// waiting. Four organisations usually send 4 prompts a second each, for which the capacity of 20 is
+// enough. With 20 of "a", 32 a second are sent. An equal share is 5 a second, so that the others
+// could all be served: 90 in 100 have to start in time, and "a" gets what is left.
+TEST(RequestScheduler, OneOrganisationsBurstDoesNotKeepOthersOfItsRankWaiting)
+{
+    for (const bool isNamed : { true, false }) {
+        ReplicaTable replicas;
+        ReplicaChooser replicaChooser { replicas, {}, 7 };
+        RequestScheduler requests { replicas, replicaChooser };
+        replicas.onAnnounced(poolReplica("r1", { { "m1", {} } }, 20),
+                             Start); // 20 for a second each
+        std::map<std::uint64_t, std::pair<std::string, Instant>> sent;
+        std::map<std::string, int> total;
+        std::map<std::string, int> inTime;
+        std::multimap<Instant, std::uint64_t> running; // end and generation
+        std::uint64_t id = 0;
+        const auto submit = [&](const std::string &organisation, Instant now) {
+            ServingRequest request = modelRequest(++id, 100, now);
+            request.organisation = isNamed ? organisation : "";
+            sent[id] = { organisation, now };
+            total[organisation]++;
+            requests.submit(request, {}, false, now);
+        };
+        for (Instant now = Start; now < Start + 20s; now += 10ms) {
+            for (; !running.empty() && running.begin()->first <= now;
+                 running.erase(running.begin()))
+                replicas.onFinished("r1", running.begin()->second, ReplicaOutcome::Served, now);
+            const auto at = now - Start;
+            if (at % 50ms == 0ms)
+                submit("a", now);
+            if (at % 250ms == 0ms) {
+                for (const char *organisation : { "b", "c", "d" })
+                    submit(organisation, now);
+            }
+            requests.tick(now);
+            for (SchedulerAction &action : requests.takeActions()) {
+                const auto *start = std::get_if<StartRequest>(&action);
+                if (start == nullptr)
+                    continue;
+                running.emplace(now + 1s, start->choice.generation);
+                const auto &[organisation, sentAt] = sent[start->id];
+                inTime[organisation] += now - sentAt <= 1'200ms ? 1 : 0;
+            }
+        }
+        const int others = inTime["b"] + inTime["c"] + inTime["d"];
+        const int ofOthers = total["b"] + total["c"] + total["d"];
+        CHECK_EQUAL(isNamed, others * 10 >= ofOthers * 9); // the load defeats the order by due time
+        CHECK(inTime["a"] >= 4 * 20);                      // at least its usual
+    }
+}
+
+// Guards against organisations that wait for ever, and against time that grows with the square of
+// the queue: a thousand organisations with two requests each.
+TEST(RequestScheduler, EveryOrganisationGetsATurn)
+{
+    table.onAnnounced(poolReplica("r1", { { "m1", {} } }, 20), Start);
+    for (int i = 0; i < 20; ++i)
+        table.onSent("r1", 0, Start);
+    for (std::uint64_t id = 1; id <= 2'000; ++id) {
+        ServingRequest request = modelRequest(id, 2, Start);
+        request.organisation = std::to_string(id <= 1'001 ? 0 : id); // one has half of the queue
+        request.deadline = request.firstByteObjective = Start + 1h;
+        scheduler.submit(request, {}, true, Start);
+    }
+    CHECK_EQUAL(2'000, scheduler.queued());
+    const std::uint64_t generation = table.find("r1")->generation;
+    std::set<std::uint64_t> lines;
+    for (int i = 0; i < 1'000; ++i) {
+        table.onFinished("r1", generation, ReplicaOutcome::Served, Start);
+        scheduler.pump(Start);
+        for (const StartRequest &start : actions<StartRequest>())
+            lines.insert(start.id <= 1'001 ? 0 : start.id);
+    }
+    CHECK_EQUAL(1'000, lines.size());
+}
+
+TEST(RequestScheduler, AFullQueueKeepsRoomForOtherOrganisations)
+{
+    SchedulerSettings settings;
+    settings.maxQueued = 4;
+    RequestScheduler requests { table, chooser, settings };
+    table.onAnnounced(poolReplica("r1", { { "m1", {} } }, 1), Start);
+    table.onSent("r1", 0, Start);
+    std::vector<std::uint64_t> refused;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        ServingRequest request = modelRequest(id, 2, Start);
+        request.organisation = id <= 5 ? "a" : "b";
+        requests.submit(request, {}, false, Start);
+        for (const SchedulerAction &action : requests.takeActions())
+            refused.push_back(std::get<RefuseRequest>(action).id);
+    }
+    CHECK(refused == (std::vector<std::uint64_t> { 5, 4 })); // its own, then its last for the other
+}
