Refusals carry their prediction; queued requests are refused once they can no longer be started

Cause: the log of a refusal did not say what had been predicted. After replicas were lost, queued requests waited for their queue deadline although they could not be started by then.

Change: RefuseRequest carries the expected wait, the requests ahead and the start rate; the done line of a refused request has them as expected_wait_ms, requests_ahead and starts_per_s. Every 100 ms tick() repeats the prediction for all queued requests in one pass in the order of their starts, and refuses from the back those whose wait exceeds the time left by half and 100 ms. Repeats and the next request of each copy stay. The time to read the prompts ahead uses the speed of all replicas where they state their work time, not that of one of them. An organisation's place in a full queue is taken only by a newcomer that is not refused itself.

The log fields were built, not run.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -360,6 +360,7 @@
                 co_await finish(finalStep(), AttemptResult::Lost);
                 co_return;
             }
+            m_prediction = refusal->prediction;
             co_await answerOwn(StatusUnavailable, refusal->retryAfter, "refused", refusal->reason);
             co_return;
         }
@@ -1030,8 +1031,8 @@
     const Duration taken = steadyNow() - m_arrived;
     m_state.metrics.count(std::string("burdock_answers_total{outcome=\"") + outcome + "\"}");
     m_state.metrics.observe("burdock_request_seconds", taken);
-    m_state.log.line("done")
-            .field("request", m_caller.name)
+    auto line = m_state.log.line("done");
+    line.field("request", m_caller.name)
             .field("outcome", outcome)
             .field("status", status)
             .field("reason", reason)
@@ -1048,6 +1049,10 @@
             .field("first_byte_ms", m_firstByteAfter)
             .field("longest_gap_ms", m_longestGap)
             .field("taken_ms", taken);
+    if (m_prediction)
+        line.field("expected_wait_ms", m_prediction->wait)
+                .field("requests_ahead", m_prediction->requestsAhead)
+                .field("starts_per_s", m_prediction->startsPerSecond);
 }
 
 } // namespace burdock
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -190,7 +190,8 @@
     std::optional<StoredAnswer> m_errorAnswer;
     std::optional<std::uint64_t> m_lastEvent; // passed on to the caller
     Instant m_arrived;
-    std::string m_failure; // why no attempt was made; for the log
+    std::string m_failure;                      // why no attempt was made; for the log
+    std::optional<WaitPrediction> m_prediction; // of a request that was refused; for the log
     bool m_callerLeft = false;
     bool m_givenUp = false;
     Duration m_firstByteAfter {}; // of the whole request; for the log
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -186,7 +186,7 @@
     for (const QueuedRequest &each : queue->second) {
         if (each.request.priority > request.priority)
             break;
-        if (each.key != waiting.key)
+        if (each.key != waiting.key || each.request.id == request.id)
             continue;
         const double cost = FairShare::cost(each.request.promptTokens);
         if (each.request.priority == request.priority
@@ -217,42 +217,58 @@
     return ahead;
 }
 
-/// @return estimated time until a replica can read the request's prompt: the shortest prefill time
-/// assigned to a usable replica that holds the copy, plus the read time of the prompts queued
-/// before this one, divided by the number of these replicas; zero if there is none
-Duration RequestScheduler::promptsAhead(const QueuedRequest &waiting, Instant now) const
+/// @return the usable replicas that hold the request's copy, as one
+RequestScheduler::Readers RequestScheduler::readersOf(const ServingRequest &request,
+                                                      Instant now) const
 {
-    const ServingRequest &request = waiting.request;
-    const ReplicaRow *holder = nullptr;
-    int holders = 0;
+    Readers readers;
+    if (request.model.empty())
+        return readers;
     Duration minPrefillAhead = Duration::max();
+    int count = 0;
+    double speed = 0.0; // sum of all, one with the usual work time counts 1
     for (const std::string &id : m_table.replicasOfModel(request.service, request.model)) {
         const ReplicaRow *row = m_table.find(id);
         if (!m_table.isUsable(*row, now)
             || !m_table.holds(*row, request.model, request.adapter, now))
             continue;
-        holder = row;
-        holders++;
+        readers.row = row;
+        count++;
+        speed += 1.0 / m_table.workRatio(*row, now);
         minPrefillAhead = std::min(minPrefillAhead, m_table.prefillAhead(*row, now));
     }
-    if (holder == nullptr)
-        return {};
-    const auto queued = static_cast<Duration::rep>(requestsAhead(waiting, holder, now).readTimeUs);
-    return minPrefillAhead + Duration(queued) / holders;
+    if (readers.row == nullptr)
+        return readers;
+    readers.prefillAhead = minPrefillAhead;
+    if (readers.row->statesWorkTime) // then replicas differ more, and from moment to moment
+        readers.speed = speed * m_table.workRatio(*readers.row, now);
+    else
+        readers.speed = count;
+    return readers;
 }
 
-/// @return expected queueing time: the longer of the estimates from the prompts ahead and from the
-/// start rate
-Duration RequestScheduler::expectedWait(const QueuedRequest &waiting, Instant now) const
+/// @return the longer of two estimates: the shortest prefill time assigned to a usable replica that
+/// holds the copy, plus the read time of the prompts ahead at all of these; and from the start rate
+WaitPrediction RequestScheduler::predict(const RequestsAhead &ahead, const Readers &readers,
+                                         double startsPerSecond)
 {
-    Duration wait {};
-    if (!waiting.request.model.empty() && m_queues.contains(waiting.request.service))
-        wait = promptsAhead(waiting, now);
-    if (const double rate = startsPerSecond(waiting.key); rate > 0.0) {
-        const double byRate = 1e6 * (requestsAhead(waiting, nullptr, now).count + 1.0) / rate;
-        wait = std::max(wait, Duration(static_cast<Duration::rep>(byRate)));
+    WaitPrediction prediction { {}, ahead.count, startsPerSecond };
+    if (readers.row != nullptr)
+        prediction.wait = readers.prefillAhead
+                + Duration(static_cast<Duration::rep>(ahead.readTimeUs / readers.speed));
+    if (startsPerSecond > 0.0) {
+        const double byRate = 1e6 * (ahead.count + 1.0) / startsPerSecond;
+        prediction.wait = std::max(prediction.wait, Duration(static_cast<Duration::rep>(byRate)));
     }
-    return wait;
+    return prediction;
+}
+
+/// @return the expected queueing time of a request
+WaitPrediction RequestScheduler::expectedWait(const QueuedRequest &waiting, Instant now) const
+{
+    const bool hasQueue = m_queues.contains(waiting.request.service);
+    const Readers readers = hasQueue ? readersOf(waiting.request, now) : Readers {};
+    return predict(requestsAhead(waiting, readers.row, now), readers, startsPerSecond(waiting.key));
 }
 
 /// @return start rate of a copy while requests for it are queued; 0 if it is unknown
@@ -267,19 +283,24 @@
 void RequestScheduler::enqueue(QueuedRequest waiting, Instant now)
 {
     waiting.queueDeadline = initialQueueDeadline(waiting, now);
-    if (m_serviceById.size() >= m_settings.maxQueued && !makeRoom(waiting, now)) {
+    const bool isFull = m_serviceById.size() >= m_settings.maxQueued;
+    if (isFull && waiting.request.organisation.empty()) {
         refuse(waiting, "queue_full", now);
         return;
     }
     if (refuseIfPaused(waiting, now) || refuseIfLimited(waiting, now))
         return;
     if (waiting.cause == NoReplica::Full && !waiting.isRetry) {
-        const Instant expected = now + expectedWait(waiting, now);
+        const Instant expected = now + expectedWait(waiting, now).wait;
         if (expected > std::min(waiting.request.firstByteObjective, waiting.queueDeadline)) {
             refuse(waiting, "overload", now);
             return;
         }
     }
+    if (isFull && !makeRoom(waiting, now)) {
+        refuse(waiting, "queue_full", now);
+        return;
+    }
     Queue &queue = m_queues[waiting.request.service];
     const auto position = std::find_if(queue.begin(), queue.end(), [&](const QueuedRequest &other) {
         return hasPrecedence(waiting.request, other.request);
@@ -494,16 +515,70 @@
             position = dequeue(queue, position);
         }
     }
+    if (now < m_nextReviewAt)
+        return;
+    m_nextReviewAt = now + m_settings.reviewInterval;
+    for (auto &[service, queue] : m_queues)
+        reviewQueue(queue, now);
+}
+
+/// Refuses queued requests that can no longer be started by their queue deadline, because there is
+/// less capacity than when they arrived or more urgent requests came. The requests that stay are
+/// counted ahead of the others, those that are refused are not. The next one of each copy stays: it
+/// is started as soon as there is any capacity.
+void RequestScheduler::reviewQueue(Queue &queue, Instant now)
+{
+    struct Copy
+    {
+        Readers readers;
+        double startsPerSecond = 0.0;
+        RequestsAhead ahead;
+    };
+    std::unordered_map<std::string_view, Copy> copies; // by key
+    std::vector<Queue::iterator> hopeless;
+    const auto review = [&](Queue::iterator position) {
+        const auto [entry, isNew] = copies.try_emplace(position->key);
+        Copy &copy = entry->second;
+        if (isNew) {
+            copy.readers = readersOf(position->request, now);
+            copy.startsPerSecond = startsPerSecond(position->key);
+        }
+        if (position->cause == NoReplica::Full && !position->isRetry && copy.ahead.count > 0.0) {
+            const Duration wait = predict(copy.ahead, copy.readers, copy.startsPerSecond).wait;
+            const double left = double((position->queueDeadline - now).count());
+            if (double(wait.count())
+                > left * m_settings.reviewMargin + double(m_settings.reviewSlack.count())) {
+                hopeless.push_back(position);
+                return false;
+            }
+        }
+        copy.ahead.count += 1.0;
+        if (const ReplicaRow *row = copy.readers.row)
+            copy.ahead.readTimeUs +=
+                    double(m_table.prefillTime(*row, position->request.promptTokens, now).count());
+        return true;
+    };
+    for (const bool late : { false, true }) {
+        const auto isSelected = [&](const QueuedRequest &waiting) {
+            return (now >= waiting.request.firstByteObjective) == late;
+        };
+        visitInOrder(queue, isSelected, review, now);
+    }
+    for (auto each = hopeless.rbegin(); each != hopeless.rend(); ++each) {
+        refuse(**each, "overload", now);
+        dequeue(queue, *each);
+    }
 }
 
 // ---- Actions ------------------------------------------------------------------------------------
 
 void RequestScheduler::refuse(const QueuedRequest &waiting, const char *reason, Instant now)
 {
-    const double rate = startsPerSecond(waiting.key);
+    const WaitPrediction prediction = expectedWait(waiting, now);
     std::chrono::milliseconds retryAfter = m_settings.minRetryAfter;
-    if (rate > 0.0) {
-        const double ms = 1e3 * requestsAhead(waiting, nullptr, now).count / rate;
+    if (prediction.startsPerSecond > 0.0) {
+        const double own = m_serviceById.contains(waiting.request.id) ? 1.0 : 0.0;
+        const double ms = 1e3 * (prediction.requestsAhead + own) / prediction.startsPerSecond;
         retryAfter += std::chrono::milliseconds(static_cast<std::int64_t>(ms));
     }
     const auto remaining =
@@ -511,19 +586,20 @@
     constexpr int RetryTimeDivisor = 3; // callers retry within a third of their remaining time
     retryAfter = std::min({ retryAfter, m_settings.maxRetryAfter, remaining / RetryTimeDivisor });
     retryAfter = std::max(retryAfter, std::chrono::milliseconds(0));
-    m_actions.emplace_back(RefuseRequest { waiting.request.id, reason, retryAfter });
+    m_actions.emplace_back(RefuseRequest { waiting.request.id, reason, retryAfter, prediction });
 }
 
 /// Refuses a request for which capacity returns after a known time. Callers are told different
 /// times after that, so that they do not all return at once.
-void RequestScheduler::refuseUntil(const QueuedRequest &waiting, const char *reason, Duration wait)
+void RequestScheduler::refuseUntil(const QueuedRequest &waiting, const char *reason,
+                                   const WaitPrediction &prediction)
 {
     const ServingRequest &request = waiting.request;
-    const double spread = m_settings.retrySpread * double(wait.count())
+    const double spread = m_settings.retrySpread * double(prediction.wait.count())
             * double(hashPair(request.id, waiting.key) % SpreadSteps) / double(SpreadSteps);
     const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(
-            wait + Duration(static_cast<Duration::rep>(spread)));
-    m_actions.emplace_back(RefuseRequest { request.id, reason, retryAfter });
+            prediction.wait + Duration(static_cast<Duration::rep>(spread)));
+    m_actions.emplace_back(RefuseRequest { request.id, reason, retryAfter, prediction });
 }
 
 /// Refuses a request if all replicas that could run it asked for pauses beyond its queue deadline.
@@ -536,7 +612,7 @@
     const Instant end = m_table.pauseEnd(request.service, request.model, request.adapter, now);
     if (end <= waiting.queueDeadline)
         return false;
-    refuseUntil(waiting, "paused", end - now);
+    refuseUntil(waiting, "paused", { end - now });
     return true;
 }
 
@@ -565,18 +641,16 @@
     if (interval == Duration::max())
         return false; // no replica is usable any more; the next try tells why
     if (earliest == Instant::max()) {
-        refuseUntil(waiting, "limited", interval);
+        refuseUntil(waiting, "limited", { interval });
         return true;
     }
-    double ahead = requestsAhead(waiting, nullptr, now).count;
-    if (m_serviceById.contains(request.id))
-        ahead -= 1.0; // it is queued itself
+    const double ahead = requestsAhead(waiting, nullptr, now).count;
     Instant expected = earliest;
     if (sharePerSecond > 0.0)
         expected += Duration(static_cast<Duration::rep>(1e6 * ahead / sharePerSecond));
     if (expected <= waiting.queueDeadline)
         return false;
-    refuseUntil(waiting, "limited", expected - now);
+    refuseUntil(waiting, "limited", { expected - now, ahead, sharePerSecond });
     return true;
 }
 
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -2,6 +2,7 @@
 // late.
 //
 // Index
+//   WaitPrediction                             the expected queueing time of a refused request
 //   StartRequest, RefuseRequest, CopyRequest   actions that the caller has to carry out
 //   SchedulerSettings
 //   RequestScheduler                           the queues, one per service
@@ -12,9 +13,11 @@
 // are already late are started after those that can still be on time. A request is refused on
 // arrival if it would start too late, judged by the prompts queued before it and by the rate at
 // which requests are started. Callers thus learn early that they have to retry, and capacity goes
-// to requests that can still be on time. While all replicas that could run a request have asked for
-// a pause, it is refused at once with a time after the pause; while they have stated request
-// limits, it waits for this node's share if that comes in time.
+// to requests that can still be on time. The prediction is repeated while a request is queued,
+// since capacity may be lost: it is refused once it can no longer start by its queue deadline.
+// While all replicas that could run a request have asked for a pause, it is refused at once with a
+// time after the pause; while they have stated request limits, it waits for this node's share if
+// that comes in time.
 //
 // The scheduler does no I/O. It returns its decisions as actions; each submitted request leads to
 // one StartRequest or RefuseRequest unless it is cancelled:
@@ -49,12 +52,21 @@
     Duration waited {}; // time in the queue
 };
 
+/// The expected queueing time of a request, with what it was derived from.
+struct WaitPrediction
+{
+    Duration wait {};
+    double requestsAhead = 0.0;   // for the same copy, those that are started before it
+    double startsPerSecond = 0.0; // of requests for the copy at this node; 0: unknown
+};
+
 /// Tell the caller that the request was not run.
 struct RefuseRequest
 {
-    std::uint64_t id = 0;                    // of the request
-    const char *reason = "";                 // reason value for log records
-    std::chrono::milliseconds retryAfter {}; // time after which a retry is likely to be served
+    std::uint64_t id = 0;                        // of the request
+    const char *reason = "";                     // reason value for log records
+    std::chrono::milliseconds retryAfter {};     // time after which a retry is likely to be served
+    std::optional<WaitPrediction> prediction {}; // at the time of the refusal, for log records
 };
 
 /// Request a copy of a model or adapter that no replica of the service holds.
@@ -88,6 +100,11 @@
     double minBacklog = 0.1;
     // Share of a request's remaining time within which a late start is still worthwhile.
     double maxLateShare = 0.7;
+    // A queued request is refused before its queue deadline if its expected wait exceeds the time
+    // left by this factor and this time, which allow for errors of the prediction.
+    double reviewMargin = 1.5;
+    Duration reviewSlack = std::chrono::milliseconds(100);
+    Duration reviewInterval = std::chrono::milliseconds(100); // between two looks at a request
     // Share of a known wait, such as a pause of all replicas, by which the retries of refused
     // callers are spread.
     double retrySpread = 0.5;
@@ -156,6 +173,14 @@
         double readTimeUs = 0.0; // of their prompts, at one replica
     };
 
+    /// The replicas that can read the prompts of a copy's requests.
+    struct Readers
+    {
+        const ReplicaRow *row = nullptr; // one of them; null: there are none
+        Duration prefillAhead {};        // the shortest of them
+        double speed = 0.0;              // of all together, as a multiple of that one's
+    };
+
     /// The rate at which this node starts requests for one copy, measured while requests are
     /// queued. Without a backlog, the starts reflect the demand and not what the replicas can
     /// serve.
@@ -178,13 +203,17 @@
     void refuse(const QueuedRequest &waiting, const char *reason, Instant now);
     bool refuseIfPaused(const QueuedRequest &waiting, Instant now);
     bool refuseIfLimited(const QueuedRequest &waiting, Instant now);
-    void refuseUntil(const QueuedRequest &waiting, const char *reason, Duration wait);
+    void refuseUntil(const QueuedRequest &waiting, const char *reason,
+                     const WaitPrediction &prediction);
     void requestCopy(const ServingRequest &request, Instant now);
     Instant initialQueueDeadline(const QueuedRequest &waiting, Instant now) const;
     Instant extendedQueueDeadline(const QueuedRequest &waiting, Instant now) const;
     double startsPerSecond(const std::string &key) const;
-    Duration expectedWait(const QueuedRequest &waiting, Instant now) const;
-    Duration promptsAhead(const QueuedRequest &waiting, Instant now) const;
+    Readers readersOf(const ServingRequest &request, Instant now) const;
+    static WaitPrediction predict(const RequestsAhead &ahead, const Readers &readers,
+                                  double startsPerSecond);
+    WaitPrediction expectedWait(const QueuedRequest &waiting, Instant now) const;
+    void reviewQueue(Queue &queue, Instant now);
     RequestsAhead requestsAhead(const QueuedRequest &waiting, const ReplicaRow *reader,
                                 Instant now) const;
     void visitInOrder(Queue &queue, const Selection &selection, const Visit &visit, Instant now);
@@ -199,6 +228,7 @@
     std::map<std::string, FairShare> m_shares;                    // by service
     std::unordered_map<std::string, Instant> m_nextCopyRequestAt; // by copyKey()
     Instant m_tickedAt;                                           // time of the previous tick
+    Instant m_nextReviewAt;                                       // of the queues
     Instant m_windowEnd;                                          // of the current rate window
     std::vector<SchedulerAction> m_actions;
 };
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -489,3 +489,84 @@
     }
     CHECK(refused == (std::vector<std::uint64_t> { 5, 4 })); // its own, then its last for the other
 }
+
+// Guards against requests that wait for their queue deadline after their replicas were lost. Four
+// replicas read 38 prompts a second, one 9.6: of the 1.1 s of prompts that are queued, those beyond
+// the 2.2 s that the margin allows have to be refused, the last ones first.
+TEST(RequestScheduler, RefusesAtOnceWhatNoLongerFitsAfterReplicasAreLost)
+{
+    for (int i = 1; i <= 4; ++i)
+        table.onAnnounced(engine("r" + std::to_string(i), { { "m1", {} } }), Start);
+    for (std::uint64_t id = 1; id <= 100; ++id) {
+        ServingRequest request = modelRequest(id, 1'800, Start);
+        request.deadline = Start + 2s;
+        scheduler.submit(request, {}, false, Start);
+    }
+    const auto queued = scheduler.queued();
+    CHECK(queued > 30);
+    const auto refusedOnArrival = actions<RefuseRequest>();
+    CHECK(!refusedOnArrival.empty());
+    CHECK(refusedOnArrival.front().prediction->wait > 1'200ms);
+    CHECK(refusedOnArrival.front().prediction->requestsAhead > 30);
+    scheduler.tick(Start + 10ms);
+    CHECK(actions<RefuseRequest>().empty());
+    for (const char *id : { "r2", "r3", "r4" })
+        table.onDelisted(id, {}, Start + 20ms);
+    scheduler.tick(Start + 120ms);
+    const auto refused = actions<RefuseRequest>();
+    CHECK(refused.size() > queued / 3 && refused.size() < queued * 2 / 3);
+    for (std::size_t i = 1; i < refused.size(); ++i)
+        CHECK(refused[i].id < refused[i - 1].id);
+    scheduler.tick(Start + 150ms); // too early for another look
+    CHECK(actions<RefuseRequest>().empty());
+}
+
+// Guards against refusals of queued requests that would have been started: the same load of twice
+// the capacity, while replicas come and go, must lead to as many starts as without these refusals.
+TEST(RequestScheduler, RefusesNoQueuedRequestThatWouldHaveBeenStarted)
+{
+    const auto startsWith = [](Duration reviewInterval, Duration &refusedWaits) {
+        SchedulerSettings settings;
+        settings.reviewInterval = reviewInterval;
+        ReplicaTable replicas;
+        ReplicaChooser replicaChooser { replicas, {}, 7 };
+        RequestScheduler requests { replicas, replicaChooser, settings };
+        Random random(5);
+        std::uint64_t id = 0;
+        int starts = 0;
+        std::map<std::uint64_t, Instant> sentAt;
+        for (Instant now = Start; now < Start + 60s; now += 10ms) {
+            if ((now - Start) % 3s == 0ms) {
+                for (const char *name : { "r1", "r2", "r3", "r4" }) {
+                    if (random.unit() < 0.5)
+                        replicas.onAnnounced(engine(name, { { "m1", {} } }), now);
+                    else
+                        replicas.onDelisted(name, {}, now);
+                }
+            }
+            if (random.unit() < 0.4) {
+                sentAt[++id] = now;
+                ServingRequest request = modelRequest(id, 500 + int(random.below(2'600)), now);
+                request.deadline = now + 2s;
+                requests.submit(request, {}, false, now);
+            }
+            requests.tick(now);
+            for (SchedulerAction &action : requests.takeActions()) {
+                if (const auto *start = std::get_if<StartRequest>(&action)) {
+                    starts++;
+                    replicas.onFinished(start->choice.id, start->choice.generation,
+                                        ReplicaOutcome::Served, now);
+                } else if (const auto *refusal = std::get_if<RefuseRequest>(&action)) {
+                    refusedWaits += now - sentAt[refusal->id];
+                }
+            }
+        }
+        return starts;
+    };
+    Duration reviewed {};
+    Duration unreviewed {};
+    const int starts = startsWith(100ms, reviewed);
+    const int startsWithout = startsWith(1h, unreviewed);
+    CHECK(reviewed < unreviewed); // callers learn earlier
+    CHECK(starts * 100 >= startsWithout * 99);
+}
