--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -105,7 +105,7 @@
         for (const StartRequest &start : actions<StartRequest>()) {
             starts++;
             const Duration readTime =
-                    table.prefillTime(*table.find("r1"), start.choice.freshTokens);
+                    table.prefillTime(*table.find("r1"), start.choice.freshTokens, now);
             replica.unreadPrefill += readTime;
             totalReadTime += readTime;
             table.onFinished("r1", start.choice.generation, ReplicaOutcome::Served, now);
@@ -368,3 +368,205 @@
     scheduler.submit(modelRequest(8, 10, Start + 3s), {}, false, Start + 3s);
     CHECK_EQUAL(0, actions<StartRequest>().size());
 }
+
+// Guards against streams that stay queued after their callers left, and against refusing the rest
+// of a stream whose first byte came long ago.
+TEST(RequestScheduler, AStreamIsRefusedBeforeItsCallerLeaves)
+{
+    for (const auto objective : { 500ms, 1'200ms }) {
+        table.onAnnounced(engine("r1", { { "m1", {} } }), Start);
+        for (int i = 0; i < 64; ++i)
+            table.onSent("r1", 0, Start); // no slot is free
+        ServingRequest stream = modelRequest(1, 100, Start);
+        stream.firstByteObjective = Start + objective;
+        stream.firstByteDeadline = Start + 1s;
+        scheduler.submit(stream, {}, false, Start);
+        ServingRequest rest = modelRequest(2, 100, Start - 3s);
+        scheduler.submit(rest, {}, true, Start);
+        CHECK(actions<RefuseRequest>().empty());
+        scheduler.tick(Start + 400ms);
+        CHECK(actions<RefuseRequest>().empty());
+        scheduler.tick(Start + 1s);
+        const auto refusals = actions<RefuseRequest>();
+        CHECK_EQUAL(1, refusals.size());
+        CHECK_EQUAL(1, refusals.at(0).id);
+        scheduler.cancel(2);
+        table.onDelisted("r1", {}, Start + 1s);
+    }
+}
+
+// Guards against one organisation that sends five times its usual and keeps the others of its rank
+// waiting. Four organisations usually send 4 prompts a second each, for which the capacity of 20 is
+// enough. With 20 of "a", 32 a second are sent. An equal share is 5 a second, so that the others
+// could all be served: 90 in 100 have to start in time, and "a" gets what is left.
+TEST(RequestScheduler, OneOrganisationsBurstDoesNotKeepOthersOfItsRankWaiting)
+{
+    for (const bool isNamed : { true, false }) {
+        ReplicaTable replicas;
+        ReplicaChooser replicaChooser { replicas, {}, 7 };
+        RequestScheduler requests { replicas, replicaChooser };
+        replicas.onAnnounced(poolReplica("r1", { { "m1", {} } }, 20),
+                             Start); // 20 for a second each
+        std::map<std::uint64_t, std::pair<std::string, Instant>> sent;
+        std::map<std::string, int> total;
+        std::map<std::string, int> inTime;
+        std::multimap<Instant, std::uint64_t> running; // end and generation
+        std::uint64_t id = 0;
+        const auto submit = [&](const std::string &organisation, Instant now) {
+            ServingRequest request = modelRequest(++id, 100, now);
+            request.organisation = isNamed ? organisation : "";
+            sent[id] = { organisation, now };
+            total[organisation]++;
+            requests.submit(request, {}, false, now);
+        };
+        for (Instant now = Start; now < Start + 20s; now += 10ms) {
+            for (; !running.empty() && running.begin()->first <= now;
+                 running.erase(running.begin()))
+                replicas.onFinished("r1", running.begin()->second, ReplicaOutcome::Served, now);
+            const auto at = now - Start;
+            if (at % 50ms == 0ms)
+                submit("a", now);
+            if (at % 250ms == 0ms) {
+                for (const char *organisation : { "b", "c", "d" })
+                    submit(organisation, now);
+            }
+            requests.tick(now);
+            for (SchedulerAction &action : requests.takeActions()) {
+                const auto *start = std::get_if<StartRequest>(&action);
+                if (start == nullptr)
+                    continue;
+                running.emplace(now + 1s, start->choice.generation);
+                const auto &[organisation, sentAt] = sent[start->id];
+                inTime[organisation] += now - sentAt <= 1'200ms ? 1 : 0;
+            }
+        }
+        const int others = inTime["b"] + inTime["c"] + inTime["d"];
+        const int ofOthers = total["b"] + total["c"] + total["d"];
+        CHECK_EQUAL(isNamed, others * 10 >= ofOthers * 9); // the load defeats the order by due time
+        CHECK(inTime["a"] >= 4 * 20);                      // at least its usual
+    }
+}
+
+// Guards against organisations that wait for ever, and against time that grows with the square of
+// the queue: a thousand organisations with two requests each.
+TEST(RequestScheduler, EveryOrganisationGetsATurn)
+{
+    table.onAnnounced(poolReplica("r1", { { "m1", {} } }, 20), Start);
+    for (int i = 0; i < 20; ++i)
+        table.onSent("r1", 0, Start);
+    for (std::uint64_t id = 1; id <= 2'000; ++id) {
+        ServingRequest request = modelRequest(id, 2, Start);
+        request.organisation = std::to_string(id <= 1'001 ? 0 : id); // one has half of the queue
+        request.deadline = request.firstByteObjective = Start + 1h;
+        scheduler.submit(request, {}, true, Start);
+    }
+    CHECK_EQUAL(2'000, scheduler.queued());
+    const std::uint64_t generation = table.find("r1")->generation;
+    std::set<std::uint64_t> lines;
+    for (int i = 0; i < 1'000; ++i) {
+        table.onFinished("r1", generation, ReplicaOutcome::Served, Start);
+        scheduler.pump(Start);
+        for (const StartRequest &start : actions<StartRequest>())
+            lines.insert(start.id <= 1'001 ? 0 : start.id);
+    }
+    CHECK_EQUAL(1'000, lines.size());
+}
+
+TEST(RequestScheduler, AFullQueueKeepsRoomForOtherOrganisations)
+{
+    SchedulerSettings settings;
+    settings.maxQueued = 4;
+    RequestScheduler requests { table, chooser, settings };
+    table.onAnnounced(poolReplica("r1", { { "m1", {} } }, 1), Start);
+    table.onSent("r1", 0, Start);
+    std::vector<std::uint64_t> refused;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        ServingRequest request = modelRequest(id, 2, Start);
+        request.organisation = id <= 5 ? "a" : "b";
+        requests.submit(request, {}, false, Start);
+        for (const SchedulerAction &action : requests.takeActions())
+            refused.push_back(std::get<RefuseRequest>(action).id);
+    }
+    CHECK(refused == (std::vector<std::uint64_t> { 5, 4 })); // its own, then its last for the other
+}
+
+// Guards against requests that wait for their queue deadline after their replicas were lost. Four
+// replicas read 38 prompts a second, one 9.6: of the 1.1 s of prompts that are queued, those beyond
+// the 2.2 s that the margin allows have to be refused, the last ones first.
+TEST(RequestScheduler, RefusesAtOnceWhatNoLongerFitsAfterReplicasAreLost)
+{
+    for (int i = 1; i <= 4; ++i)
+        table.onAnnounced(engine("r" + std::to_string(i), { { "m1", {} } }), Start);
+    for (std::uint64_t id = 1; id <= 100; ++id) {
+        ServingRequest request = modelRequest(id, 1'800, Start);
+        request.deadline = Start + 2s;
+        scheduler.submit(request, {}, false, Start);
+    }
+    const auto queued = scheduler.queued();
+    CHECK(queued > 30);
+    const auto refusedOnArrival = actions<RefuseRequest>();
+    CHECK(!refusedOnArrival.empty());
+    CHECK(refusedOnArrival.front().prediction->wait > 1'200ms);
+    CHECK(refusedOnArrival.front().prediction->requestsAhead > 30);
+    scheduler.tick(Start + 10ms);
+    CHECK(actions<RefuseRequest>().empty());
+    for (const char *id : { "r2", "r3", "r4" })
+        table.onDelisted(id, {}, Start + 20ms);
+    scheduler.tick(Start + 120ms);
+    const auto refused = actions<RefuseRequest>();
+    CHECK(refused.size() > queued / 3 && refused.size() < queued * 2 / 3);
+    for (std::size_t i = 1; i < refused.size(); ++i)
+        CHECK(refused[i].id < refused[i - 1].id);
+    scheduler.tick(Start + 150ms); // too early for another look
+    CHECK(actions<RefuseRequest>().empty());
+}
+
+// Guards against refusals of queued requests that would have been started: the same load of twice
+// the capacity, while replicas come and go, must lead to as many starts as without these refusals.
+TEST(RequestScheduler, RefusesNoQueuedRequestThatWouldHaveBeenStarted)
+{
+    const auto startsWith = [](Duration reviewInterval, Duration &refusedWaits) {
+        SchedulerSettings settings;
+        settings.reviewInterval = reviewInterval;
+        ReplicaTable replicas;
+        ReplicaChooser replicaChooser { replicas, {}, 7 };
+        RequestScheduler requests { replicas, replicaChooser, settings };
+        Random random(5);
+        std::uint64_t id = 0;
+        int starts = 0;
+        std::map<std::uint64_t, Instant> sentAt;
+        for (Instant now = Start; now < Start + 60s; now += 10ms) {
+            if ((now - Start) % 3s == 0ms) {
+                for (const char *name : { "r1", "r2", "r3", "r4" }) {
+                    if (random.unit() < 0.5)
+                        replicas.onAnnounced(engine(name, { { "m1", {} } }), now);
+                    else
+                        replicas.onDelisted(name, {}, now);
+                }
+            }
+            if (random.unit() < 0.4) {
+                sentAt[++id] = now;
+                ServingRequest request = modelRequest(id, 500 + int(random.below(2'600)), now);
+                request.deadline = now + 2s;
+                requests.submit(request, {}, false, now);
+            }
+            requests.tick(now);
+            for (SchedulerAction &action : requests.takeActions()) {
+                if (const auto *start = std::get_if<StartRequest>(&action)) {
+                    starts++;
+                    replicas.onFinished(start->choice.id, start->choice.generation,
+                                        ReplicaOutcome::Served, now);
+                } else if (const auto *refusal = std::get_if<RefuseRequest>(&action)) {
+                    refusedWaits += now - sentAt[refusal->id];
+                }
+            }
+        }
+        return starts;
+    };
+    Duration reviewed {};
+    Duration unreviewed {};
+    const int starts = startsWith(100ms, reviewed);
+    const int startsWithout = startsWith(1h, unreviewed);
+    CHECK(reviewed < unreviewed); // callers learn earlier
+    CHECK(starts * 100 >= startsWithout * 99);
+}
