Sides of a split fleet share one quota; old totals of nodes are no debt

Cause: a silent node's latest rate counted as spent, not its share of the quota, and for two windows only, while the node itself went on with its share, or took the whole quota if it reached the store. A node that was not heard for 1.2 s but whose heartbeat was not yet missed counted as idle, and its spending was credited. Totals stated after a time without notes, or for the first time, were a debt of all the time before. With more organisations than a note holds, the same forty came with each note. While all nodes start at once, the first note of each was not counted.

Change: the share of a silent node in the spending of the last window is kept free until it is heard, has left, or was silent for 60 s; 6 % of the quota is released after two windows. After a gap of 3.5 s in the notes, totals are a new base and the lower level holds. For 0.7 s after a start, levels of others are taken over; a node that has just started states none. Organisations come into notes in turn. FleetView::known is the number of nodes.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -566,9 +566,10 @@
             m_state.directory.nodeCount(), m_state.directory.isCutOff(now), now);
     if (m_state.quotas.size() > 0) {
         const bool reachesStore = !m_replicaWatch.disturbed(now);
-        m_state.quotas.setFleet({ m_state.directory.liveNodes(now),
-                                  m_state.directory.leavingNodes(), m_state.directory.isCutOff(now),
-                                  reachesStore },
+        auto leaving = m_state.directory.leavingNodes();
+        const std::size_t known = m_state.directory.nodeCount() - 1 - leaving.size();
+        m_state.quotas.setFleet({ m_state.directory.liveNodes(now), std::move(leaving),
+                                  m_state.directory.isCutOff(now), reachesStore, known },
                                 now);
     }
     HeartbeatTargets targets = m_state.directory.heartbeatTargets(m_state.leaving, now);
--- a/src/organisations/quotaledger.cpp
+++ b/src/organisations/quotaledger.cpp
@@ -40,13 +40,29 @@
     m_peers.clear();
     for (auto &[name, account] : m_accounts) {
         account.level = std::min(account.level, 0.0);
-        account.updatedAt = now;
-        account.isSynced = false;
         account.peers.clear();
         account.othersPerSecond = 0.0;
+        account.share = 1.0;
+        begin(account, now);
     }
 }
 
+void QuotaLedger::begin(Account &account, Instant now) const
+{
+    account.updatedAt = now;
+    account.syncUntil = now + m_settings.syncTime;
+    account.isSynced = false;
+}
+
+/// @return what was spent lately, with the amount
+double QuotaLedger::addRecent(RecentUse &recent, double amount, Instant now) const
+{
+    const double elapsed = seconds(now - recent.updatedAt);
+    recent.sum = recent.sum * std::exp(-elapsed / seconds(m_settings.window)) + amount;
+    recent.updatedAt = now;
+    return recent.sum;
+}
+
 void QuotaLedger::noteCall(Instant now)
 {
     if (m_calledAt != Instant {} && now - m_calledAt > m_settings.maxUpdateGap)
@@ -77,79 +93,149 @@
         if (const auto found = earlier.find(organisation.name); found != earlier.end())
             account = std::move(found->second);
         else
-            account.updatedAt = now;
+            begin(account, now);
         update(account, now);
         account.quota = *organisation.quota;
         account.level = std::min(account.level, burstOf(account));
     }
 }
 
-/// While this node is cut off, it uses the share that it had of the spending, and the others leave
-/// it that share by estimating its spending. If it reaches the store but no node for a window, the
-/// others are gone.
-void QuotaLedger::setShares(Instant now)
-{
-    const bool isSharing = m_cutOffSince != Instant {}
-            && !(m_fleet.reachesStore && now >= m_cutOffSince + m_settings.window);
-    for (auto &[name, account] : m_accounts) {
-        update(account, now);
-        if (!isSharing) {
-            account.share = 1.0;
-            continue;
-        }
-        if (account.share < 1.0)
-            continue;
-        const double all = account.perSecond + account.othersPerSecond;
-        const double share = all > NegligibleRate ? account.perSecond / all : 0.0;
-        account.share = std::clamp(share, m_settings.minShare, 1.0);
-        account.peers.clear();
-        account.othersPerSecond = 0.0;
-        account.level = std::min(account.level, burstOf(account));
-    }
-}
-
 void QuotaLedger::setFleet(const FleetView &fleet, Instant now)
 {
     noteCall(now);
     m_fleet = fleet;
-    const bool wasCutOff = m_cutOffSince != Instant {};
-    if (fleet.isCutOff && !wasCutOff)
-        m_cutOffSince = now;
-    if (!fleet.isCutOff && wasCutOff) {
-        m_cutOffSince = {};
-        restart(now);
-    }
-    setShares(now);
-    for (auto &[name, account] : m_accounts)
+    for (auto &[name, account] : m_accounts) {
+        update(account, now);
         expirePeers(account, now);
+        reserveShares(account, now);
+        setShare(account, now);
+    }
 }
 
+// ---- Silent nodes -------------------------------------------------------------------------------
+
 void QuotaLedger::setPeerRate(Account &account, PeerUse &use, double perSecond) const
 {
     account.othersPerSecond = std::max(0.0, account.othersPerSecond + perSecond - use.perSecond);
     use.perSecond = perSecond;
 }
 
+/// @return whether the node may be spending without being heard
+bool QuotaLedger::isSilent(const std::string &node, const PeerUse &use, Instant now) const
+{
+    return now >= use.heardAt + m_settings.quietTime && !m_fleet.left.contains(node)
+            && (use.perSecond > 0.0 || !m_fleet.live.contains(node));
+}
+
+/// @return whether nothing needs to be kept free for a silent node any more
+bool QuotaLedger::isGone(const std::string &node, const PeerUse &use, Instant now) const
+{
+    if (m_fleet.left.contains(node))
+        return true;
+    if (m_fleet.live.contains(node))
+        return now >= use.heardAt + m_settings.idleTime;
+    const bool hearsMost = 2 * (m_fleet.live.size() + 1) > m_fleet.known + 1;
+    return now >= use.heardAt + m_settings.reserveTime
+            && (hearsMost || (m_fleet.isCutOff && m_fleet.reachesStore));
+}
+
 void QuotaLedger::expirePeers(Account &account, Instant now)
 {
-    update(account, now);
     for (auto each = account.peers.begin(); each != account.peers.end();) {
         auto &[node, use] = *each;
-        const bool isLive = m_fleet.live.contains(node);
-        const bool isQuiet = now >= use.heardAt + m_settings.quietTime;
-        if (use.perSecond > 0.0 && isQuiet && (isLive || m_fleet.left.contains(node))) {
-            // It has spent nothing since its latest note, or it would have sent another one.
-            account.level = std::min(burstOf(account),
-                                     account.level + use.perSecond * seconds(now - use.heardAt));
-            setPeerRate(account, use, 0.0);
+        if (now < use.heardAt + m_settings.quietTime || !isGone(node, use, now)) {
+            ++each;
+            continue;
         }
-        if (now >= use.heardAt + 2 * m_settings.window && !isLive) {
-            setPeerRate(account, use, 0.0);
-            each = account.peers.erase(each);
-        } else {
+        // It has spent nothing since its latest note, or it would have sent another one.
+        account.level = std::min(burstOf(account),
+                                 account.level + use.perSecond * seconds(now - use.heardAt));
+        setPeerRate(account, use, 0.0);
+        use.share = 0.0;
+        use.silentAt = {};
+        if (m_fleet.live.contains(node)) {
             ++each;
+            continue;
         }
+        each = account.peers.erase(each);
+    }
+}
+
+/// Keeps the shares of nodes that are silent now for the first time. The spending of each of them
+/// is known for as long as that of the others, so that all nodes find the same shares.
+void QuotaLedger::reserveShares(Account &account, Instant now)
+{
+    double unreserved = 1.0;
+    double recent = addRecent(account.recent, 0.0, now);
+    for (auto &[node, use] : account.peers) {
+        unreserved -= use.share;
+        if (use.silentAt == Instant {})
+            recent += addRecent(use.recent, 0.0, now);
+    }
+    for (auto &[node, use] : account.peers) {
+        if (use.silentAt != Instant {} || !isSilent(node, use, now))
+            continue;
+        use.silentAt = now;
+        use.share = recent > NegligibleRate ? unreserved * use.recent.sum / recent : 0.0;
+        use.charged = use.perSecond * seconds(now - use.heardAt);
+        setPeerRate(account, use, 0.0);
+    }
+}
+
+/// Sets the share of the quota that this node may use, together with the nodes that it hears.
+void QuotaLedger::setShare(Account &account, Instant now) const
+{
+    double reserved = 0.0;
+    double old = 0.0;
+    for (const auto &[node, use] : account.peers) {
+        reserved += use.share;
+        if (use.silentAt != Instant {} && now >= use.heardAt + 2 * m_settings.window)
+            old += use.share;
+    }
+    // Nodes that take no callers receive no notes: without a part in the spending, they know
+    // nothing of it.
+    const bool hadPart = account.recent.sum
+            > m_settings.minShare * account.quota.perSecond * seconds(m_settings.window);
+    account.isMinimal = m_fleet.isCutOff && (account.isMinimal || !hadPart);
+    const double share = 1.0 - reserved + std::min(old, m_settings.reserveTolerance);
+    account.share =
+            account.isMinimal ? m_settings.minShare : std::clamp(share, m_settings.minShare, 1.0);
+    account.level = std::min(account.level, burstOf(account));
+}
+
+// ---- Notes of other nodes -----------------------------------------------------------------------
+
+/// Takes over the total that a node states.
+/// @param isPartial the total includes spending of which this node was not told at the time
+/// @return what the node has spent beyond what was estimated
+double QuotaLedger::takeTotal(Account &account, PeerUse &use, const QuotaUse &stated,
+                              bool isPartial, Instant now) const
+{
+    const double perSecond = std::max(0.0, stated.perSecond);
+    const bool wasSilent = use.silentAt != Instant {};
+    double spent = stated.spent - use.spent; // below 0: given back, or the note is late
+    double estimated = use.perSecond * seconds(now - use.heardAt);
+    if (isPartial && !wasSilent) {
+        spent = std::clamp(spent, 0.0, perSecond * seconds(m_settings.noteInterval));
+        estimated = 0.0;
+    }
+    if (isPartial)
+        use.recent.sum = 0.0;
+    addRecent(use.recent, isPartial ? perSecond * seconds(m_settings.window) : spent, now);
+    double excess = spent - estimated;
+    if (wasSilent) {
+        // As in any bucket, what it left of its share is lost beyond its part of the burst.
+        const double burst = burstOf(account) / account.share;
+        const double reserved = use.share * account.quota.perSecond;
+        excess = std::clamp(spent - use.charged - reserved * seconds(now - use.silentAt),
+                            -use.share * burst, burst);
     }
+    use.spent = stated.spent;
+    use.heardAt = now;
+    use.share = 0.0;
+    use.silentAt = {};
+    setPeerRate(account, use, perSecond);
+    return excess;
 }
 
 void QuotaLedger::onNote(const QuotaNote &note, Instant now)
@@ -157,14 +243,11 @@
     noteCall(now);
     if (note.node == m_node)
         return;
-    // The totals of a process that was there before this one, or before this one was suspended,
-    // include spending of long ago.
-    const auto [known, isNewNode] = m_peers.try_emplace(note.node, Peer { note.startedMs });
-    if (note.startedMs < known->second.startedMs)
+    std::uint64_t &startedMs = m_peers[note.node];
+    if (note.startedMs < startedMs)
         return; // late, from an earlier process
-    const bool isNewProcess = note.startedMs > known->second.startedMs;
-    known->second.startedMs = note.startedMs;
-    const bool isKnownFromStart = isNewProcess || note.startedMs > m_startedMs;
+    const bool isNewProcess = startedMs != 0 && note.startedMs > startedMs;
+    startedMs = note.startedMs;
     for (const QuotaUse &stated : note.uses) {
         const auto found = m_accounts.find(stated.organisation);
         if (found == m_accounts.end() || !std::isfinite(stated.spent)
@@ -176,21 +259,19 @@
         PeerUse &use = position->second;
         if (isNewProcess)
             use.spent = 0.0;
-        double delta = stated.spent - use.spent;
-        if (isFirst && (isNewNode || !isKnownFromStart))
-            delta = std::clamp(stated.perSecond * seconds(m_settings.noteInterval), 0.0,
-                               std::max(0.0, stated.spent));
-        else if (!isFirst)
-            delta -= use.perSecond * seconds(now - use.heardAt);
-        if (!account.isSynced) {
+        // Nodes that take no callers are sent no notes, so that a gap says nothing of the spending.
+        const bool isPartial = isFirst || now >= use.heardAt + m_settings.idleTime;
+        account.level -= takeTotal(account, use, stated, isPartial, now);
+        if (stated.level > UnknownLevel) {
+            // The sender knows of this node's spending up to its latest note.
+            const double level = stated.level - (account.spent - account.noted);
+            if (now < account.syncUntil)
+                account.level = level;
+            else if (isPartial)
+                account.level = std::min(account.level, level);
             account.isSynced = true;
-            account.level = std::min(burstOf(account), std::max(account.level, stated.level));
-            delta = 0.0;
         }
-        account.level = std::min(burstOf(account), account.level - delta);
-        use.spent = stated.spent;
-        use.heardAt = now;
-        setPeerRate(account, use, std::max(0.0, stated.perSecond));
+        account.level = std::min(burstOf(account), account.level);
     }
 }
 
@@ -217,6 +298,7 @@
     account.level -= cost;
     account.spent += cost;
     account.perSecond += cost / seconds(m_settings.rateTime);
+    addRecent(account.recent, cost, now);
     noteUrgency(account);
     return std::nullopt;
 }
@@ -251,21 +333,32 @@
         return std::nullopt;
     m_notedAt = now;
     m_isUrgent = false;
+    // Those that were not in a note for longest come first, so that none waits for good.
+    std::vector<std::pair<Instant, const std::string *>> due;
+    for (const auto &[name, account] : m_accounts) {
+        const bool isDecaying =
+                account.wasNoted && now >= account.notedAt + m_settings.noteInterval;
+        if (account.spent != account.noted || isDecaying)
+            due.emplace_back(account.notedAt, &name);
+    }
+    if (due.size() > MaxQuotaUses) {
+        std::nth_element(due.begin(), due.begin() + MaxQuotaUses, due.end());
+        due.resize(MaxQuotaUses);
+        m_isUrgent = true; // the others come with the next note
+    }
     QuotaNote note { m_node, m_startedMs, {} };
-    for (auto &[name, account] : m_accounts) {
-        if (account.spent == account.noted && !account.wasNoted)
-            continue;
-        if (note.uses.size() == MaxQuotaUses) {
-            m_isUrgent = true; // the others come with the next note
-            break;
-        }
+    for (const auto &[notedAt, name] : due) {
+        Account &account = m_accounts.at(*name);
         update(account, now);
         const double perSecond =
                 account.spent == account.noted && account.perSecond < account.quota.perSecond * 1e-3
                 ? 0.0
                 : account.perSecond;
-        note.uses.push_back({ name, account.spent, perSecond, account.level });
+        const bool isLevelKnown = account.isSynced || now >= account.syncUntil;
+        note.uses.push_back(
+                { *name, account.spent, perSecond, isLevelKnown ? account.level : UnknownLevel });
         account.noted = account.spent;
+        account.notedAt = now;
         account.wasNoted = perSecond > 0.0;
     }
     if (note.uses.empty())
--- a/src/organisations/quotaledger.h
+++ b/src/organisations/quotaledger.h
@@ -25,8 +25,12 @@
 // of the notes beyond it. Between two notes, a node's spending is estimated by its latest rate.
 //
 // A note states totals since the start of the sender's process, so that a lost, repeated or late
-// note changes nothing for good. docs/design/quotas.md says what happens when nodes start, stop,
-// are suspended or cut off.
+// note changes nothing for good.
+//
+// A node whose notes stop without its word may be dead or out of reach, where it goes on spending.
+// Its share of the organisation's spending before is then kept free for it, and it does the same
+// for the nodes that it does not hear. The shares follow from the same totals at all nodes, so that
+// all sides of a split fleet together spend one quota. docs/design/quotas.md has the details.
 #pragma once
 
 #include "base/instant.h"
@@ -48,9 +52,12 @@
     std::string organisation;
     double spent = 0.0;     // since the sender's process started
     double perSecond = 0.0; // spent lately
-    double level = 0.0;     // of the sender's bucket; below 0: debt
+    double level = 0.0;     // of the sender's bucket; below 0: debt; or UnknownLevel
 };
 
+/// States that the sender has just started and does not know the level.
+constexpr double UnknownLevel = -1e15;
+
 /// Uses that fit into one datagram.
 constexpr std::size_t MaxQuotaUses = 40;
 
@@ -69,6 +76,7 @@
     std::unordered_set<std::string> left; // other nodes that said that they stop
     bool isCutOff = false;                // other nodes are known, and none of them is heard
     bool reachesStore = true;             // recent calls to the store have not failed
+    std::size_t known = 0;                // number of other nodes that have not said that they stop
 };
 
 struct QuotaExceeded
@@ -90,13 +98,25 @@
     Duration minBurstTime = std::chrono::milliseconds(100);
     // Time constant of the spending that notes state.
     Duration rateTime = std::chrono::milliseconds(500);
-    // A live node that has sent no note for this long spends nothing.
+    // A node that was spending and has sent no note for this long is silent. Two lost notes in a
+    // row are common.
     Duration quietTime = std::chrono::milliseconds(1'200);
+    // A live node that has sent no note for this long spends nothing. Longer than a node counts as
+    // live after its latest heartbeat, so that one that was cut off is not taken for idle.
+    Duration idleTime = std::chrono::milliseconds(3'500);
+    // Shares kept free for silent nodes are given up after this time if most nodes are heard or the
+    // store is reached: the silent ones are gone.
+    Duration reserveTime = std::chrono::seconds(60);
+    // This much of the shares of silent nodes is given up after two windows already. Should they
+    // still spend it, that is within the excess that is allowed over a window, which is 0.1.
+    double reserveTolerance = 0.06;
+    // After a start, the level of other nodes is taken over for this long, until each of them has
+    // sent a note.
+    Duration syncTime = std::chrono::milliseconds(700);
     // update() or another call was not made for this long: the process was suspended, and knows the
     // spending of other nodes no more than a new process.
     Duration maxUpdateGap = std::chrono::seconds(2);
-    // Least share of a quota that a node which is cut off uses, of an organisation that spent at it
-    // in the window before.
+    // Least share of a quota that a node uses.
     double minShare = 0.02;
     std::chrono::milliseconds minRetryAfter { 100 };
     std::chrono::milliseconds maxRetryAfter { 5'000 };
@@ -145,12 +165,23 @@
     std::size_t size() const { return m_accounts.size(); }
 
 private:
+    /// What was spent lately, with less weight the longer ago.
+    struct RecentUse
+    {
+        double sum = 0.0;
+        Instant updatedAt;
+    };
+
     /// The spending of another node for one organisation.
     struct PeerUse
     {
         double spent = 0.0;     // as its latest note states
         double perSecond = 0.0; // estimated spending since then
         Instant heardAt;        // of the latest note with it
+        RecentUse recent;
+        double share = 0.0;   // of the quota, kept free for it while it is silent
+        double charged = 0.0; // estimated spending from the latest note until it was silent
+        Instant silentAt;     // zero: it is not silent
     };
 
     struct Account
@@ -158,27 +189,33 @@
         Quota quota;
         double level = 0.0;
         Instant updatedAt;
-        bool isSynced = false;  // whether another node's level was taken over, or none needs to be
-        double spent = 0.0;     // by this process
-        double noted = 0.0;     // spent as of the latest note
-        double perSecond = 0.0; // spent lately by this process
-        bool wasNoted = false;  // the latest note stated a rate above 0
-        double share = 1.0;     // of the quota that this node may use
-        double othersPerSecond = 0.0;                   // sum over peers
+        Instant syncUntil;            // the levels of other nodes are taken over
+        bool isSynced = false;        // whether another node's level was taken over since the start
+        double spent = 0.0;           // by this process
+        double noted = 0.0;           // spent as of the latest note
+        Instant notedAt;              // latest note with this organisation
+        double perSecond = 0.0;       // spent lately by this process
+        bool wasNoted = false;        // the latest note stated a rate above 0
+        RecentUse recent;             // by this process
+        double share = 1.0;           // of the quota that this node may use
+        bool isMinimal = false;       // cut off, and it had no part in the spending before
+        double othersPerSecond = 0.0; // sum over peers
         std::unordered_map<std::string, PeerUse> peers; // by node
     };
 
-    struct Peer
-    {
-        std::uint64_t startedMs = 0; // of its process
-    };
-
     void restart(Instant now);
     void noteCall(Instant now);
     void update(Account &account, Instant now) const;
+    void begin(Account &account, Instant now) const;
+    double addRecent(RecentUse &recent, double amount, Instant now) const;
     void setPeerRate(Account &account, PeerUse &use, double perSecond) const;
+    bool isSilent(const std::string &node, const PeerUse &use, Instant now) const;
+    bool isGone(const std::string &node, const PeerUse &use, Instant now) const;
     void expirePeers(Account &account, Instant now);
-    void setShares(Instant now);
+    void reserveShares(Account &account, Instant now);
+    void setShare(Account &account, Instant now) const;
+    double takeTotal(Account &account, PeerUse &use, const QuotaUse &stated, bool isPartial,
+                     Instant now) const;
     void noteUrgency(const Account &account);
     double burstOf(const Account &account) const;
 
@@ -186,12 +223,11 @@
     std::uint64_t m_startedMs;
     QuotaLedgerSettings m_settings;
     FleetView m_fleet;
-    Instant m_cutOffSince;   // zero: this node is not cut off
     Instant m_calledAt;      // latest call
     Instant m_notedAt;       // latest note
     bool m_isUrgent = false; // the next note is due after urgentNoteInterval
-    std::unordered_map<std::string, Account> m_accounts; // by organisation
-    std::unordered_map<std::string, Peer> m_peers;       // by node
+    std::unordered_map<std::string, Account> m_accounts;    // by organisation
+    std::unordered_map<std::string, std::uint64_t> m_peers; // start of its process, by node
 };
 
 } // namespace burdock
