Count heads, idle connections and small requests among what callers hold

Cause: the bound on the memory of all callers left out what many connections take together: unfinished heads, the fields of a head (a field of four bytes takes some 200), the buffers of refused callers, and requests of up to 64 KB while they are answered, however many. The headers of the latest request stayed with an idle connection. Where idle connections alone held the bound, each newcomer was refused. A length of "3, 3" was taken, and a caller that expected "100 Continue" waited for it in vain.

Change: the head is read part by part and counted with the memory of its fields; a request that is answered has to fit among the others whatever its size. Beyond the bound, requests of over 16 KB are refused first, then the heaviest for longest, and idle connections are closed, too (limit="idle"). A refused caller holds no buffer. One length is digits alone, chunks need HTTP/1.1, and a body is asked for where the caller expects that. A request is not run if its connection was closed meanwhile.

--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -538,9 +538,13 @@
 {
     const HttpRefusals &refusals = m_callers.refusals();
     const std::pair<const char *, std::uint64_t> counts[] = {
-        { "malformed", refusals.malformed }, { "too_large", refusals.tooLarge },
-        { "too_slow", refusals.tooSlow },    { "memory", refusals.memory },
-        { "places", refusals.connections },  { "not_accepted", refusals.notAccepted },
+        { "malformed", refusals.malformed },
+        { "too_large", refusals.tooLarge },
+        { "too_slow", refusals.tooSlow },
+        { "memory", refusals.memory },
+        { "idle", refusals.idle },
+        { "places", refusals.connections },
+        { "not_accepted", refusals.notAccepted },
     };
     for (const auto &[limit, count] : counts)
         m_state.metrics.set(std::string("burdock_limit_refusals_total{limit=\"") + limit + "\"}",
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -15,6 +15,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <set>
 
@@ -33,9 +35,16 @@
 constexpr std::size_t BufferMargin = 4 * 1024;
 /// A buffer that an idle connection keeps.
 constexpr std::size_t MaxIdleBuffer = 8 * 1024;
+constexpr std::size_t ReadAtOnce = 4 * 1024;
+constexpr std::size_t FirstBuffer = 1024; // of a connection that has sent nothing yet
+/// Requests that hold more are refused before idle connections of other callers are closed.
+constexpr std::size_t LargeHold = 16 * 1024;
+/// Memory that a header field takes besides its text, in the parser and in the request: callers may
+/// send fields of four bytes.
+constexpr std::size_t FieldBytes = 72 + 2 * sizeof(HttpHeader);
 /// A request being answered counts this many times: its body is kept, and sent from a copy.
 constexpr std::size_t AnsweredCopies = 2;
-/// Larger requests are answered only while this share of the bytes for all is free of others.
+/// Of the bytes for all, larger requests leave this share to smaller ones while they are answered.
 constexpr std::size_t SmallRequest = 64 * 1024;
 constexpr std::size_t AnsweredShareDivisor = 4;
 constexpr std::chrono::milliseconds RetryAfterRefusal { 1'000 };
@@ -56,7 +65,12 @@
 {
     return field == http::field::host || field == http::field::content_length
             || field == http::field::connection || field == http::field::transfer_encoding
-            || field == http::field::keep_alive;
+            || field == http::field::keep_alive || field == http::field::expect;
+}
+
+bool isNumber(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
 /// A body is framed by one length or by chunks alone; anything else may be read differently by the
@@ -68,8 +82,8 @@
     const auto codingCount = std::distance(codings.first, codings.second);
     const auto lengthCount = std::distance(lengths.first, lengths.second);
     if (codingCount == 0)
-        return lengthCount <= 1;
-    return codingCount == 1 && lengthCount == 0
+        return lengthCount == 0 || (lengthCount == 1 && isNumber(lengths.first->value()));
+    return codingCount == 1 && lengthCount == 0 && message.version() >= HttpVersion11
             && beast::iequals(codings.first->value(), "chunked");
 }
 
@@ -89,7 +103,8 @@
     {
     }
 
-    /// Refuses requests that are being read until all together are within the limit.
+    /// Refuses requests that are being read, and closes idle connections, until all together are
+    /// within the limit.
     void limitBytes();
     /// Closes the connection that has waited longest for a request, if there is any.
     /// @return whether there is a place for a new connection
@@ -124,7 +139,7 @@
     ~HttpConnection() override
     {
         m_server->connections.erase(this);
-        setHeld(0);
+        m_server->bytesHeld -= m_held;
         if (needsReset()) {
             boost::system::error_code ignored;
             m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
@@ -134,19 +149,21 @@
 
     asio::awaitable<void> run();
 
-    /// Ends the reading of the request, which is refused then.
-    void refuseForMemory();
+    /// Gives back what the connection holds: a request that is being read is refused, and an idle
+    /// connection is closed.
+    void giveUpMemory();
     /// Closes the connection, which waits for a request.
     void giveUpPlace();
-    bool isReading() const { return m_isReading; }
-    bool isAnswering() const { return m_isAnswering; }
+    bool mayGiveUpMemory() const { return m_phase == Phase::Idle || m_phase == Phase::Reading; }
+    bool isAnswering() const { return m_phase == Phase::Answering; }
     bool hasSentRequest() const { return m_requestNumber > 0; }
     Instant progressAt() const { return m_progressAt; }
-    /// @return bytes held, times the time without progress
-    double weight(Instant now) const
+    /// @return bytes held, times the time without progress; large holds come before all others
+    std::pair<bool, double> weight(Instant now) const
     {
         constexpr double LeastTime = 1e3; // microseconds
-        return double(m_held) * (LeastTime + double((now - m_progressAt).count()));
+        return { m_held > LargeHold,
+                 double(m_held) * (LeastTime + double((now - m_progressAt).count())) };
     }
 
     asio::awaitable<bool> send(int status, std::vector<HttpHeader> headers,
@@ -162,14 +179,28 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    enum class Phase {
+        Idle,      // waits for the first byte of a request
+        Reading,   // a request
+        Answering, // a request that was read whole
+        Closing,   // a request was refused, or the connection gave up its place
+    };
+
     asio::awaitable<bool> readRequest();
+    asio::awaitable<boost::system::error_code> awaitRequest();
+    asio::awaitable<boost::system::error_code> readSome(std::size_t bytes);
+    asio::awaitable<boost::system::error_code> readHead(Parser &parser);
+    asio::awaitable<boost::system::error_code> confirmBody(const Parser &parser);
     asio::awaitable<boost::system::error_code> readMessage(Parser &parser);
     asio::awaitable<void> linger();
     void noteProgress(std::size_t bodyBytes);
-    void setHeld(std::size_t bytes);
+    /// Counts the buffer, the head and so many bytes of the body.
+    void setHeld(std::size_t bodyBytes);
     bool mayAnswer() const;
     asio::awaitable<void> refuseRequest(boost::system::error_code failure);
     asio::awaitable<void> answerRequest();
+    void freeRequest();
+    void freeBuffer();
     void takeHead(const http::request<http::string_body> &message);
     void watchCaller();
     void noteCallerLeft();
@@ -188,11 +219,11 @@
     bool m_streaming = false;
     bool m_ended = false;
     bool m_callerLeft = false;
-    bool m_isReading = false;
-    bool m_isAnswering = false;
     bool m_isRefusedForMemory = false;
-    std::size_t m_held = 0; // bytes of the request
-    Instant m_progressAt;   // latest bytes received, or end of the latest answer
+    Phase m_phase = Phase::Idle;
+    std::size_t m_headBytes = 0; // memory of the head of the request
+    std::size_t m_held = 0;      // bytes of the buffer and the request
+    Instant m_progressAt;        // latest bytes received, or end of the latest answer
     std::uint64_t m_requestNumber = 0;
 };
 
@@ -202,13 +233,13 @@
     while (bytesHeld > limits.maxBytesOfAll) {
         HttpConnection *heaviest = nullptr;
         for (HttpConnection *connection : connections) {
-            if (connection->isReading()
+            if (connection->mayGiveUpMemory()
                 && (heaviest == nullptr || connection->weight(now) > heaviest->weight(now)))
                 heaviest = connection;
         }
         if (heaviest == nullptr)
             return; // the rest belongs to requests that are being answered
-        heaviest->refuseForMemory();
+        heaviest->giveUpMemory();
     }
 }
 
@@ -255,47 +286,58 @@
 asio::awaitable<bool> HttpConnection::readRequest()
 {
     const HttpLimits limits = m_server->limits;
-    m_buffer.max_size(limits.maxHeaderBytes + BufferMargin);
-    boost::system::error_code failure;
-    if (m_buffer.size() == 0) {
-        if (m_buffer.capacity() > MaxIdleBuffer)
-            m_buffer.shrink_to_fit();
-        setHeld(m_buffer.capacity());
-        m_stream.expires_after(limits.idleTimeout);
-        const auto bytes =
-                co_await m_stream.async_read_some(m_buffer.prepare(4096), withError(failure));
-        m_buffer.commit(bytes);
-        if (failure)
-            co_return false;
-    }
+    m_buffer.max_size(std::max(m_buffer.size(), limits.maxHeaderBytes + BufferMargin));
+    if (m_buffer.size() == 0 && co_await awaitRequest())
+        co_return false;
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     parser.body_limit(limits.maxBodyBytes);
     m_stream.expires_after(limits.readTimeout);
-    m_isReading = true;
-    failure = co_await readMessage(parser);
-    m_isReading = false;
+    m_phase = Phase::Reading;
+    const auto failure = co_await readMessage(parser);
+    m_phase = Phase::Closing;
     m_stream.expires_never();
-    if (!failure) {
+    if (!failure && !m_isRefusedForMemory) {
         m_request.body = std::move(parser.get().body());
-        setHeld(m_buffer.capacity() + AnsweredCopies * m_request.body.capacity());
+        setHeld(AnsweredCopies * m_request.body.capacity());
         if (mayAnswer())
-            co_return true;
+            co_return m_stream.socket().is_open();
         m_isRefusedForMemory = true;
-        freeText(m_request.body);
     }
     freeText(parser.get().body());
-    setHeld(m_buffer.capacity());
+    freeRequest();
+    freeBuffer();
     co_await refuseRequest(failure);
     co_return false;
 }
 
+/// Waits for the first bytes of a request.
+asio::awaitable<boost::system::error_code> HttpConnection::awaitRequest()
+{
+    m_phase = Phase::Idle;
+    if (m_buffer.capacity() > MaxIdleBuffer)
+        m_buffer.shrink_to_fit();
+    m_stream.expires_after(m_server->limits.idleTimeout);
+    co_return co_await readSome(std::clamp(m_buffer.capacity(), FirstBuffer, ReadAtOnce));
+}
+
+/// Reads what has arrived into the buffer, so many bytes at most.
+asio::awaitable<boost::system::error_code> HttpConnection::readSome(std::size_t bytes)
+{
+    const std::size_t most = std::min(bytes, m_buffer.max_size() - m_buffer.size());
+    if (most == 0)
+        co_return http::error::buffer_overflow;
+    boost::system::error_code failure;
+    const auto space = m_buffer.prepare(most);
+    setHeld(0);
+    m_buffer.commit(co_await m_stream.async_read_some(space, withError(failure)));
+    co_return failure;
+}
+
 /// Reads the head, then the body; fields that come after the body are not taken.
 asio::awaitable<boost::system::error_code> HttpConnection::readMessage(Parser &parser)
 {
-    boost::system::error_code failure;
-    noteProgress(0);
-    co_await http::async_read_header(m_stream, m_buffer, parser, withError(failure));
+    auto failure = co_await readHead(parser);
     if (failure)
         co_return failure;
     if (!isFramedClearly(parser.get()))
@@ -307,7 +349,11 @@
         m_buffer.consume(parser.put(m_buffer.data(), failure));
         if (failure == http::error::need_more)
             failure = {};
+    } else if (!parser.is_done()) {
+        failure = co_await confirmBody(parser);
     }
+    if (!failure && !parser.is_done())
+        m_buffer.reserve(ReadAtOnce); // the size of the reads that follow
     while (!failure && !parser.is_done()) {
         noteProgress(parser.get().body().capacity());
         if (m_isRefusedForMemory)
@@ -317,14 +363,54 @@
     co_return failure;
 }
 
+/// Reads the head part by part, so that its memory is counted while it grows.
+asio::awaitable<boost::system::error_code> HttpConnection::readHead(Parser &parser)
+{
+    const std::size_t limit = m_server->limits.maxHeaderBytes;
+    std::size_t taken = 0;
+    m_headBytes = 0;
+    while (true) {
+        noteProgress(0);
+        if (m_isRefusedForMemory)
+            co_return asio::error::operation_aborted;
+        boost::system::error_code failure;
+        const auto arrived = m_buffer.data();
+        const std::size_t bytes = parser.put(arrived, failure);
+        const auto *text = static_cast<const char *>(arrived.data());
+        taken += bytes;
+        m_headBytes += 2 * bytes + FieldBytes * std::size_t(std::count(text, text + bytes, '\n'));
+        m_buffer.consume(bytes);
+        if (!failure && parser.is_header_done())
+            co_return failure;
+        if (taken + m_buffer.size() > limit)
+            co_return http::error::header_limit;
+        if (failure && failure != http::error::need_more)
+            co_return failure;
+        failure = co_await readSome(ReadAtOnce);
+        if (failure)
+            co_return failure;
+    }
+}
+
+/// Tells a caller that waits for it to send the body.
+asio::awaitable<boost::system::error_code> HttpConnection::confirmBody(const Parser &parser)
+{
+    static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::system::error_code failure;
+    if (m_knowsChunks && beast::iequals(parser.get()[http::field::expect], "100-continue"))
+        co_await asio::async_write(m_stream, asio::buffer(Continue), withError(failure));
+    co_return failure;
+}
+
 void HttpConnection::noteProgress(std::size_t bodyBytes)
 {
     m_progressAt = steadyNow();
-    setHeld(m_buffer.capacity() + bodyBytes);
+    setHeld(bodyBytes);
 }
 
-void HttpConnection::setHeld(std::size_t bytes)
+void HttpConnection::setHeld(std::size_t bodyBytes)
 {
+    const std::size_t bytes = m_buffer.capacity() + m_headBytes + bodyBytes;
     m_server->bytesHeld += bytes - m_held; // wraps around where it falls
     const bool isMore = bytes > m_held;
     m_held = bytes;
@@ -332,34 +418,55 @@
         m_server->limitBytes();
 }
 
-/// @return whether a large request leaves room for others while it is being answered
+/// Frees what the request holds besides the buffer.
+void HttpConnection::freeRequest()
+{
+    m_request = {};
+    m_headBytes = 0;
+    setHeld(0);
+}
+
+void HttpConnection::freeBuffer()
+{
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    setHeld(0);
+}
+
+/// @return whether the request fits among those that are being answered, which cannot be dropped
 bool HttpConnection::mayAnswer() const
 {
-    const std::size_t share =
-            m_server->limits.maxBytesOfAll - m_server->limits.maxBytesOfAll / AnsweredShareDivisor;
-    return m_request.body.size() <= SmallRequest || m_server->bytesOfAnswered == 0
-            || m_server->bytesOfAnswered + m_held <= share;
+    const std::size_t all = m_server->limits.maxBytesOfAll;
+    const bool isSmall = m_request.body.size() <= SmallRequest;
+    const std::size_t share = isSmall ? all : all - all / AnsweredShareDivisor;
+    return m_server->bytesOfAnswered == 0 || m_server->bytesOfAnswered + m_held <= share;
 }
 
-void HttpConnection::refuseForMemory()
+void HttpConnection::giveUpMemory()
 {
-    m_isReading = false;
-    m_isRefusedForMemory = true;
     m_server->bytesHeld -= m_held; // freed as soon as the reading has ended
     m_held = 0;
+    if (m_phase == Phase::Idle) {
+        giveUpPlace();
+        m_server->refusals.idle++;
+        return;
+    }
+    m_phase = Phase::Closing;
+    m_isRefusedForMemory = true;
     boost::system::error_code ignored;
     m_stream.socket().cancel(ignored);
 }
 
 void HttpConnection::giveUpPlace()
 {
-    m_keepAlive = false;
+    m_phase = Phase::Closing;
     m_stream.close();
 }
 
 asio::awaitable<void> HttpConnection::refuseRequest(boost::system::error_code failure)
 {
     m_begun = false;
+    m_streaming = false;
     m_ended = false;
     m_keepAlive = false;
     HttpRefusals &refusals = m_server->refusals;
@@ -395,13 +502,11 @@
     boost::system::error_code failure;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
     m_stream.expires_after(LingerTime);
-    m_buffer.clear();
+    // Nobody reads it, so that all connections share it.
+    static thread_local std::array<char, 16 * 1024> unread;
     std::size_t dropped = 0;
-    while (!failure && dropped < MaxLingerBytes) {
-        dropped += co_await m_stream.async_read_some(m_buffer.prepare(MaxIdleBuffer / 2),
-                                                     withError(failure));
-        m_buffer.clear();
-    }
+    while (!failure && dropped < MaxLingerBytes)
+        dropped += co_await m_stream.async_read_some(asio::buffer(unread), withError(failure));
     m_stream.expires_never();
 }
 
@@ -427,7 +532,7 @@
     m_ended = false;
     ++m_requestNumber;
     ++m_server->requestsInProgress;
-    m_isAnswering = true;
+    m_phase = Phase::Answering;
     const std::size_t held = m_held;
     m_server->bytesOfAnswered += held;
     watchCaller();
@@ -440,11 +545,10 @@
     m_onCallerLeft = nullptr;
     ++m_requestNumber;
     --m_server->requestsInProgress;
-    m_isAnswering = false;
+    m_phase = Phase::Closing; // until the next request is awaited
     m_server->bytesOfAnswered -= held;
     m_progressAt = steadyNow();
-    freeText(m_request.body);
-    setHeld(m_buffer.capacity());
+    freeRequest();
     boost::system::error_code ignored;
     m_stream.socket().cancel(ignored);
 }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -11,8 +11,9 @@
 // completes only once the operating system took the bytes, so a slow caller slows its upstream.
 //
 // Answers the load of callers that do not keep to the limits. What all connections together hold of
-// requests is bounded. When the bound is reached, the connections that hold most for longest
-// without progress are refused (503, not run), not those that come and go. When all places for
+// requests is bounded: buffers, heads by the memory that their fields take, and bodies. When the
+// bound is reached, the connections that hold most for longest without progress are refused (503,
+// not run) or, if idle, closed, not those that come and go. When all places for
 // connections are taken, a new one takes the place of one that has sent no whole request for
 // longest. Trailers are read within the bound of a head and dropped.
 #pragma once
@@ -49,6 +50,7 @@
     std::uint64_t tooLarge = 0;    // 413
     std::uint64_t tooSlow = 0;     // 408
     std::uint64_t memory = 0;      // 503, for the bytes of all requests together
+    std::uint64_t idle = 0;        // idle connections closed, for the bytes of all requests
     std::uint64_t connections = 0; // closed, for the place of a new connection
     std::uint64_t notAccepted = 0; // new connections closed, since all places were in use
 };
