Spare copies of models in demand while the fleet has capacity to spare

Cause: one constant (tokensPerCopy, 8,000 tokens a second) decided how many copies a model gets.

Change: for services of which a replica states its work time, copies are planned at spareTokensPerCopy (5,000) while up to 40 in 100 of the fleet's capacity (replicas x tokensPerReplica) is in demand, at tokensPerCopy from 50 in 100 on, and evenly between. Copies beyond those at tokensPerCopy are loaded after all others, only while the store allows one load more, only on replicas that no request for an adapter depends on. They replace only copies beyond the planned ones, of models without adapters, and are the first to be replaced. All other services are placed as before.

--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -35,6 +35,8 @@
 void CopyPlacement::onConfig(const ServingConfig &config)
 {
     m_services.clear();
+    std::erase_if(m_workTimeServices,
+                  [&](const std::string &name) { return !config.services.contains(name); });
     m_unplaced.clear();
     for (const auto &[name, service] : config.services) {
         if (!service.engine || service.engine->models.empty())
@@ -100,6 +102,11 @@
     expireDemand(now);
 }
 
+void CopyPlacement::onWorkTimeStated(const std::string &service)
+{
+    m_workTimeServices.insert(service);
+}
+
 void CopyPlacement::onCopyRequest(const std::string &service, const std::string &model,
                                   const std::string &adapter, Instant now, Duration waited)
 {
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -14,14 +14,20 @@
 // second while the node holds the lease, and carries out the actions that takeActions() returns.
 //
 // Policy. Every model gets at least one copy. Models get more copies as their demand grows: first
-// in free memory, then in place of the copies that are needed least. Where the replicas cannot hold
-// one copy of each model, a requested model without one replaces an idle one, and after
-// CopyPlacementSettings::maxMissingTime also one that is not idle. Adapters are loaded ahead of
-// demand while adapter slots are free; a requested adapter replaces an idle one, and one in use
-// after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take turns. The slot that
-// is freed for it is kept for it, for a bounded time. The last replica that can take the adapters
-// of a model is kept free of model loads for less demand: a load makes its replica refuse all other
-// orders for seconds.
+// in free memory, then in place of the copies that are needed least. Where replicas state their
+// work time, models in demand get spare copies while much of the fleet's capacity is unused. These
+// come after all other loads, go to replicas that no request for an adapter depends on, and replace
+// only copies beyond the planned ones, of models without adapters.
+//
+// Where the replicas cannot hold one copy of each model, a requested model without one replaces an
+// idle one, and after CopyPlacementSettings::maxMissingTime also one that is not idle. Adapters are
+// loaded ahead of demand while adapter slots are free; a requested adapter replaces an idle one,
+// and one in use after CopyPlacementSettings::maxAdapterWait, so that adapters in demand take
+// turns. The slot that is freed for it is kept for it, for a bounded time.
+//
+// A load makes its replica refuse all other orders for seconds, so models are loaded on replicas
+// that no request for an adapter depends on, where one has memory. The last replica that can take
+// the adapters of a model is kept free of model loads for less demand, for a bounded time.
 //
 // Orders with an unknown outcome. Each order carries the number of orders that the replica had
 // accepted when the holder learned what it holds. The replica carries out the order only while that
@@ -58,6 +64,17 @@
     /// Prompt tokens per second that one copy is planned to serve. Less than half of what a replica
     /// can process, because a replica has other copies too.
     double tokensPerCopy = 8'000.0;
+    /// The same while the fleet has capacity to spare, for services whose replicas state their work
+    /// time. On heavy days a quarter of the replicas was given half of all prompt tokens, while all
+    /// together could read three times as many.
+    double spareTokensPerCopy = 5'000.0;
+    /// Prompt tokens per second that a replica can read.
+    double tokensPerReplica = 19'000.0;
+    /// Share of the fleet's capacity in demand up to which it counts as spare, and from which on
+    /// copies are planned at tokensPerCopy; between them the rate rises evenly, so that a small
+    /// change of demand changes few copies.
+    double spareCapacityShare = 0.4;
+    double usedCapacityShare = 0.5;
 
     /// Loads from the weight store at once after a pause; its limit allows three.
     double loadBurst = 2.0;
@@ -223,6 +240,9 @@
     void onReplicaLeaving(const std::string &id, std::uint64_t startedMs);
     /// Takes a demand report of a node; earlier rows that it does not have stay for a while.
     void onDemand(const std::string &node, const std::vector<CopyDemand> &demand, Instant now);
+    /// Records that a replica of the service states its work time in its load reports. The models
+    /// of the service then get spare copies; see CopyPlacementSettings::spareTokensPerCopy.
+    void onWorkTimeStated(const std::string &service);
     /// Records that a request waits for the copy.
     /// @param adapter empty: the request needs only the model
     /// @param waited time since the first such request at its node (see WantAges). It counts only
@@ -301,6 +321,7 @@
     void planService(const ServingService &service, Instant now);
     void addDemand(Plan &plan) const;
     void addEngines(Plan &plan);
+    void setDesiredCopies(Plan &plan) const;
     bool fitsAllModels(const Plan &plan) const;
     void collectHeldAdapters(Plan &plan) const;
     void reserveForAdapters(Plan &plan, Instant now) const;
@@ -339,7 +360,8 @@
     Instant m_demandKnownAt; // nodes have reported their demand to this holder from then on
     std::map<std::string, ServingService> m_services;      // services with models
     std::map<std::string, LoadRateLimiter> m_loadLimiters; // by service
-    std::map<std::string, EngineRecord> m_engines;         // by replica
+    std::set<std::string> m_workTimeServices;      // services whose replicas state their work time
+    std::map<std::string, EngineRecord> m_engines; // by replica
     DemandTable m_demand;
     Instant m_nextDemandExpiry;
     std::map<std::string, RequestedCopy> m_requestedCopies; // by service and copy
--- a/src/placing/copyplanning.cpp
+++ b/src/placing/copyplanning.cpp
@@ -61,12 +61,14 @@
     bool isRequested = false;          // a request waits for the model
     int copies = 0;                    // resident or being loaded; without copies being unloaded
     int ready = 0;                     // number of these copies that are resident
-    int desired = 1;                   // copies needed for the demand
+    int needed = 1;                    // copies for the demand
+    int desired = 1;                   // the same and spare copies
     std::vector<EngineView *> holders; // replicas that have the copies
     std::vector<EngineView *> listed;  // replicas that list the model
     std::vector<EngineView *> warm;    // replicas that need not read the weight store to load it
 
     bool isHeldBy(const EngineView &engine) const { return contains(holders, &engine); }
+    bool wantsOnlySpare() const { return copies >= needed; }
     bool needsStore(const EngineView &engine) const { return !contains(warm, &engine); }
     double demandPerCopy() const { return copies == 0 ? 0.0 : demand / copies; }
 
@@ -182,10 +184,8 @@
     addEngines(plan);
     if (plan.engines.empty())
         return;
+    setDesiredCopies(plan);
     for (ModelView &view : plan.models) {
-        const double byDemand = std::ceil(view.demand / m_settings.tokensPerCopy);
-        view.desired = std::max(1, static_cast<int>(byDemand));
-        view.desired = std::min(view.desired, static_cast<int>(plan.engines.size()));
         for (EngineView *holder : view.holders)
             holder->load += view.demand / view.copies;
     }
@@ -197,6 +197,30 @@
     noteUnplaced(plan, now);
 }
 
+void CopyPlacement::setDesiredCopies(Plan &plan) const
+{
+    double rate = m_settings.tokensPerCopy;
+    if (m_workTimeServices.contains(plan.service.name)) {
+        double demand = 0.0;
+        for (const ModelView &view : plan.models)
+            demand += view.demand;
+        const double used =
+                demand / (m_settings.tokensPerReplica * static_cast<double>(plan.engines.size()));
+        const double usedSpare = (used - m_settings.spareCapacityShare)
+                / (m_settings.usedCapacityShare - m_settings.spareCapacityShare);
+        rate = std::lerp(m_settings.spareTokensPerCopy, m_settings.tokensPerCopy,
+                         std::clamp(usedSpare, 0.0, 1.0));
+    }
+    const auto copiesAt = [&](const ModelView &view, double tokensPerSecond) {
+        const int byDemand = static_cast<int>(std::ceil(view.demand / tokensPerSecond));
+        return std::clamp(byDemand, 1, static_cast<int>(plan.engines.size()));
+    };
+    for (ModelView &view : plan.models) {
+        view.needed = copiesAt(view, m_settings.tokensPerCopy);
+        view.desired = std::max(view.needed, copiesAt(view, rate));
+    }
+}
+
 /// Notes the copies that this pass could not place: at once if the reason is new, else at
 /// intervals.
 void CopyPlacement::noteUnplaced(Plan &plan, Instant now)
@@ -362,12 +386,12 @@
         }
     }
     // Models without copies first, and among them those with requests or demand; then the models
-    // with the highest demand per copy.
+    // with the highest demand per copy; spare copies last.
     std::stable_sort(order.begin(), order.end(), [](const ModelView *left, const ModelView *right) {
         const auto rank = [](const ModelView *view) {
             if (view->copies == 0)
                 return view->isRequested || view->demand > 0.0 ? 0 : 1;
-            return 2;
+            return view->wantsOnlySpare() ? 3 : 2;
         };
         if (rank(left) != rank(right))
             return rank(left) < rank(right);
@@ -426,7 +450,9 @@
     const double loadSeconds = double(view.model->storeLoadTime.count()) / 1e3;
     const int maxLoads =
             std::max(2, static_cast<int>(std::ceil(plan.limits.loadsPerSecond * loadSeconds)));
-    const bool canLoadFromStore = limiter.hasToken(now) && plan.loadsInProgress < maxLoads;
+    // A spare copy leaves the store the load of a copy that is needed a moment later.
+    const double tokens = view.wantsOnlySpare() ? 2.0 : 1.0;
+    const bool canLoadFromStore = limiter.hasTokens(tokens, now) && plan.loadsInProgress < maxLoads;
 
     std::map<std::string_view, int> copiesByZone;
     for (const EngineView *holder : view.holders)
@@ -441,7 +467,12 @@
             continue;
         const bool isKeptFree = isReserved(view, engine, now);
         fits = fits || !isKeptFree || engine.reservedForAdapters;
-        if (isKeptFree || (isOtherAnswering && engine.adapterRole >= AdapterRole::LastFree))
+        AdapterRole maxRole = AdapterRole::OnlyCopy;
+        if (isOtherAnswering)
+            maxRole = AdapterRole::OneOfMany;
+        if (view.wantsOnlySpare())
+            maxRole = AdapterRole::None;
+        if (isKeptFree || engine.adapterRole > maxRole)
             continue;
         const bool needsStore = view.needsStore(engine);
         if (needsStore && !canLoadFromStore)
@@ -553,16 +584,25 @@
             ModelView *victim = plan.find(copy.model);
             if (victim == nullptr || victim->model->memoryMb < missing || victim->ready < 1)
                 continue;
+            // A copy of a model with adapters takes its adapters with it: in simulated days, more
+            // adapters were never served when spare copies replaced such copies.
+            if (view.wantsOnlySpare() && victim->model->adapters > 0)
+                continue;
             const bool isLast = victim->ready < 2;
             if (isProtected(*engine.record, copy.model, now) && (view.copies > 0 || isLast))
                 continue;
             if (isLast && !mayReplaceLastCopy(plan, view, *victim, now))
                 continue;
             const double victimDemandPerCopy = victim->demandPerCopy();
-            const bool isSurplus = victim->copies > victim->desired;
+            // A spare copy replaces no other; copies that are needed replace spare ones.
+            const bool isSurplus =
+                    victim->copies > (view.wantsOnlySpare() ? victim->desired : victim->needed);
             // A model without demand replaces only surplus copies.
-            const bool isWorthEvicting = isSurplus || (view.copies == 0 && hasDemand)
-                    || view.demandPerCopy() > m_settings.evictionDemandRatio * victimDemandPerCopy;
+            const bool isWorthEvicting = isSurplus
+                    || (!view.wantsOnlySpare()
+                        && ((view.copies == 0 && hasDemand)
+                            || view.demandPerCopy()
+                                    > m_settings.evictionDemandRatio * victimDemandPerCopy));
             if (!isWorthEvicting)
                 continue;
             const double cost = victimDemandPerCopy + (isSurplus ? 0.0 : m_settings.tokensPerCopy)
--- a/src/placing/loadratelimiter.cpp
+++ b/src/placing/loadratelimiter.cpp
@@ -17,10 +17,10 @@
     m_lastRefillAt = now;
 }
 
-bool LoadRateLimiter::hasToken(Instant now)
+bool LoadRateLimiter::hasTokens(double count, Instant now)
 {
     refill(now);
-    return m_tokens >= 1.0;
+    return m_tokens >= count;
 }
 
 void LoadRateLimiter::takeToken(Instant now)
--- a/src/placing/loadratelimiter.h
+++ b/src/placing/loadratelimiter.h
@@ -26,8 +26,8 @@
     ///        otherwise empty
     void reset(Instant now, bool isFirstTerm);
 
-    /// @return whether a load may start now
-    bool hasToken(Instant now);
+    /// @return whether as many loads may start now
+    bool hasTokens(double count, Instant now);
 
     /// Takes the token of a load that starts now.
     void takeToken(Instant now);
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -304,6 +304,65 @@
         CHECK(simulation.copiesOf("m" + std::to_string(model)) >= 1);
 }
 
+/// Four replicas have room for two models each; m0 and m1 have two copies when they start.
+/// @return copies of m0 and of m1 after 30 s of the demand
+std::pair<int, int> copiesWithDemand(bool statesWorkTime, double demandOfM0, double demandOfM1)
+{
+    Simulation simulation(11, 0);
+    if (statesWorkTime)
+        simulation.placement->onWorkTimeStated("pool");
+    for (int second = 0; second < 30; ++second) {
+        simulation.placement->onDemand(
+                "node-1", { { "pool", "m0", "", demandOfM0 }, { "pool", "m1", "", demandOfM1 } },
+                simulation.now);
+        simulation.run(1s);
+    }
+    for (int model = 0; model < ModelCount; ++model)
+        CHECK(simulation.copiesOf("m" + std::to_string(model)) >= 1);
+    return { simulation.copiesOf("m0"), simulation.copiesOf("m1") };
+}
+
+// A quarter of the replicas had half of all prompt tokens to read while the others had time left.
+TEST(CopyPlacement, ModelsInDemandGetSpareCopiesWhileCapacityIsUnused)
+{
+    CHECK(copiesWithDemand(true, 14'000.0, 1'000.0) == std::pair(3, 1));
+    CHECK(copiesWithDemand(false, 14'000.0, 1'000.0) == std::pair(2, 2)); // as planned before
+}
+
+TEST(CopyPlacement, SpareCopiesReplaceNoneThatAreNeeded)
+{
+    CHECK(copiesWithDemand(true, 14'000.0, 9'000.0) == std::pair(2, 2));
+}
+
+// The same demand for a model, beside more or less demand for another. The fleet reads 76,000
+// tokens a second; the other model needs one more copy in the second case.
+TEST(CopyPlacement, NoSpareCopiesWhenTheCapacityIsUsed)
+{
+    const auto loaded = [](bool statesWorkTime, double demandOfM1) {
+        CopyPlacement placement(onNode1());
+        ServingConfig twoModels = config(0);
+        twoModels.services["pool"].engine->models.resize(2);
+        placement.onConfig(twoModels);
+        if (statesWorkTime)
+            placement.onWorkTimeStated("pool");
+        std::vector<FakeReplica> replicas(4);
+        for (std::size_t index = 0; index < replicas.size(); ++index) {
+            replicas[index].id = "r" + std::to_string(index);
+            replicas[index].models[index < 2 ? "m0" : "m1"];
+        }
+        std::string models;
+        for (const EngineCommand &load :
+             modelLoads(placement, replicas,
+                        { { "pool", "m0", "", 16'000.0 }, { "pool", "m1", "", demandOfM1 } }))
+            models += load.model + " ";
+        return models;
+    };
+    CHECK_EQUAL(std::string("m0 "), loaded(true, 9'000.0));
+    CHECK_EQUAL(std::string(), loaded(false, 9'000.0));
+    CHECK_EQUAL(std::string("m1 "), loaded(true, 24'000.0));
+    CHECK_EQUAL(std::string("m1 "), loaded(false, 24'000.0));
+}
+
 TEST(CopyPlacement, RequestedAdapterIsLoadedWithinOneSecond)
 {
     Simulation simulation(3);
