Nodes tell the holder which services state their work time

Cause: the holder learnt this from load reports in answers to its own callers. Where a zone has other nodes for callers, the holder has none, and would never have planned spare copies there.

Change: each node names these services (16 at most) in its beats with demand to the holder, as a tenth element that earlier versions do not read. Beats without such services are unchanged on the wire. The holder takes only services of its configuration, once a beat instead of once a plan.

No play with several processes was run.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr std::size_t MostDatagram = 8 * 1024;
+constexpr std::size_t MaxWorkTimeServices = 16; // in a heartbeat
 constexpr std::int64_t MaxWaitedMs = 60'000; // that a note may state; waits are forgotten earlier
 
 enum class MessageType : std::int64_t {
@@ -71,15 +72,24 @@
         demand.emplace_back(json::array { row.service, row.model, row.adapter,
                                           static_cast<std::int64_t>(row.tokensPerSecond) });
     const HolderClaim &holder = message.beat.holder;
-    return { static_cast<std::int64_t>(MessageType::Beat),
-             nodeToJson(message.beat.sender),
-             message.beat.started,
-             message.beat.leaving,
-             json::array { holder.name, holder.ip, holder.term },
-             others,
-             demand,
-             message.beat.requestsPerSecond,
-             message.beat.storeReached };
+    json::array list { static_cast<std::int64_t>(MessageType::Beat),
+                       nodeToJson(message.beat.sender),
+                       message.beat.started,
+                       message.beat.leaving,
+                       json::array { holder.name, holder.ip, holder.term },
+                       others,
+                       demand,
+                       message.beat.requestsPerSecond,
+                       message.beat.storeReached };
+    if (!message.workTimeServices.empty()) {
+        json::array services;
+        for (const std::string &service : message.workTimeServices) {
+            if (services.size() < MaxWorkTimeServices)
+                services.emplace_back(service);
+        }
+        list.emplace_back(std::move(services));
+    }
+    return list;
 }
 
 json::array toJson(const WantNote &note)
@@ -190,6 +200,10 @@
     }
     message.beat.requestsPerSecond = list.at(7).to_number<double>();
     message.beat.storeReached = list.at(8).as_bool();
+    if (list.size() > 9) { // earlier versions do not state them
+        for (const auto &service : list.at(9).as_array())
+            message.workTimeServices.emplace_back(service.as_string());
+    }
     return message;
 }
 
--- a/src/edge/beatlink.h
+++ b/src/edge/beatlink.h
@@ -32,6 +32,8 @@
 {
     NodeHeartbeat beat;
     std::vector<CopyDemand> demand; // for the holder
+    /// For the holder: services of which a replica told the sender its work time.
+    std::vector<std::string> workTimeServices;
 };
 
 struct WantNote
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -253,10 +253,6 @@
 {
     const Instant now = steadyNow();
     if (now >= m_nextPlan) {
-        for (const auto &[id, row] : m_state.replicas.rows()) {
-            if (row.statesWorkTime)
-                m_placement.onWorkTimeStated(row.info.service);
-        }
         m_placement.tick(now);
         const Instant planned = steadyNow();
         m_nextPlan =
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -470,6 +470,8 @@
     // Most heartbeats carry none.
     if (!message.demand.empty())
         m_copies.onDemand(sender, message.demand);
+    for (const std::string &service : message.workTimeServices)
+        m_copies.placement().onWorkTimeStated(service);
 }
 
 bool EdgeProgram::announcePrompt(const PromptNote &note)
@@ -560,8 +562,12 @@
     measureRequests(now - m_lastDemand);
     m_lastDemand = now;
     const std::vector<CopyDemand> demand = demandNow();
-    if (m_copies.holds())
+    const std::vector<std::string> workTimeServices = m_state.replicas.workTimeServices();
+    if (m_copies.holds()) {
         m_copies.onDemand(m_state.profile.name, demand);
+        for (const std::string &service : workTimeServices)
+            m_copies.placement().onWorkTimeStated(service);
+    }
 
     m_state.directory.setOwnState(m_requestRate, !m_replicaWatch.disturbed(now), now);
     m_state.replicas.limits().setNodes(
@@ -599,6 +605,7 @@
         m_demandReport.restart(); // a new holder knows nothing yet
     }
     message.beat.others.clear();
+    message.workTimeServices = workTimeServices;
     const auto report = m_demandReport.next(demand, DemandRowsPerBeat, now);
     for (std::size_t first = 0; first < report.size(); first += MaxDemandRows) {
         const std::size_t last = std::min(report.size(), first + MaxDemandRows);
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -35,8 +35,6 @@
 void CopyPlacement::onConfig(const ServingConfig &config)
 {
     m_services.clear();
-    std::erase_if(m_workTimeServices,
-                  [&](const std::string &name) { return !config.services.contains(name); });
     m_unplaced.clear();
     for (const auto &[name, service] : config.services) {
         if (!service.engine || service.engine->models.empty())
@@ -48,6 +46,8 @@
                 + double(m_settings.loadBurstTime.count()) / 1e6 * service.engine->loadsPerSecond;
         m_loadLimiters[name].configure(limiter);
     }
+    std::erase_if(m_workTimeServices,
+                  [&](const std::string &name) { return !m_services.contains(name); });
 }
 
 void CopyPlacement::onReplica(const ReplicaInfo &info, Instant now)
@@ -104,7 +104,8 @@
 
 void CopyPlacement::onWorkTimeStated(const std::string &service)
 {
-    m_workTimeServices.insert(service);
+    if (m_services.contains(service))
+        m_workTimeServices.insert(service);
 }
 
 void CopyPlacement::onCopyRequest(const std::string &service, const std::string &model,
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace burdock {
@@ -341,6 +342,16 @@
     row->changeSinceReport = 0;
 }
 
+std::vector<std::string> ReplicaTable::workTimeServices() const
+{
+    std::set<std::string> services;
+    for (const auto &[id, row] : m_rows) {
+        if (row.statesWorkTime)
+            services.insert(row.info.service);
+    }
+    return { services.begin(), services.end() };
+}
+
 double ReplicaTable::slowness(const ReplicaRow &row, Instant now) const
 {
     if (!row.info.models.empty() || row.slowness <= 1.0 || row.firstByteAt == Instant {})
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -331,6 +331,9 @@
     /// @return all rows by replica id
     const std::map<std::string, ReplicaRow> &rows() const { return m_rows; }
 
+    /// @return services of which a replica has stated its work time; see ReplicaLoadReport
+    std::vector<std::string> workTimeServices() const;
+
 private:
     /// What is known of a process for good; outlives its row, since the list may lose a living
     /// replica or go back to an older state.
--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -19,6 +19,7 @@
     message.beat.holder = { "n2", "10.0.0.2", 4 };
     message.beat.others = { { "n3", "10.0.0.3", "z" } };
     message.demand = { { "pool", "m", "", 1'234.0 } };
+    message.workTimeServices = { "pool" };
     const auto back = decodePeerMessage(encodePeerMessage(message));
     CHECK(back.has_value());
     const auto &beat = std::get<BeatMessage>(*back);
@@ -28,6 +29,7 @@
     CHECK_EQUAL(4, beat.beat.holder.term);
     CHECK_EQUAL(std::string("n3"), beat.beat.others.at(0).name);
     CHECK_EQUAL(std::string("m"), beat.demand.at(0).model);
+    CHECK(beat.workTimeServices == message.workTimeServices);
 }
 
 // Nodes of two versions run side by side while a fleet is replaced.
@@ -37,6 +39,7 @@
             R"([1,["n","10.0.0.1","z"],1,false,["","",0],[["m","10.0.0.2","z"]],[],0,true])");
     CHECK(beat.has_value());
     CHECK_EQUAL(0.0, std::get<BeatMessage>(*beat).beat.sender.capacity);
+    CHECK(std::get<BeatMessage>(*beat).workTimeServices.empty());
 }
 
 TEST(PeerMessages, NotesArriveAsTheyWereSent)
