--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -46,6 +46,8 @@
                 + double(m_settings.loadBurstTime.count()) / 1e6 * service.engine->loadsPerSecond;
         m_loadLimiters[name].configure(limiter);
     }
+    std::erase_if(m_workTimeServices,
+                  [&](const std::string &name) { return !m_services.contains(name); });
 }
 
 void CopyPlacement::onReplica(const ReplicaInfo &info, Instant now)
@@ -100,6 +102,12 @@
     expireDemand(now);
 }
 
+void CopyPlacement::onWorkTimeStated(const std::string &service)
+{
+    if (m_services.contains(service))
+        m_workTimeServices.insert(service);
+}
+
 void CopyPlacement::onCopyRequest(const std::string &service, const std::string &model,
                                   const std::string &adapter, Instant now, Duration waited)
 {
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace burdock {
@@ -364,6 +365,16 @@
     return std::clamp(ratio, MinRatio, MaxRatio);
 }
 
+std::vector<std::string> ReplicaTable::workTimeServices() const
+{
+    std::set<std::string> services;
+    for (const auto &[id, row] : m_rows) {
+        if (row.statesWorkTime)
+            services.insert(row.info.service);
+    }
+    return { services.begin(), services.end() };
+}
+
 double ReplicaTable::slowness(const ReplicaRow &row, Instant now) const
 {
     if (row.statesWorkTime)
