Queued requests are refused before their callers leave, not when they do

Cause: where the objective is not before the caller's patience, the queue deadline was the time at which the caller leaves, and the refusal came after it.

Change: the queue deadline is at least 100 ms before that, two ticks and the way; seven tenths of the time left for callers with little of it. AStreamIsRefusedBeforeItsCallerLeaves now looks 50 ms before the caller leaves.

--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -138,9 +138,10 @@
     case NoReplica::Limited:
         break;
     }
-    return std::max(
-            std::min({ request.firstByteObjective, request.deadline, request.firstByteDeadline }),
-            afterShare(m_settings.maxLateShare));
+    const Instant latest =
+            std::min(request.deadline, request.firstByteDeadline) - m_settings.callerMargin;
+    return std::max(std::min(request.firstByteObjective, latest),
+                    afterShare(m_settings.maxLateShare));
 }
 
 /// @return the new deadline of a request that was queued because no replica held its copy: later
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -100,6 +100,10 @@
     double minBacklog = 0.1;
     // Share of a request's remaining time within which a late start is still worthwhile.
     double maxLateShare = 0.7;
+    // Time before its caller leaves by which a queued request is refused, so that the refusal
+    // arrives: two ticks and the way. Callers that leave sooner are refused after maxLateShare of
+    // their time.
+    Duration callerMargin = std::chrono::milliseconds(100);
     // A queued request is refused before its queue deadline if its expected wait exceeds the time
     // left by this factor and this time, which allow for errors of the prediction.
     double reviewMargin = 1.5;
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -386,7 +386,7 @@
         CHECK(actions<RefuseRequest>().empty());
         scheduler.tick(Start + 400ms);
         CHECK(actions<RefuseRequest>().empty());
-        scheduler.tick(Start + 1s);
+        scheduler.tick(Start + 950ms);
         const auto refusals = actions<RefuseRequest>();
         CHECK_EQUAL(1, refusals.size());
         CHECK_EQUAL(1, refusals.at(0).id);
