Queued requests whose copy is lost wait only for the order to load it

Cause: a request that was queued for capacity kept its queue deadline of up to seven tenths of its time after the last copy was unloaded or its replicas were lost.

Change: the review treats it like one that arrives then: it is refused as not resident after loadOrderWait unless a load is ordered, and waits as before if the copy comes back.

Measured: RefusesSoonAfterTheLastCopyIsLostUnlessItIsLoadedAgain fails without the change (0 of 3 refused 410 ms after the loss).

--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -225,13 +225,16 @@
     Readers readers;
     if (request.model.empty())
         return readers;
+    readers.isCopyHeld = false;
     Duration minPrefillAhead = Duration::max();
     int count = 0;
     double speed = 0.0; // sum of all, one with the usual work time counts 1
     for (const std::string &id : m_table.replicasOfModel(request.service, request.model)) {
         const ReplicaRow *row = m_table.find(id);
-        if (!m_table.isUsable(*row, now)
-            || !m_table.holds(*row, request.model, request.adapter, now))
+        if (!m_table.holds(*row, request.model, request.adapter, now))
+            continue;
+        readers.isCopyHeld = true;
+        if (!m_table.isUsable(*row, now))
             continue;
         readers.row = row;
         count++;
@@ -302,6 +305,8 @@
         refuse(waiting, "queue_full", now);
         return;
     }
+    if (waiting.cause == NoReplica::NotResident)
+        waiting.copyState = CopyState::Awaited;
     Queue &queue = m_queues[waiting.request.service];
     const auto position = std::find_if(queue.begin(), queue.end(), [&](const QueuedRequest &other) {
         return hasPrecedence(waiting.request, other.request);
@@ -523,6 +528,21 @@
         reviewQueue(queue, now);
 }
 
+/// Lets a request whose copy was lost wait only as long as one that arrives now, until a load is
+/// ordered; it waits as before if the copy comes back.
+void RequestScheduler::noteCopyState(QueuedRequest &waiting, bool isCopyHeld, Instant now) const
+{
+    if (!isCopyHeld && waiting.copyState == CopyState::Held) {
+        waiting.copyState = CopyState::Lost;
+        waiting.cause = NoReplica::NotResident;
+        waiting.queueDeadline = std::min(waiting.queueDeadline, initialQueueDeadline(waiting, now));
+    } else if (isCopyHeld && waiting.copyState == CopyState::Lost) {
+        waiting.copyState = CopyState::Held;
+        waiting.cause = NoReplica::Full;
+        waiting.queueDeadline = std::max(waiting.queueDeadline, initialQueueDeadline(waiting, now));
+    }
+}
+
 /// Refuses queued requests that can no longer be started by their queue deadline, because there is
 /// less capacity than when they arrived or more urgent requests came. The requests that stay are
 /// counted ahead of the others, those that are refused are not. The next one of each copy stays: it
@@ -544,6 +564,7 @@
             copy.readers = readersOf(position->request, now);
             copy.startsPerSecond = startsPerSecond(position->key);
         }
+        noteCopyState(*position, copy.readers.isCopyHeld, now);
         if (position->cause == NoReplica::Full && !position->isRetry && copy.ahead.count > 0.0) {
             const Duration wait = predict(copy.ahead, copy.readers, copy.startsPerSecond).wait;
             const double left = double((position->queueDeadline - now).count());
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -153,6 +153,12 @@
     std::size_t queued() const { return m_serviceById.size(); }
 
 private:
+    enum class CopyState {
+        Held,    // or there is none, for plain services
+        Awaited, // no replica held it when the request arrived
+        Lost,    // no replica holds it any more
+    };
+
     struct QueuedRequest
     {
         ServingRequest request;
@@ -163,6 +169,7 @@
         Instant queuedAt;                  // when the request was submitted
         Instant queueDeadline;             // the request is refused if it is still queued then
         NoReplica cause = NoReplica::Full; // why it was not started at the latest try
+        CopyState copyState = CopyState::Held;
     };
     using Queue = std::list<QueuedRequest>; // by priority, then by due time
     using Selection = std::function<bool(const QueuedRequest &)>;
@@ -181,8 +188,9 @@
     struct Readers
     {
         const ReplicaRow *row = nullptr; // one of them; null: there are none
-        Duration prefillAhead {};        // the shortest of them
-        double speed = 0.0;              // of all together, as a multiple of that one's
+        bool isCopyHeld = true;   // by replicas that can be used or not; always without a model
+        Duration prefillAhead {}; // the shortest of them
+        double speed = 0.0;       // of all together, as a multiple of that one's
     };
 
     /// The rate at which this node starts requests for one copy, measured while requests are
@@ -218,6 +226,7 @@
                                   double startsPerSecond);
     WaitPrediction expectedWait(const QueuedRequest &waiting, Instant now) const;
     void reviewQueue(Queue &queue, Instant now);
+    void noteCopyState(QueuedRequest &waiting, bool isCopyHeld, Instant now) const;
     RequestsAhead requestsAhead(const QueuedRequest &waiting, const ReplicaRow *reader,
                                 Instant now) const;
     void visitInOrder(Queue &queue, const Selection &selection, const Visit &visit, Instant now);
--- a/tests/serving/test_scheduler.cpp
+++ b/tests/serving/test_scheduler.cpp
@@ -570,3 +570,30 @@
     CHECK(reviewed < unreviewed); // callers learn earlier
     CHECK(starts * 100 >= startsWithout * 99);
 }
+
+// Guards against requests that wait for their queue deadline, 4.2 s here, after their copy was
+// lost.
+TEST(RequestScheduler, RefusesSoonAfterTheLastCopyIsLostUnlessItIsLoadedAgain)
+{
+    for (const bool isLoaded : { false, true }) {
+        for (const char *id : { "r1", "r2" })
+            table.onAnnounced(engine(id, { { "m1", {} } }), Start);
+        for (const char *id : { "r1", "r2" })
+            table.onPromptAssigned(id, 9'000, Start);
+        for (std::uint64_t id = 1; id <= 3; ++id)
+            scheduler.submit(modelRequest(id, 100, Start), {}, false, Start);
+        scheduler.tick(Start);
+        for (const char *id : { "r1", "r2" })
+            table.onAnnounced(engine(id, {}), Start + 100ms);
+        scheduler.tick(Start + 100ms);
+        if (isLoaded)
+            table.onCopyLoading("r1", "m1", Start + 700ms);
+        scheduler.tick(Start + 510ms);
+        CHECK_EQUAL(isLoaded ? 0 : 3, actions<RefuseRequest>().size());
+        table.onAnnounced(engine("r1", { { "m1", {} } }), Start + 700ms);
+        scheduler.tick(Start + 800ms);
+        CHECK_EQUAL(isLoaded ? 3 : 0, actions<StartRequest>().size());
+        for (const char *id : { "r1", "r2" })
+            table.onDelisted(id, {}, Start + 800ms);
+    }
+}
