--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -100,6 +100,10 @@
     double minBacklog = 0.1;
     // Share of a request's remaining time within which a late start is still worthwhile.
     double maxLateShare = 0.7;
+    // Time before its caller leaves by which a queued request is refused, so that the refusal
+    // arrives: two ticks and the way. Callers that leave sooner are refused after maxLateShare of
+    // their time.
+    Duration callerMargin = std::chrono::milliseconds(100);
     // A queued request is refused before its queue deadline if its expected wait exceeds the time
     // left by this factor and this time, which allow for errors of the prediction.
     double reviewMargin = 1.5;
@@ -149,6 +153,12 @@
     std::size_t queued() const { return m_serviceById.size(); }
 
 private:
+    enum class CopyState {
+        Held,    // or there is none, for plain services
+        Awaited, // no replica held it when the request arrived
+        Lost,    // no replica holds it any more
+    };
+
     struct QueuedRequest
     {
         ServingRequest request;
@@ -159,6 +169,7 @@
         Instant queuedAt;                  // when the request was submitted
         Instant queueDeadline;             // the request is refused if it is still queued then
         NoReplica cause = NoReplica::Full; // why it was not started at the latest try
+        CopyState copyState = CopyState::Held;
     };
     using Queue = std::list<QueuedRequest>; // by priority, then by due time
     using Selection = std::function<bool(const QueuedRequest &)>;
@@ -177,8 +188,9 @@
     struct Readers
     {
         const ReplicaRow *row = nullptr; // one of them; null: there are none
-        Duration prefillAhead {};        // the shortest of them
-        double speed = 0.0;              // of all together, as a multiple of that one's
+        bool isCopyHeld = true;   // by replicas that can be used or not; always without a model
+        Duration prefillAhead {}; // the shortest of them
+        double speed = 0.0;       // of all together, as a multiple of that one's
     };
 
     /// The rate at which this node starts requests for one copy, measured while requests are
@@ -214,6 +226,7 @@
                                   double startsPerSecond);
     WaitPrediction expectedWait(const QueuedRequest &waiting, Instant now) const;
     void reviewQueue(Queue &queue, Instant now);
+    void noteCopyState(QueuedRequest &waiting, bool isCopyHeld, Instant now) const;
     RequestsAhead requestsAhead(const QueuedRequest &waiting, const ReplicaRow *reader,
                                 Instant now) const;
     void visitInOrder(Queue &queue, const Selection &selection, const Visit &visit, Instant now);
