Small organisations are not refused for spending that others only expected

Cause: a node stated its latest rate with each note. One request of a small organisation made others expect as much again within half a second, so that credit was missing until the next note. A node that had spent nothing for some seconds sent no notes, and that it was out of reach was noticed by heartbeats alone, after 2.7 s. A late note was taken for a newer one.

Change: notes state the rate less its standard error. Nodes go on sending notes for 8 s after they spent something, every 250 ms; one that is not heard for 0.9 s is silent. Notes are numbered. A bucket may be overdrawn by what it refills in the usual delay of a note.

--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -152,20 +152,25 @@
     const auto whole = [](double amount) {
         return static_cast<std::int64_t>(std::llround(amount));
     };
-    json::array list { static_cast<std::int64_t>(MessageType::Quota), note.node, note.startedMs };
+    json::array list { static_cast<std::int64_t>(MessageType::Quota), note.node, note.startedMs,
+                       note.number };
     for (const QuotaUse &use : note.uses)
         list.emplace_back(json::array { use.organisation, whole(use.spent), whole(use.perSecond),
-                                        whole(use.level) });
+                                        whole(use.level), use.isActive });
     return list;
 }
 
 QuotaNote quotaFromJson(const json::array &list)
 {
-    QuotaNote note { textAt(list, 1), list.at(2).to_number<std::uint64_t>(), {} };
-    for (std::size_t index = 3; index < list.size(); ++index) {
+    QuotaNote note { textAt(list, 1),
+                     list.at(2).to_number<std::uint64_t>(),
+                     list.at(3).to_number<std::uint64_t>(),
+                     {} };
+    for (std::size_t index = 4; index < list.size(); ++index) {
         const auto &fields = list.at(index).as_array();
         note.uses.push_back({ textAt(fields, 0), fields.at(1).to_number<double>(),
-                              fields.at(2).to_number<double>(), fields.at(3).to_number<double>() });
+                              fields.at(2).to_number<double>(), fields.at(3).to_number<double>(),
+                              fields.at(4).as_bool() });
     }
     return note;
 }
--- a/src/organisations/quotaledger.cpp
+++ b/src/organisations/quotaledger.cpp
@@ -77,7 +77,9 @@
     account.updatedAt = now;
     const double refill = account.quota.perSecond * account.share - account.othersPerSecond;
     account.level = std::min(burstOf(account), account.level + refill * elapsed);
-    account.perSecond *= std::exp(-elapsed / seconds(m_settings.rateTime));
+    const double kept = std::exp(-elapsed / seconds(m_settings.rateTime));
+    account.perSecond *= kept;
+    account.squares *= kept * kept;
 }
 
 // ---- Input --------------------------------------------------------------------------------------
@@ -104,6 +106,14 @@
 {
     noteCall(now);
     m_fleet = fleet;
+    checkPeers(now);
+}
+
+// ---- Silent nodes -------------------------------------------------------------------------------
+
+void QuotaLedger::checkPeers(Instant now)
+{
+    m_checkedAt = now;
     for (auto &[name, account] : m_accounts) {
         update(account, now);
         expirePeers(account, now);
@@ -112,8 +122,6 @@
     }
 }
 
-// ---- Silent nodes -------------------------------------------------------------------------------
-
 void QuotaLedger::setPeerRate(Account &account, PeerUse &use, double perSecond) const
 {
     account.othersPerSecond = std::max(0.0, account.othersPerSecond + perSecond - use.perSecond);
@@ -123,8 +131,10 @@
 /// @return whether the node may be spending without being heard
 bool QuotaLedger::isSilent(const std::string &node, const PeerUse &use, Instant now) const
 {
-    return now >= use.heardAt + m_settings.quietTime && !m_fleet.left.contains(node)
-            && (use.perSecond > 0.0 || !m_fleet.live.contains(node));
+    const auto peer = m_peers.find(node);
+    const Instant heardAt = peer != m_peers.end() ? peer->second.heardAt : use.heardAt;
+    return now >= heardAt + m_settings.quietTime && !m_fleet.left.contains(node)
+            && (use.isActive || !m_fleet.live.contains(node));
 }
 
 /// @return whether nothing needs to be kept free for a silent node any more
@@ -132,8 +142,14 @@
 {
     if (m_fleet.left.contains(node))
         return true;
-    if (m_fleet.live.contains(node))
-        return now >= use.heardAt + m_settings.idleTime;
+    if (m_fleet.live.contains(node)) {
+        // Either it sends no notes, or they say nothing of this organisation.
+        const auto peer = m_peers.find(node);
+        const Instant heardAt = peer != m_peers.end() ? peer->second.heardAt : Instant {};
+        return now >= heardAt + m_settings.idleTime
+                || (use.silentAt != Instant {} && now >= use.heardAt + m_settings.idleTime
+                    && now < heardAt + m_settings.quietTime);
+    }
     const bool hearsMost = 2 * (m_fleet.live.size() + 1) > m_fleet.known + 1;
     return now >= use.heardAt + m_settings.reserveTime
             && (hearsMost || (m_fleet.isCutOff && m_fleet.reachesStore));
@@ -143,7 +159,9 @@
 {
     for (auto each = account.peers.begin(); each != account.peers.end();) {
         auto &[node, use] = *each;
-        if (now < use.heardAt + m_settings.quietTime || !isGone(node, use, now)) {
+        const bool isDue = use.silentAt != Instant {} || use.isActive;
+        if (!(isDue || !m_fleet.live.contains(node)) || now < use.heardAt + m_settings.quietTime
+            || !isGone(node, use, now)) {
             ++each;
             continue;
         }
@@ -153,6 +171,7 @@
         setPeerRate(account, use, 0.0);
         use.share = 0.0;
         use.silentAt = {};
+        use.isActive = false;
         if (m_fleet.live.contains(node)) {
             ++each;
             continue;
@@ -243,11 +262,14 @@
     noteCall(now);
     if (note.node == m_node)
         return;
-    std::uint64_t &startedMs = m_peers[note.node];
-    if (note.startedMs < startedMs)
+    Peer &peer = m_peers[note.node];
+    if (note.startedMs < peer.startedMs)
         return; // late, from an earlier process
-    const bool isNewProcess = startedMs != 0 && note.startedMs > startedMs;
-    startedMs = note.startedMs;
+    const bool isNewProcess = peer.startedMs != 0 && note.startedMs > peer.startedMs;
+    peer.startedMs = note.startedMs;
+    if (now >= peer.heardAt + m_settings.idleTime)
+        peer.contactSince = now;
+    peer.heardAt = now;
     for (const QuotaUse &stated : note.uses) {
         const auto found = m_accounts.find(stated.organisation);
         if (found == m_accounts.end() || !std::isfinite(stated.spent)
@@ -259,8 +281,12 @@
         PeerUse &use = position->second;
         if (isNewProcess)
             use.spent = 0.0;
+        else if (note.number < use.number)
+            continue; // late
+        use.number = note.number;
+        use.isActive = stated.isActive;
         // Nodes that take no callers are sent no notes, so that a gap says nothing of the spending.
-        const bool isPartial = isFirst || now >= use.heardAt + m_settings.idleTime;
+        const bool isPartial = isFirst || use.heardAt < peer.contactSince;
         account.level -= takeTotal(account, use, stated, isPartial, now);
         if (stated.level > UnknownLevel) {
             // The sender knows of this node's spending up to its latest note.
@@ -286,8 +312,8 @@
         return std::nullopt;
     Account &account = found->second;
     update(account, now);
-    if (account.level <= 0.0) {
-        const double perSecond = account.quota.perSecond * account.share;
+    const double perSecond = account.quota.perSecond * account.share;
+    if (account.level <= -perSecond * seconds(m_settings.noteDelay)) {
         const double wait =
                 perSecond > 0.0 ? -account.level / perSecond : seconds(m_settings.window);
         const auto asked = std::chrono::milliseconds(
@@ -297,7 +323,10 @@
     }
     account.level -= cost;
     account.spent += cost;
-    account.perSecond += cost / seconds(m_settings.rateTime);
+    account.spentAt = now;
+    const double ownPerSecond = cost / seconds(m_settings.rateTime);
+    account.perSecond += ownPerSecond;
+    account.squares += ownPerSecond * ownPerSecond;
     addRecent(account.recent, cost, now);
     noteUrgency(account);
     return std::nullopt;
@@ -325,9 +354,18 @@
             || unnoted >= m_settings.urgentShare * account.quota.burst;
 }
 
+/// @return spending that is likely to go on: the latest rate less its standard error, so that one
+/// request now and then makes others expect nothing more
+double QuotaLedger::expectedRate(const Account &account)
+{
+    return std::max(0.0, account.perSecond - std::sqrt(account.squares));
+}
+
 std::optional<QuotaNote> QuotaLedger::nextNote(Instant now)
 {
     noteCall(now);
+    if (now >= m_checkedAt + m_settings.checkInterval)
+        checkPeers(now);
     const Duration interval = m_isUrgent ? m_settings.urgentNoteInterval : m_settings.noteInterval;
     if (m_accounts.empty() || (m_notedAt != Instant {} && now < m_notedAt + interval))
         return std::nullopt;
@@ -337,7 +375,7 @@
     std::vector<std::pair<Instant, const std::string *>> due;
     for (const auto &[name, account] : m_accounts) {
         const bool isDecaying =
-                account.wasNoted && now >= account.notedAt + m_settings.noteInterval;
+                account.wasActive && now >= account.notedAt + m_settings.noteInterval;
         if (account.spent != account.noted || isDecaying)
             due.emplace_back(account.notedAt, &name);
     }
@@ -346,20 +384,18 @@
         due.resize(MaxQuotaUses);
         m_isUrgent = true; // the others come with the next note
     }
-    QuotaNote note { m_node, m_startedMs, {} };
+    QuotaNote note { m_node, m_startedMs, ++m_lastNumber, {} };
     for (const auto &[notedAt, name] : due) {
         Account &account = m_accounts.at(*name);
         update(account, now);
-        const double perSecond =
-                account.spent == account.noted && account.perSecond < account.quota.perSecond * 1e-3
-                ? 0.0
-                : account.perSecond;
+        const bool isActive = now < account.spentAt + m_settings.activeTime;
+        const double perSecond = isActive ? expectedRate(account) : 0.0;
         const bool isLevelKnown = account.isSynced || now >= account.syncUntil;
-        note.uses.push_back(
-                { *name, account.spent, perSecond, isLevelKnown ? account.level : UnknownLevel });
+        note.uses.push_back({ *name, account.spent, perSecond,
+                              isLevelKnown ? account.level : UnknownLevel, isActive });
         account.noted = account.spent;
         account.notedAt = now;
-        account.wasNoted = perSecond > 0.0;
+        account.wasActive = isActive;
     }
     if (note.uses.empty())
         return std::nullopt;
@@ -372,7 +408,8 @@
     if (found == m_accounts.end())
         return std::nullopt;
     update(found->second, now);
-    return Status { found->second.level, found->second.perSecond, found->second.othersPerSecond };
+    const Account &account = found->second;
+    return Status { account.level, account.perSecond, account.othersPerSecond, account.share };
 }
 
 } // namespace burdock
--- a/src/organisations/quotaledger.h
+++ b/src/organisations/quotaledger.h
@@ -19,7 +19,8 @@
 //       ... to the other nodes that take callers ...
 //   ledger.onNote(note, now);                        // from another node
 //
-// A request is admitted while the bucket is not empty, and may overdraw it. What several nodes
+// A request is admitted while the bucket is not empty, or by no more than a note's usual delay, and
+// may overdraw it. What several nodes
 // overdraw before they hear of each other is a debt that is paid before anything else is admitted.
 // The fleet therefore spends the quota's rate over time, and at most what arrives within the delay
 // of the notes beyond it. Between two notes, a node's spending is estimated by its latest rate.
@@ -51,8 +52,9 @@
 {
     std::string organisation;
     double spent = 0.0;     // since the sender's process started
-    double perSecond = 0.0; // spent lately
+    double perSecond = 0.0; // that the sender is expected to spend further
     double level = 0.0;     // of the sender's bucket; below 0: debt; or UnknownLevel
+    bool isActive = false;  // notes with it follow at least every QuotaLedgerSettings::noteInterval
 };
 
 /// States that the sender has just started and does not know the level.
@@ -65,6 +67,7 @@
 {
     std::string node;            // name of the sender
     std::uint64_t startedMs = 0; // start of its process, Unix ms
+    std::uint64_t number = 0;    // counts the notes of its process
     std::vector<QuotaUse> uses;  // at most MaxQuotaUses
 };
 
@@ -88,19 +91,25 @@
 {
     Duration window = std::chrono::seconds(8); // span over which quotas are judged
     // Interval of notes while something was spent that other nodes need not know at once.
-    Duration noteInterval = std::chrono::milliseconds(500);
+    Duration noteInterval = std::chrono::milliseconds(250);
     // Interval while it matters: the bucket is below urgentLevel, or urgentShare of the burst was
     // spent since the latest note.
     Duration urgentNoteInterval = std::chrono::milliseconds(50);
+    // Usual delay of a note. A bucket that was full meanwhile lost the refill of this time, so that
+    // it may be overdrawn by as much.
+    Duration noteDelay = std::chrono::milliseconds(50);
     double urgentLevel = 0.5;  // share of the burst
     double urgentShare = 0.03; // of the burst
     // Least time for which a full bucket lasts at the quota's rate, whatever the burst.
     Duration minBurstTime = std::chrono::milliseconds(100);
     // Time constant of the spending that notes state.
     Duration rateTime = std::chrono::milliseconds(500);
-    // A node that was spending and has sent no note for this long is silent. Two lost notes in a
-    // row are common.
-    Duration quietTime = std::chrono::milliseconds(1'200);
+    // A node goes on sending notes for this long after it has spent something, so that the others
+    // notice when it is out of reach.
+    Duration activeTime = std::chrono::seconds(8);
+    // An active node that has sent no note for this long is silent. Single notes are lost.
+    Duration quietTime = std::chrono::milliseconds(900);
+    Duration checkInterval = std::chrono::milliseconds(100); // of silent nodes
     // A live node that has sent no note for this long spends nothing. Longer than a node counts as
     // live after its latest heartbeat, so that one that was cut off is not taken for idle.
     Duration idleTime = std::chrono::milliseconds(3'500);
@@ -156,6 +165,7 @@
         double level = 0.0;           // of the bucket; below 0: debt
         double ownPerSecond = 0.0;    // spent at this node
         double othersPerSecond = 0.0; // spent at other nodes, by their latest notes
+        double share = 1.0;           // of the quota, that this node and those it hears may use
     };
 
     /// @return nothing if the organisation has no quota
@@ -179,9 +189,11 @@
         double perSecond = 0.0; // estimated spending since then
         Instant heardAt;        // of the latest note with it
         RecentUse recent;
-        double share = 0.0;   // of the quota, kept free for it while it is silent
-        double charged = 0.0; // estimated spending from the latest note until it was silent
-        Instant silentAt;     // zero: it is not silent
+        std::uint64_t number = 0; // of the latest note with it
+        bool isActive = false;    // as it states
+        double share = 0.0;       // of the quota, kept free for it while it is silent
+        double charged = 0.0;     // estimated spending from the latest note until it was silent
+        Instant silentAt;         // zero: it is not silent
     };
 
     struct Account
@@ -189,13 +201,15 @@
         Quota quota;
         double level = 0.0;
         Instant updatedAt;
-        Instant syncUntil;            // the levels of other nodes are taken over
-        bool isSynced = false;        // whether another node's level was taken over since the start
-        double spent = 0.0;           // by this process
-        double noted = 0.0;           // spent as of the latest note
-        Instant notedAt;              // latest note with this organisation
-        double perSecond = 0.0;       // spent lately by this process
-        bool wasNoted = false;        // the latest note stated a rate above 0
+        Instant syncUntil;      // the levels of other nodes are taken over
+        bool isSynced = false;  // whether another node's level was taken over since the start
+        double spent = 0.0;     // by this process
+        double noted = 0.0;     // spent as of the latest note
+        Instant notedAt;        // latest note with this organisation
+        double perSecond = 0.0; // spent lately by this process
+        double squares = 0.0;   // sum of the squares of what makes up perSecond
+        Instant spentAt;
+        bool wasActive = false;       // as the latest note states
         RecentUse recent;             // by this process
         double share = 1.0;           // of the quota that this node may use
         bool isMinimal = false;       // cut off, and it had no part in the spending before
@@ -203,6 +217,13 @@
         std::unordered_map<std::string, PeerUse> peers; // by node
     };
 
+    struct Peer
+    {
+        std::uint64_t startedMs = 0; // of its process
+        Instant heardAt;             // latest note
+        Instant contactSince;        // since then there was no long gap between its notes
+    };
+
     void restart(Instant now);
     void noteCall(Instant now);
     void update(Account &account, Instant now) const;
@@ -211,23 +232,27 @@
     void setPeerRate(Account &account, PeerUse &use, double perSecond) const;
     bool isSilent(const std::string &node, const PeerUse &use, Instant now) const;
     bool isGone(const std::string &node, const PeerUse &use, Instant now) const;
+    void checkPeers(Instant now);
     void expirePeers(Account &account, Instant now);
     void reserveShares(Account &account, Instant now);
     void setShare(Account &account, Instant now) const;
     double takeTotal(Account &account, PeerUse &use, const QuotaUse &stated, bool isPartial,
                      Instant now) const;
     void noteUrgency(const Account &account);
+    static double expectedRate(const Account &account);
     double burstOf(const Account &account) const;
 
     std::string m_node;
     std::uint64_t m_startedMs;
     QuotaLedgerSettings m_settings;
     FleetView m_fleet;
-    Instant m_calledAt;      // latest call
-    Instant m_notedAt;       // latest note
-    bool m_isUrgent = false; // the next note is due after urgentNoteInterval
-    std::unordered_map<std::string, Account> m_accounts;    // by organisation
-    std::unordered_map<std::string, std::uint64_t> m_peers; // start of its process, by node
+    Instant m_calledAt;             // latest call
+    Instant m_notedAt;              // latest note
+    Instant m_checkedAt;            // for silent nodes
+    std::uint64_t m_lastNumber = 0; // of the latest note
+    bool m_isUrgent = false;        // the next note is due after urgentNoteInterval
+    std::unordered_map<std::string, Account> m_accounts; // by organisation
+    std::unordered_map<std::string, Peer> m_peers;       // by node
 };
 
 } // namespace burdock
