A figure of load that cannot be read shifts no other; absurd quotas are refused

Cause: figures of Instance-Load that are no number were dropped, so that later ones took their place. A rate of 1e999 was read as infinite.

Change: figures are read by position; without one of the first three there is no report, an unreadable fourth is none. Tests of how organisations, keys and the names sent to replicas are decoded.

--- a/tests/adapter/test_decoding.cpp
+++ b/tests/adapter/test_decoding.cpp
@@ -7,6 +7,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace burdock;
 using namespace std::chrono_literals;
 
@@ -127,6 +129,98 @@
     CHECK(!isOk(decoder.configuration(item("main", R"({"version":"7","routes":[]})"))));
 }
 
+TEST_GROUP(Organisations)
+{
+    StoreDecoder decoder;
+
+    /// @param fields of the configuration beside its version and routes
+    Result<ServingConfig> decode(const std::string &fields)
+    {
+        const std::string json = R"({"version":7,"routes":[])" + fields + "}";
+        return decoder.configuration(item("main", json.c_str()));
+    }
+};
+
+TEST(Organisations, AreReadWithKeysPriorityAndQuota)
+{
+    const auto config = decode(R"(,"tenants":[{"name":"hule930","api_keys":["k1","k2"],
+        "priority":1,"unit":"token_based","plain_tokens":200,"rate_per_s":506919,"burst":4200.5},
+        {"name":"free"},{"name":"counted","rate_per_s":5,"burst":null}])");
+    CHECK(isOk(config));
+    const std::vector<Organisation> &all = *valueOf(config).organisations;
+    CHECK_EQUAL(3, all.size());
+    CHECK_EQUAL(2, all[0].keys.size());
+    CHECK_EQUAL(1, all[0].priority);
+    DOUBLES_EQUAL(506'919.0, all[0].quota->perSecond, 1e-9);
+    DOUBLES_EQUAL(4'200.5, all[0].quota->burst, 1e-9);
+    DOUBLES_EQUAL(200.0, requestCost(*all[0].quota, 0, 0), 1e-9);
+    DOUBLES_EQUAL(70.0, requestCost(*all[0].quota, 50, 20), 1e-9);
+    CHECK(all[1].keys.empty() && !all[1].quota);
+    DOUBLES_EQUAL(1.0, requestCost(*all[2].quota, 50, 20), 1e-9);
+    CHECK(valueOf(config).problems.empty());
+}
+
+// Without the list no request needs a key; with an empty one no key is known.
+TEST(Organisations, AnEmptyListIsNotAMissingOne)
+{
+    CHECK(!valueOf(decode("")).organisations.has_value());
+    CHECK(!valueOf(decode(R"(,"tenants":null)")).organisations.has_value());
+    CHECK(valueOf(decode(R"(,"tenants":[])")).organisations->empty());
+    for (const char *bad : { "{}", "7", "\"all\"", "true" })
+        CHECK(!isOk(decode(std::string(R"(,"tenants":)") + bad)));
+}
+
+TEST(Organisations, OneThatCannotBeReadCostsNoOther)
+{
+    const char *bad[] = {
+        "7",
+        "null",
+        R"({"api_keys":["k"]})",
+        R"({"name":""})",
+        R"({"name":7})",
+        R"({"name":"a\nTenant: b"})",
+        R"({"name":"a\u0000"})",
+        R"({"name":"a\u007f"})",
+        R"({"name":"a","api_keys":[7]})",
+        R"({"name":"a","api_keys":[""]})",
+        R"({"name":"a","rate_per_s":-1})",
+        R"({"name":"a","rate_per_s":"many"})",
+        R"({"name":"a","rate_per_s":5,"burst":-1})",
+        R"({"name":"a","rate_per_s":5,"plain_tokens":-1})",
+        R"({"name":"a","rate_per_s":1e999})",
+        R"({"name":"good"})",
+    };
+    for (const char *json : bad) {
+        const auto config = decode(R"(,"tenants":[{"name":"good","api_keys":["k1"]},)"
+                                   + std::string(json) + R"(,{"name":"last"}])");
+        CHECK_TEXT(isOk(config), json);
+        const ServingConfig &read = valueOf(config);
+        CHECK_EQUAL_TEXT(2, read.organisations->size(), json);
+        CHECK_EQUAL(std::string("k1"), read.organisations->at(0).keys.at(0));
+        CHECK_EQUAL(std::string("last"), read.organisations->at(1).name);
+        CHECK_EQUAL_TEXT(1, read.problems.size(), json);
+    }
+}
+
+// Log records name what is wrong with an entry; its keys are secret.
+TEST(Organisations, ProblemsStateNoKey)
+{
+    const auto config = decode(R"(,"tenants":[{"name":"a","api_keys":["secret",7]},
+        {"name":"b","api_keys":["secret"],"rate_per_s":-1},{"api_keys":["secret"]}])");
+    CHECK_EQUAL(3, valueOf(config).problems.size());
+    for (const std::string &problem : valueOf(config).problems)
+        CHECK(problem.find("secret") == std::string::npos);
+}
+
+TEST(Organisations, RoutesArePublicOnlyIfTheySaySo)
+{
+    const auto config = decoder.configuration(item("main", R"({"version":7,"routes":[
+        {"name":"a","public":true},{"name":"b"},{"name":"c","public":"yes"}]})"));
+    CHECK(valueOf(config).routes[0].isPublic);
+    CHECK(!valueOf(config).routes[1].isPublic);
+    CHECK(!valueOf(config).routes[2].isPublic);
+}
+
 TEST_GROUP(PlatformDialect)
 {
     PlatformDialect dialect;
@@ -320,3 +414,62 @@
     CHECK(!isOk(decodeHostSettings("{}")));
     CHECK(!isOk(decodeHostSettings(R"({"listen":{},"platform":{"address":"10.0.0.9:8"}})")));
 }
+
+// The figure that cannot be read was dropped, and the later ones were taken for earlier ones.
+TEST(PlatformDialect, AFigureOfLoadThatCannotBeReadShiftsNoOther)
+{
+    CallerRequest caller;
+    caller.name = "q1";
+    const auto read = [&](const char *text) {
+        return dialect
+                .readHead({ 200,
+                            { { "Attempt-Id", "q1" },
+                              { "Server-Seal", "s" },
+                              { "Instance-Load", text } } },
+                          caller, "i-1")
+                .load;
+    };
+    CHECK_EQUAL(130, read("3,1,8,130")->workTimePercent);
+    CHECK_EQUAL(130, read(" 3, 1, 8, 130, 7")->workTimePercent);
+    CHECK_EQUAL(0, read("3,1,8")->workTimePercent);
+    for (const char *odd : { "3,1,8,", "3,1,8,x", "3,1,8,-5", "3,1,8,,130", "3,1,8,99999999999" }) {
+        CHECK_EQUAL_TEXT(8, read(odd)->slots, odd);
+        CHECK_EQUAL_TEXT(0, read(odd)->workTimePercent, odd);
+    }
+    for (const char *bad : { "", "3,1", "x,1,8,130", "3,x,8,130", "3,1,x,130", ",3,1,8" })
+        CHECK_TEXT(!read(bad).has_value(), bad);
+}
+
+TEST(PlatformDialect, ReplacesKeyAndOrganisationOnlyIfOrganisationsAreInUse)
+{
+    const auto decoded = dialect.decode(request({ { "Attempt-Id", "q1" },
+                                                  { "Key", "k1" },
+                                                  { "tenant", "someone-else" },
+                                                  { "TENANT", "another" } }));
+    CHECK_EQUAL(1, valueOf(decoded).keys.size());
+    ReplicaSend send { "i-1", 900ms, std::nullopt, 4 };
+    const HttpRequest asSent = dialect.encode(valueOf(decoded), send);
+    CHECK_EQUAL(std::string("k1"), *headerValue(asSent.headers, "Key"));
+    CHECK_EQUAL(std::string("someone-else"), *headerValue(asSent.headers, "Tenant"));
+
+    send.naming = CallerNaming::Organisation;
+    const HttpRequest without = dialect.encode(valueOf(decoded), send);
+    CHECK(!hasHeader(without, "Key"));
+    CHECK(!hasHeader(without, "Tenant"));
+
+    send.organisation = "hule930";
+    const HttpRequest named = dialect.encode(valueOf(decoded), send);
+    CHECK(!hasHeader(named, "Key"));
+    CHECK_EQUAL(std::string("hule930"), *headerValue(named.headers, "Tenant"));
+    CHECK_EQUAL(1,
+                std::count_if(named.headers.begin(), named.headers.end(),
+                              [](const HttpHeader &header) { return isNamed(header, "Tenant"); }));
+}
+
+TEST(PlatformDialect, KeepsEachKeyThatIsGiven)
+{
+    const auto decoded = dialect.decode(
+            request({ { "Attempt-Id", "q1" }, { "Key", "k1" }, { "key", "k1" }, { "KEY", "" } }));
+    CHECK_EQUAL(3, valueOf(decoded).keys.size());
+    CHECK_EQUAL(std::string(), valueOf(decoded).keys[2]);
+}
