A removed key names no organisation on public routes; strict revocation holds in queues

Cause: right before the send, public routes were not looked at, so that a replica was told the organisation of a key that had been removed while the request waited. The age of the configuration was looked at on arrival only. A list of organisations that came while a request was on its way did not change what had been encoded.

Change: the last look compares how the request was encoded with the configuration in force, and holds the bound of strict revocation. Requests on public routes are identified anew for each send.

--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -161,13 +161,25 @@
         };
 }
 
-bool RequestFlow::isAuthorized() const
+bool RequestFlow::isRevocationUnknown() const
 {
-    if (!m_state.keys || m_route->isPublic)
+    const ServingBounds &bounds = m_state.profile.bounds;
+    return bounds.revokesStrictly && m_state.configAge(steadyNow()) > bounds.revocationTime;
+}
+
+bool RequestFlow::isAuthorized(const Attempt &attempt) const
+{
+    const bool usesKeys = m_state.keys != nullptr;
+    const Organisation *organisation = usesKeys && m_caller.keys.size() == 1
+            ? m_state.keys->find(m_caller.keys.front())
+            : nullptr;
+    // The request names the caller as the configuration demanded when it was encoded.
+    const std::string name = organisation != nullptr ? organisation->name : "";
+    if ((attempt.naming == CallerNaming::Organisation) != usesKeys || attempt.organisation != name)
+        return false;
+    if (!usesKeys || m_route->isPublic)
         return true;
-    const Organisation *organisation =
-            m_caller.keys.size() == 1 ? m_state.keys->find(m_caller.keys.front()) : nullptr;
-    return organisation != nullptr && m_organisation && organisation->name == m_organisation->name;
+    return organisation != nullptr && !isRevocationUnknown();
 }
 
 asio::awaitable<bool> RequestFlow::refusedByKey()
@@ -185,8 +197,7 @@
     // A node that is out of touch cannot know a key that was added, or that one was removed.
     const ServingBounds &bounds = m_state.profile.bounds;
     const Duration age = m_state.configAge(steadyNow());
-    const bool isOutdated = m_organisation ? bounds.revokesStrictly && age > bounds.revocationTime
-                                           : age > bounds.configApplyTime;
+    const bool isOutdated = m_organisation ? isRevocationUnknown() : age > bounds.configApplyTime;
     if (isOutdated) {
         co_await answerOwn(StatusUnavailable, RetryElsewhere, "refused", "configuration_outdated");
         co_return true;
@@ -527,7 +538,7 @@
         attempt.withheld = "replica_left";
     else if (attempt.isDropped)
         attempt.withheld = "not_needed";
-    else if (!isAuthorized())
+    else if (!isAuthorized(attempt))
         attempt.withheld = "key_removed";
     if (*attempt.withheld != '\0')
         return false;
@@ -549,6 +560,8 @@
     const Duration left = m_request.deadline - attempt.sentAt;
     if (left <= Duration::zero())
         co_return AttemptResult::TimedOut;
+    if (m_route->isPublic)
+        identifyCaller(); // the key may have been removed, which does not end the request
     ReplicaSend send;
     send.replica = choice.id;
     send.timeLeft = toMilliseconds(left);
@@ -556,6 +569,8 @@
     send.urgency = urgency();
     send.naming = m_state.keys ? CallerNaming::Organisation : CallerNaming::AsSent;
     send.organisation = m_organisation ? m_organisation->name : "";
+    attempt.naming = send.naming;
+    attempt.organisation = send.organisation;
 
     // Whether a request arrived on a kept connection that its replica has just dropped is not
     // certain, and only requests that may be repeated can be sent again then.
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -91,11 +91,13 @@
         bool keptConnectionBroke = false; // the same, on a kept one before the head of the answer
         bool endedWithConnection = false; // the answer is whole unless the replica ended with it
         bool isProof = false;             // the answer is whole and a success
-        const char *withheld = "";        // why nothing was sent
-        std::string failure;              // what ended it, as the connection told it
-        const char *delimiter = "";       // of the answer's body; for the log
-        std::string replicaLimit;         // that the answer stated; for the log
-        std::size_t unfinishedBytes = 0;  // of an event at the end of the stream; for the log
+        CallerNaming naming = CallerNaming::AsSent;
+        std::string organisation;        // that the replica is told
+        const char *withheld = "";       // why nothing was sent
+        std::string failure;             // what ended it, as the connection told it
+        const char *delimiter = "";      // of the answer's body; for the log
+        std::string replicaLimit;        // that the answer stated; for the log
+        std::size_t unfinishedBytes = 0; // of an event at the end of the stream; for the log
     };
 
     /// An answer of a replica, kept until it is known whether the caller gets it.
@@ -111,8 +113,10 @@
     bool findRoute();
     /// Finds the organisation that the caller's key belongs to, in the configuration in force.
     void identifyCaller();
-    /// @return whether the configuration in force lets the caller's organisation use the route
-    bool isAuthorized() const;
+    /// @return whether keys have to be refused, since one that was removed may still be known here
+    bool isRevocationUnknown() const;
+    /// @return whether the configuration in force lets the request be sent as it was encoded
+    bool isAuthorized(const Attempt &attempt) const;
     /// @return whether the request was refused because of its key
     boost::asio::awaitable<bool> refusedByKey();
     /// @return whether the request was refused because it is beyond its organisation's quota
--- a/tests/support/requestflowfixture.h
+++ b/tests/support/requestflowfixture.h
@@ -67,9 +67,10 @@
     std::unique_ptr<NodeState> state;
     std::vector<std::unique_ptr<ScriptedServer>> servers;
     Caller caller;
-    std::string service = "s";     // of the replicas that are offered
-    std::vector<ModelCopy> models; // that they hold
-    bool offersAllAtOnce = false;  // the first one gets the first attempt
+    std::string service = "s";        // of the replicas that are offered
+    std::vector<ModelCopy> models;    // that they hold
+    std::vector<HttpHeader> sentKeys; // of the request, beside its other headers
+    bool offersAllAtOnce = false;     // the first one gets the first attempt
 
     void setup() override
     {
@@ -108,7 +109,8 @@
     {
         for (const std::string &script : scripts)
             servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { script }));
-        const HttpRequest request = callerRequest(path);
+        HttpRequest request = callerRequest(path);
+        request.headers.insert(request.headers.end(), sentKeys.begin(), sentKeys.end());
         std::size_t next = 0;
         const auto offer = [&] {
             // One replica at a time, so that the order of the scripts is the order of the attempts.
