--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -45,6 +45,9 @@
 constexpr milliseconds DelayNoted { 150 };
 constexpr milliseconds DelayOver { 30 };
 
+/// Uses of quotas in the log: the busiest organisations only.
+constexpr milliseconds QuotaLogInterval { 10'000 };
+constexpr std::size_t MaxQuotaLines = 10;
 constexpr milliseconds FindInterval { 5'000 };
 constexpr milliseconds FindAfter { 1'500 }; // from the start: seeds have answered by then
 
@@ -508,6 +511,21 @@
         m_link.send(*note, m_state.directory.ingressAddresses(now));
 }
 
+void EdgeProgram::logQuotas(Instant now)
+{
+    if (now < m_nextQuotaLog)
+        return;
+    m_nextQuotaLog = now + QuotaLogInterval;
+    for (const auto &[name, status] : m_state.quotas.busiest(MaxQuotaLines, now))
+        m_state.log.line("quota_use")
+                .field("organisation", name)
+                .field("quota", status.quotaPerSecond)
+                .field("own", status.ownPerSecond)
+                .field("others", status.othersPerSecond)
+                .field("level", status.level)
+                .field("share", status.share);
+}
+
 void EdgeProgram::announceLimit(const LimitNote &note)
 {
     m_link.send(note, m_state.directory.ingressAddresses(steadyNow()));
@@ -652,6 +670,7 @@
     }
     m_copies.tick();
     announceSpending();
+    logQuotas(now);
     if (m_registerAt != Instant {} && now >= m_registerAt) {
         m_registerAt = {};
         asio::co_spawn(m_state.io, registerNode(), asio::detached);
--- a/src/edge/edgeprogram.h
+++ b/src/edge/edgeprogram.h
@@ -98,6 +98,8 @@
 
     void noteDelay(Instant now);
     void tick();
+    /// Logs the use of the busiest quotas from time to time.
+    void logQuotas(Instant now);
     BeatMessage ownBeat() const;
     void measureServer();
     void sendBeat();
@@ -134,6 +136,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     Instant m_nextBeat;
+    Instant m_nextQuotaLog;
     Instant m_nextSilenceCheck;
     Instant m_nextTick;      // when the timer is due
     bool m_isBehind = false; // events wait for long until they are handled
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdock {
 
@@ -206,7 +207,7 @@
         co_return false;
     if (m_caller.keys.size() == 1)
         m_failure = "key " + keyDigest(m_caller.keys.front(), m_state.keySeed);
-    co_await answerOwn(StatusUnauthorized, {}, "unauthorized",
+    co_await answerOwn(StatusUnauthorized, {}, "unknown_key",
                        m_caller.keys.empty() ? "no_key" : "unknown_key");
     co_return true;
 }
@@ -223,6 +224,12 @@
         m_announcer.announceSpending();
         co_return false;
     }
+    if (const auto status = m_state.quotas.status(m_organisation->name, steadyNow()))
+        m_failure = "level " + std::to_string(std::llround(status->level)) + " quota "
+                + std::to_string(std::llround(status->quotaPerSecond)) + " own "
+                + std::to_string(std::llround(status->ownPerSecond)) + " others "
+                + std::to_string(std::llround(status->othersPerSecond)) + " share "
+                + std::to_string(status->share);
     // Callers return at different times, since the credit that comes is less than all ask for.
     const auto spread = milliseconds(static_cast<std::int64_t>(
             m_state.random.unit() * double(exceeded->retryAfter.count())));
--- a/src/organisations/quotaledger.cpp
+++ b/src/organisations/quotaledger.cpp
@@ -409,7 +409,28 @@
         return std::nullopt;
     update(found->second, now);
     const Account &account = found->second;
-    return Status { account.level, account.perSecond, account.othersPerSecond, account.share };
+    return Status { account.level, account.quota.perSecond, account.perSecond,
+                    account.othersPerSecond, account.share };
+}
+
+std::vector<std::pair<std::string, QuotaLedger::Status>> QuotaLedger::busiest(std::size_t count,
+                                                                              Instant now)
+{
+    std::vector<std::pair<std::string, Status>> all;
+    for (const auto &[name, account] : m_accounts) {
+        const Status found = *status(name, now);
+        if (found.ownPerSecond + found.othersPerSecond > NegligibleRate * found.quotaPerSecond)
+            all.emplace_back(name, found);
+    }
+    const auto isBusier = [](const auto &left, const auto &right) {
+        const auto use = [](const Status &each) {
+            return (each.ownPerSecond + each.othersPerSecond) / each.quotaPerSecond;
+        };
+        return use(left.second) > use(right.second);
+    };
+    std::sort(all.begin(), all.end(), isBusier);
+    all.resize(std::min(all.size(), count));
+    return all;
 }
 
 } // namespace burdock
--- a/src/organisations/quotaledger.h
+++ b/src/organisations/quotaledger.h
@@ -162,7 +162,8 @@
 
     struct Status
     {
-        double level = 0.0;           // of the bucket; below 0: debt
+        double level = 0.0; // of the bucket; below 0: debt
+        double quotaPerSecond = 0.0;
         double ownPerSecond = 0.0;    // spent at this node
         double othersPerSecond = 0.0; // spent at other nodes, by their latest notes
         double share = 1.0;           // of the quota, that this node and those it hears may use
@@ -171,6 +172,9 @@
     /// @return nothing if the organisation has no quota
     std::optional<Status> status(const std::string &organisation, Instant now);
 
+    /// @return the organisations that spend most of their quota over all nodes, at most `count`
+    std::vector<std::pair<std::string, Status>> busiest(std::size_t count, Instant now);
+
     /// @return number of organisations with a quota
     std::size_t size() const { return m_accounts.size(); }
 
--- a/tests/adapter/test_organisations.cpp
+++ b/tests/adapter/test_organisations.cpp
@@ -124,7 +124,7 @@
         logged();
     }
     CHECK_EQUAL(all.size(),
-                state->metrics.counter("burdock_answers_total{outcome=\"unauthorized\"}"));
+                state->metrics.counter("burdock_answers_total{outcome=\"unknown_key\"}"));
 }
 
 // The key may be in a version that this node has not heard of.
@@ -214,7 +214,9 @@
     const double seconds = std::stod(*headerValue(caller.headers, "Retry-After"));
     CHECK(seconds > 0.5 && seconds < 3.1); // 1.5 s, and as much again at random
     CHECK(!ran());
-    CHECK(logged().find("organisation=acme") != std::string::npos);
+    const std::string text = logged();
+    CHECK(text.find("organisation=acme") != std::string::npos);
+    CHECK(text.find(" quota 1000 own ") != std::string::npos);
 }
 
 TEST(RequestKeys, OnlyARequestThatRanIsPaidFor)
