--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -64,6 +64,26 @@
     CHECK(prompt.withdrawn);
 }
 
+TEST(PeerMessages, AQuotaNoteArrivesAsItWasSent)
+{
+    const QuotaNote note { "n1",
+                           1'779'462'125'018,
+                           7,
+                           { { "acme", 5e11, 1'200.0, UnknownLevel, true },
+                             { "small", 2'400.0, 0.0, -300.0, false } } };
+    const auto back = std::get<QuotaNote>(*decodePeerMessage(encodePeerMessage(note)));
+    CHECK_EQUAL(note.startedMs, back.startedMs);
+    CHECK_EQUAL(7, back.number);
+    CHECK_EQUAL(2, back.uses.size());
+    DOUBLES_EQUAL(5e11, back.uses[0].spent, 0.5);
+    CHECK(!(back.uses[0].level > UnknownLevel));
+    CHECK(back.uses[0].isActive && !back.uses[1].isActive);
+    DOUBLES_EQUAL(-300.0, back.uses[1].level, 1e-9);
+    for (const char *text : { "[8]", "[8,\"n\",1]", "[8,\"n\",1,1,[]]", "[8,\"n\",1,1,7]",
+                              "[8,\"n\",1,1,[\"t\",1,1,1]]", "[8,\"n\",1,1,[\"t\",1,1,1,2]]" })
+        CHECK(!decodePeerMessage(text).has_value());
+}
+
 TEST(PeerMessages, WhatIsNoMessageIsNothing)
 {
     for (const char *text : { "", "[]", "{}", "[9]", "[1]", "[3,\"r\",\"c\",7,1]",
