Clients that break the limits, played against burdock-entry, too

Cause: the plays of hostile clients knew burdock-node alone. On burdock-entry the same crowd left the ordinary request unanswered or took up to 165 MB; with the bound of 12 MB for all requests, freed bodies still left holes in the heap, up to 48 MB of 48 in small_chunks. A bound below one body of the greatest length refused it always.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,5 +1,6 @@
 # Functions that start a small fleet on loopback: stand-ins, entry and control processes.
-# To be sourced. Uses BIN (folder of the programs) and FLEET_DIR (logs and settings).
+# To be sourced. Uses BIN (folder of the programs), FLEET_DIR (logs and settings) and, if set, MORE_SETTINGS
+# (lines of every node's settings, each ending with a comma).
 #
 #   fleet_start 3        platform, engines, plain service, and three nodes in three zones
 #   fleet_publish DIR    publishes the service files below DIR
@@ -88,6 +89,7 @@
   "entry_status_port": 17303,
   "control_status_port": 17304,
   "platform": "$PLATFORM",
+  ${MORE_SETTINGS:-}
   "answer_lifetime_ms": ${ANSWER_LIFETIME_MS:-2000},
   "lease_time_ms": ${LEASE_TIME_MS:-3000},
   "seed": $1
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -7,6 +7,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace burdock {
@@ -23,13 +24,17 @@
 constexpr std::chrono::milliseconds LastWordsTime { 200 }; // for the last messages to leave
 
 constexpr std::size_t BytesPerMb = 1024 * 1024;
+/// A body in chunks takes up to twice its length while it grows, and counts twice when answered.
+constexpr std::size_t LeastBodies = 4;
 
 HttpLimits callerLimits(const NodeSettings &settings)
 {
     HttpLimits limits;
     limits.maxHeaderBytes = settings.maxHeaderBytes;
     limits.maxBodyBytes = settings.maxBodyBytes;
-    limits.maxBytesOfAll = static_cast<std::size_t>(settings.maxRequestMemoryMb) * BytesPerMb;
+    limits.maxBytesOfAll =
+            std::max(static_cast<std::size_t>(settings.maxRequestMemoryMb) * BytesPerMb,
+                     LeastBodies * settings.maxBodyBytes);
     limits.readTimeout = settings.headerTimeout + settings.bodyTimeout;
     limits.maxConnections = settings.maxOpenRequests;
     return limits;
--- a/tests/process/hostile_clients.py
+++ b/tests/process/hostile_clients.py
@@ -1,14 +1,15 @@
-"""Plays clients that break the limits against a real burdock-node process, and judges what it holds.
+"""Plays clients that break the limits against a real process, and judges what it holds.
 
-Usage: hostile_clients.py BIN FOLDER PLAY
+Usage: hostile_clients.py node BIN FOLDER PLAY
+       hostile_clients.py entry IP:PORT PID PLAY
 
-Starts the stand-ins of the store and of a replica and one node with small limits. A crowd of connections
-sends what PLAY says, each as far as the node takes it, and stays open. Judged then, while it is still
-connected:
+"node" starts the stand-ins of the store and of a replica and one burdock-node with small limits; "entry" takes
+a burdock-entry that test_hostile_entry.sh has started. A crowd of connections sends what PLAY says, each as far
+as the process takes it, and stays open. Judged then, while it is still connected:
 
 - the process that was started is still the one that runs;
-- its resident memory has never been above the memory_mb of its settings;
-- its open descriptors are no more than the max_fds of its settings;
+- its resident memory has never been above MEMORY_MB, the memory_mb of the node's settings;
+- its open descriptors are no more than DESCRIPTORS, the max_fds of the node's settings;
 - one ordinary request is answered by the replica.
 
 No times and no share of served requests are judged. CROWD in the environment multiplies the crowd, for plays
@@ -31,8 +32,12 @@
 REST_S = 2.0
 ANSWER_S = 30.0
 
-HEAD = f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: crowd\r\nDeadline-Ms: 60000\r\n"
-CHUNKED = (HEAD + "Transfer-Encoding: chunked\r\n\r\n").encode()
+NODE_HEAD = f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: crowd\r\nDeadline-Ms: 60000\r\n"
+ENTRY_HEAD = f"POST /order-app/orders HTTP/1.1\r\nHost: {HOST}\r\nIdempotency-Key: crowd\r\n"
+
+
+def chunked(head):
+    return (head + "Transfer-Encoding: chunked\r\n\r\n").encode()
 
 
 def repeat(block, total):
@@ -48,52 +53,52 @@
         yield block * count
 
 
-def trailers():
-    yield CHUNKED + b"1\r\nx\r\n0\r\n"
+def trailers(head):
+    yield chunked(head) + b"1\r\nx\r\n0\r\n"
     yield from repeat(b"X-Trailer: " + b"y" * 1000 + b"\r\n", 16 * 1024 * 1024)
 
 
-def long_trailer():
-    yield CHUNKED + b"1\r\nx\r\n0\r\nX-Trailer: "
+def long_trailer(head):
+    yield chunked(head) + b"1\r\nx\r\n0\r\nX-Trailer: "
     yield from repeat(b"y" * 4096, 16 * 1024 * 1024)
 
 
-def long_chunk_extension():
-    yield CHUNKED + b"1;"
+def long_chunk_extension(head):
+    yield chunked(head) + b"1;"
     yield from repeat(b"y" * 4096, 16 * 1024 * 1024)
 
 
-def announced_body():
-    yield (HEAD + f"Content-Length: {1 << 30}\r\n\r\n").encode()
+def announced_body(head):
+    yield (head + f"Content-Length: {1 << 30}\r\n\r\n").encode()
     yield from repeat(b"x" * 65536, 16 * 1024 * 1024)
 
 
-def unannounced_body():
-    yield CHUNKED
+def unannounced_body(head):
+    yield chunked(head)
     yield from chunks(16384, 16 * 1024 * 1024)
 
 
-def large_chunks():
-    yield CHUNKED
+def large_chunks(head):
+    yield chunked(head)
     yield from chunks(16384, MAX_BODY_BYTES - 65536)
 
 
-def small_chunks():
-    yield CHUNKED
+def small_chunks(head):
+    yield chunked(head)
     yield from chunks(16, MAX_BODY_BYTES - 65536)
 
 
-def lengths():
-    yield (HEAD + f"Content-Length: {MAX_BODY_BYTES}\r\n\r\n").encode()
+def lengths(head):
+    yield (head + f"Content-Length: {MAX_BODY_BYTES}\r\n\r\n").encode()
     yield from repeat(b"x" * 16384, MAX_BODY_BYTES - 65536)
 
 
-def long_heads():
-    yield HEAD.encode()
+def long_heads(head):
+    yield head.encode()
     yield from repeat(b"X-Field: " + b"y" * 100 + b"\r\n", MAX_HEADER_BYTES - 1024)
 
 
-def silent():
+def silent(_head):
     yield b""
 
 
@@ -152,11 +157,14 @@
     selector.close()
 
 
-class Play:
+class NodeTarget:
+    """One burdock-node before one replica."""
+
+    head = NODE_HEAD
+
     def __init__(self, fleet):
         self.fleet = fleet
         self.store = Store()
-        self.broken = []
 
     def start(self):
         binaries = self.fleet.binaries
@@ -182,11 +190,39 @@
         self.fleet.start_node("n-0")
         while self.ask()[0] != 200:
             time.sleep(0.05)
+        self.address = (self.fleet.ip("n-0"), FRONT)
+        self.pid = self.fleet.processes["n-0"].pid
+
+    def exit_code(self):
+        return self.fleet.processes["n-0"].poll()
 
     def ask(self):
         headers = {"Host": HOST, "Attempt-Id": "ordinary", "Deadline-Ms": "20000"}
         return call(f"{self.fleet.ip('n-0')}:{FRONT}", "POST", "/once/x", "x", headers, timeout=ANSWER_S)
 
+class EntryTarget:
+    """A burdock-entry that serves order-app."""
+
+    head = ENTRY_HEAD
+
+    def __init__(self, address, pid):
+        ip, port = address.rsplit(":", 1)
+        self.address = (ip, int(port))
+        self.pid = int(pid)
+
+    def exit_code(self):
+        return None if os.path.exists(f"/proc/{self.pid}/fd/0") else "not known"
+
+    def ask(self):
+        ip, port = self.address
+        return call(f"{ip}:{port}", "GET", "/order-app/stock", timeout=ANSWER_S)
+
+
+class Play:
+    def __init__(self, target):
+        self.target = target
+        self.broken = []
+
     def judge(self, condition, text):
         print(("holds   " if condition else "BROKEN  ") + text, flush=True)
         if not condition:
@@ -194,17 +230,16 @@
 
     def run(self, name):
         sends, count = PLAYS[name]
-        address = (self.fleet.ip("n-0"), FRONT)
-        clients = [Client(address, sends()) for _ in range(count * CROWD_FACTOR)]
+        target = self.target
+        clients = [Client(target.address, sends(target.head)) for _ in range(count * CROWD_FACTOR)]
         send_all(clients)
-        process = self.fleet.processes["n-0"]
-        await_rest(process.pid)
-        status, _, body = self.ask() if process.poll() is None else (0, {}, "")
-        self.judge(process.poll() is None, f"the process lives (exit code {process.poll()})")
-        if process.poll() is None:
-            peak = peak_memory_mb(process.pid)
+        await_rest(target.pid)
+        status, _, body = target.ask() if target.exit_code() is None else (0, {}, "")
+        self.judge(target.exit_code() is None, f"the process lives (exit code {target.exit_code()})")
+        if target.exit_code() is None:
+            peak = peak_memory_mb(target.pid)
             self.judge(peak <= MEMORY_MB, f"peak memory {peak:.0f} MB of {MEMORY_MB} MB")
-            open_files = len(os.listdir(f"/proc/{process.pid}/fd"))
+            open_files = len(os.listdir(f"/proc/{target.pid}/fd"))
             self.judge(open_files <= DESCRIPTORS, f"{open_files} descriptors of {DESCRIPTORS}")
         self.judge(status == 200, f"an ordinary request is answered (status {status} {body[:80]!r})")
         for client in clients:
@@ -228,15 +263,26 @@
         time.sleep(0.1)
 
 
-def main():
-    binaries, folder, name = sys.argv[1:4]
+def play_node(binaries, folder, name):
     fleet = Fleet(binaries, folder, 1)
-    play = Play(fleet)
+    target = NodeTarget(fleet)
+    play = Play(target)
     try:
-        play.start()
+        target.start()
         play.run(name)
     finally:
         fleet.stop_all()
+    return play
+
+
+def play_entry(address, pid, name):
+    play = Play(EntryTarget(address, pid))
+    play.run(name)
+    return play
+
+
+def main():
+    play = {"node": play_node, "entry": play_entry}[sys.argv[1]](*sys.argv[2:5])
     return 1 if play.broken else 0
 
 
--- a/tests/process/test_hostile_clients.sh
+++ b/tests/process/test_hostile_clients.sh
@@ -9,4 +9,4 @@
 flock 9
 FOLDER=$(mktemp -d)
 trap 'rm -rf "$FOLDER"' EXIT
-python3 tests/process/hostile_clients.py "$1" "$FOLDER" "$2" || { tail -20 "$FOLDER/n-0.log"; exit 1; }
+python3 tests/process/hostile_clients.py node "$1" "$FOLDER" "$2" || { tail -20 "$FOLDER/n-0.log"; exit 1; }
