Count a whole answer until its caller has taken it

Cause: the memory of whole answers was given back when a body had been read, not when it had been sent. Callers that never read kept their answers, up to 16 MB each, uncounted. The bound of 32 MB did not depend on the VM.

Change: BodyHold counts a body as long as the answer lives, on both interfaces. When the bound is reached, the caller that has kept most for longest, and for 1 s at least, is cut, so that callers that never read do not cost others their answers. burdock-node takes 0.15 of memory_mb, at most the 32 MB of before: on a VM of 120 MB that is one answer of the greatest length, 16 MB.

--- a/src/edge/nodestate.cpp
+++ b/src/edge/nodestate.cpp
@@ -101,6 +101,26 @@
 
 // ---- State --------------------------------------------------------------------------------------
 
+namespace {
+
+/// Of the VM's memory, whole answers may hold this share: on the smallest VMs (120 MB), one answer
+/// of the greatest length that is taken (16 MB).
+constexpr double AnswerMemoryShare = 0.15;
+
+BodyMemoryLimits answerLimits(const VmLimits &vm)
+{
+    constexpr double BytesPerMb = 1024.0 * 1024.0;
+    BodyMemoryLimits limits;
+    if (vm.memoryMb > 0.0)
+        limits.maxBytesOfAll =
+                std::min(limits.maxBytesOfAll,
+                         static_cast<std::size_t>(AnswerMemoryShare * BytesPerMb * vm.memoryMb));
+    limits.maxBytes = std::min(limits.maxBytes, limits.maxBytesOfAll);
+    return limits;
+}
+
+} // namespace
+
 NodeState::NodeState(boost::asio::io_context &context, NodeProfile nodeProfile,
                      PlatformPorts platform)
     : io(context)
@@ -121,6 +141,7 @@
     , directory({ profile.name, profile.ip, profile.zone, requestCapacity(profile.limits) }, {},
                 hashText(profile.name) + started)
     , random(hashText(profile.ip) ^ started)
+    , answerMemory(answerLimits(profile.limits))
 {
     chooser.setConnections(*this);
 }
--- a/src/edge/nodestate.h
+++ b/src/edge/nodestate.h
@@ -147,7 +147,7 @@
     bool leaving = false;          // a stop was asked for
     Instant refuseFrom;            // of a stop: later requests might not end before the process
     std::uint64_t lastRequestId = 0;
-    BodyMemory answerMemory; // of whole answers that are being read from replicas
+    BodyMemory answerMemory; // of whole answers, until their callers have taken them
 
     /// Called with notes for the other nodes, see SuspectFleet::sendSuspectNotes().
     std::function<void(const std::vector<SuspectNote> &, bool toAll)> onSuspectNotes;
--- a/src/edge/requestflow.cpp
+++ b/src/edge/requestflow.cpp
@@ -855,8 +855,8 @@
 asio::awaitable<AttemptResult> RequestFlow::takeWhole(Attempt &attempt)
 {
     const HttpResponseHead &head = *attempt.head;
-    auto read = co_await readBody(*attempt.exchange, m_request.deadline + AnswerSlack,
-                                  m_state.answerMemory);
+    auto hold = std::make_unique<BodyHold>(m_state.answerMemory);
+    auto read = co_await readBody(*attempt.exchange, m_request.deadline + AnswerSlack, *hold);
     auto *body = std::get_if<std::string>(&read);
     if (const auto *failure = std::get_if<CallFailure>(&read)) {
         attempt.failure = failure->message;
@@ -868,20 +868,26 @@
     }
     if (body == nullptr)
         co_return steadyNow() >= m_request.deadline ? AttemptResult::TimedOut : AttemptResult::Lost;
-    StoredAnswer answer { head, std::move(*body) };
+    StoredAnswer answer { head, std::move(*body), std::move(hold) };
     // A stream that has begun can only be continued by one.
     if (head.status >= LeastErrorStatus || m_reply.begun()) {
         m_errorAnswer = std::move(answer);
         co_return AttemptResult::ErrorResponse;
     }
     const int status = head.status;
-    const bool there =
-            co_await m_reply.send(status, std::move(answer.head.headers), std::move(answer.body));
+    const bool there = co_await sendWhole(std::move(answer));
     if (there)
         logDone("served", status, "");
     co_return there ? AttemptResult::Delivered : AttemptResult::CallerLeft;
 }
 
+asio::awaitable<bool> RequestFlow::sendWhole(StoredAnswer answer)
+{
+    answer.hold->beginSending([this] { m_reply.cut(); });
+    co_return co_await m_reply.send(answer.head.status, std::move(answer.head.headers),
+                                    std::move(answer.body));
+}
+
 // ---- Streams ------------------------------------------------------------------------------------
 
 asio::awaitable<bool> RequestFlow::beginStream(const HttpResponseHead &head)
@@ -993,8 +999,7 @@
         break;
     case NextStep::ForwardError: {
         const int status = m_errorAnswer->head.status;
-        const bool there = co_await m_reply.send(status, std::move(m_errorAnswer->head.headers),
-                                                 std::move(m_errorAnswer->body));
+        const bool there = co_await sendWhole(std::move(*m_errorAnswer));
         logDone(there ? "replica_error" : "caller_left", status, "");
         break;
     }
--- a/src/edge/requestflow.h
+++ b/src/edge/requestflow.h
@@ -103,6 +103,7 @@
     {
         HttpResponseHead head;
         std::string body;
+        std::unique_ptr<BodyHold> hold; // counts the body until it was sent
     };
 
     /// A head that may go to the caller, or how the attempt ended without one.
@@ -142,6 +143,8 @@
     /// closes the connection if that takes too long.
     boost::asio::awaitable<void> discardBody(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> takeWhole(Attempt &attempt);
+    /// Sends a whole answer, whose memory counts until the caller has taken it.
+    boost::asio::awaitable<bool> sendWhole(StoredAnswer answer);
     boost::asio::awaitable<AttemptResult> takeStream(Attempt &attempt);
     boost::asio::awaitable<bool> passEvents(const HttpResponseHead &head,
                                             std::vector<StreamEvent> events);
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -61,7 +61,7 @@
     boost::asio::io_context &io;
     NodeSettings settings;
     HttpClient http;
-    BodyMemory answerMemory; // of whole answers that are being read from upstreams
+    BodyMemory answerMemory; // of whole answers, until their callers have taken them
     ObjectClient objects;
     DecisionLog log;
     std::uint64_t incarnation; // of this process
--- a/src/entry/orderproxy.cpp
+++ b/src/entry/orderproxy.cpp
@@ -112,8 +112,7 @@
     m_state.dispatcher.onFinished(m_queued.routing.id, send.attempt, steadyNow());
     m_state.board.carryOut();
     recordAnswer(answer.response);
-    co_await m_reply.send(answer.response.head.status, answer.response.head.headers,
-                          std::move(answer.response.body));
+    co_await sendWhole(m_reply, std::move(answer));
 }
 
 void OrderRun::fail(const SendRequest &send, AttemptEnd end)
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -29,22 +29,34 @@
         co_return answer;
     }
     answer.response.head = std::move(std::get<HttpResponseHead>(head));
-    auto body = co_await readBody(*exchange, deadline, memory);
+    answer.hold = std::make_unique<BodyHold>(memory);
+    auto body = co_await readBody(*exchange, deadline, *answer.hold);
     if (const auto *failure = std::get_if<CallFailure>(&body)) {
         answer.end = endOf(*failure);
         answer.failure = failure->message;
+        answer.hold.reset();
         co_return answer;
     }
     answer.response.body = std::move(std::get<std::string>(body));
     if (isVisiblyTruncated(answer.response.head, answer.response.body)) {
         answer.end = AttemptEnd::Lost;
         answer.failure = TruncatedBody;
+        answer.response.body = {};
+        answer.hold.reset();
         co_return answer;
     }
     answer.end = AttemptEnd::Done;
     co_return answer;
 }
 
+asio::awaitable<bool> sendWhole(HttpReply &reply, WholeAnswer answer)
+{
+    answer.hold->beginSending([&reply] { reply.cut(); });
+    co_return co_await reply.send(answer.response.head.status,
+                                  std::move(answer.response.head.headers),
+                                  std::move(answer.response.body));
+}
+
 StreamRelay::StreamRelay(HttpReply &reply, std::uint64_t request, std::string requestName)
     : m_reply(reply)
     , m_request(request)
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -3,6 +3,7 @@
 // Index
 //   AttemptEnd     how one attempt ended
 //   readWhole      a whole answer, buffered, so that nothing is shown of an answer that fails
+//   sendWhole      passes it on
 //   StreamRelay    a streamed answer, event by event, over as many attempts as it takes
 #pragma once
 
@@ -36,17 +37,21 @@
     AttemptEnd end = AttemptEnd::Failed; // Done when the answer is whole
     HttpResponse response;               // for Done
     std::string failure;                 // for the log
+    std::unique_ptr<BodyHold> hold;      // counts the body until it was sent
 };
 
 /// Sends a request and reads the whole answer.
 /// @param exchange carries it
 /// @param request what to send
 /// @param deadline when to give up
-/// @param memory bounds this answer and all others; it has to outlive the call
+/// @param memory bounds this answer and all others; it has to outlive the answer
 boost::asio::awaitable<WholeAnswer> readWhole(std::shared_ptr<HttpExchange> exchange,
                                               const HttpRequest &request, Instant deadline,
                                               BodyMemory &memory);
 
+/// Sends a whole answer to the caller; its memory counts until the caller has taken it.
+boost::asio::awaitable<bool> sendWhole(HttpReply &reply, WholeAnswer answer);
+
 /// One attempt of a streamed answer.
 struct StreamAttempt
 {
--- a/src/entry/serviceproxy.cpp
+++ b/src/entry/serviceproxy.cpp
@@ -55,8 +55,7 @@
         co_return answer.end;
     noteFirstByte(send);
     m_reply.onCallerLeft(nullptr);
-    co_await m_reply.send(answer.response.head.status, answer.response.head.headers,
-                          std::move(answer.response.body));
+    co_await sendWhole(m_reply, std::move(answer));
     co_return AttemptEnd::Done;
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -445,32 +445,69 @@
 bool BodyMemory::tryAdd(std::size_t earlier, std::size_t bytes)
 {
     const std::size_t total = earlier + bytes;
-    const bool isWithinAll =
-            total <= m_limits.alwaysAllowed || m_used + bytes <= m_limits.maxBytesOfAll;
-    if (total > m_limits.maxBytes || !isWithinAll)
+    if (total > m_limits.maxBytes)
         return false;
+    while (total > m_limits.alwaysAllowed && m_used + bytes > m_limits.maxBytesOfAll) {
+        if (!reclaim())
+            return false;
+    }
     m_used += bytes;
     return true;
 }
 
+bool BodyMemory::reclaim()
+{
+    const Instant now = steadyNow();
+    const auto weight = [now](const BodyHold *hold) {
+        return double(hold->m_bytes) * double((now - hold->m_sendingFrom).count());
+    };
+    BodyHold *heaviest = nullptr;
+    for (BodyHold *hold : m_sending) {
+        if (now - hold->m_sendingFrom >= m_limits.sendTime
+            && (heaviest == nullptr || weight(hold) > weight(heaviest)))
+            heaviest = hold;
+    }
+    if (heaviest == nullptr)
+        return false;
+    const auto cut = std::move(heaviest->m_cut);
+    heaviest->release(); // its body is freed as soon as the sending has ended
+    cut();
+    return true;
+}
+
+bool BodyHold::tryAdd(std::size_t bytes)
+{
+    if (!m_memory->tryAdd(m_bytes, bytes))
+        return false;
+    m_bytes += bytes;
+    return true;
+}
+
+void BodyHold::beginSending(std::function<void()> cut)
+{
+    m_sendingFrom = steadyNow();
+    m_cut = std::move(cut);
+    m_memory->m_sending.insert(this);
+}
+
+void BodyHold::release()
+{
+    m_memory->m_sending.erase(this);
+    m_memory->m_used -= m_bytes;
+    m_bytes = 0;
+}
+
 asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
                                                   std::size_t maxBytes)
 {
     BodyMemory memory({ maxBytes, maxBytes, maxBytes });
-    co_return co_await readBody(exchange, deadline, memory);
+    BodyHold hold(memory);
+    co_return co_await readBody(exchange, deadline, hold);
 }
 
 asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
-                                                  BodyMemory &memory)
+                                                  BodyHold &hold)
 {
-    /// Gives the bytes back when the coroutine ends, in whichever way.
-    struct Counted
-    {
-        ~Counted() { memory.release(bytes); }
-        BodyMemory &memory;
-        std::size_t bytes = 0;
-    };
-    Counted counted { memory };
     std::string body;
     while (true) {
         auto part = co_await exchange.readPart(deadline);
@@ -481,12 +518,11 @@
         const auto &text = std::get<std::string>(part);
         if (text.empty())
             co_return body;
-        if (!memory.tryAdd(counted.bytes, text.size())) {
+        if (!hold.tryAdd(text.size())) {
             exchange.cancel();
             co_return CallFailure { true, false, false, false,
                                     "the body is longer than this process buffers" };
         }
-        counted.bytes += text.size();
         body += text;
     }
 }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -6,7 +6,8 @@
 //   SendCheck       has the last word before a request leaves
 //   HttpExchange    one request over one connection, its answer read part by part
 //   readBody        the rest of an answer, within a bound
-//   BodyMemory      a bound on all bodies that are being read
+//   BodyMemory      a bound on all bodies that are read whole, until they were passed on
+//   BodyHold        what one of them holds
 //   HttpSession     several calls over one and the same connection
 //   CallOptions     which kept connection a call may take, and how long its head may take
 //   ConnectOutcome  what came of a new connection
@@ -32,7 +33,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
+#include <set>
 #include <variant>
 
 namespace burdock {
@@ -111,12 +114,17 @@
 struct BodyMemoryLimits
 {
     std::size_t maxBytes = 16 * 1024 * 1024;      // of one body
-    std::size_t maxBytesOfAll = 32 * 1024 * 1024; // of all that are being read together
+    std::size_t maxBytesOfAll = 32 * 1024 * 1024; // of all together
     std::size_t alwaysAllowed = 64 * 1024;        // of each, whatever the others take
+    std::chrono::milliseconds sendTime { 1'000 }; // a receiver that takes longer may be cut
 };
 
-/// Bounds the memory of bodies that are read whole at the same time: servers in trouble may send
-/// them without end, and each answers many requests.
+class BodyHold;
+
+/// Bounds the memory of bodies that are read whole, until they were passed on: servers in trouble
+/// may send them without end, and receivers may never take them. When the bound is reached, the
+/// receivers that have kept most for longest are cut; bodies that are still arriving are refused
+/// if that is not enough.
 class BodyMemory
 {
 public:
@@ -124,25 +132,62 @@
         : m_limits(limits)
     {
     }
-
-    /// Counts further bytes of a body.
-    /// @param earlier bytes of it that were counted before
-    /// @return false if they must not be kept; they are not counted then
-    bool tryAdd(std::size_t earlier, std::size_t bytes);
-
-    /// Gives back what was counted for a body.
-    void release(std::size_t bytes) { m_used -= bytes; }
+    BodyMemory(const BodyMemory &) = delete;
+    BodyMemory &operator=(const BodyMemory &) = delete;
 
     std::size_t used() const { return m_used; }
+    const BodyMemoryLimits &limits() const { return m_limits; }
 
 private:
+    friend class BodyHold;
+
+    bool tryAdd(std::size_t earlier, std::size_t bytes);
+    /// Cuts the receiver that has kept most for longest.
+    /// @return whether there was one
+    bool reclaim();
+
     BodyMemoryLimits m_limits;
     std::size_t m_used = 0;
+    std::set<BodyHold *> m_sending;
+};
+
+/// What one body holds of the memory; given back at its end.
+class BodyHold
+{
+public:
+    /// @param memory has to outlive it
+    explicit BodyHold(BodyMemory &memory)
+        : m_memory(&memory)
+    {
+    }
+    ~BodyHold() { release(); }
+    BodyHold(const BodyHold &) = delete;
+    BodyHold &operator=(const BodyHold &) = delete;
+
+    /// Counts further bytes of the body.
+    /// @return false if they must not be kept; they are not counted then
+    bool tryAdd(std::size_t bytes);
+
+    /// The body is whole and is being sent on.
+    /// @param cut ends that, if the memory is needed for others
+    void beginSending(std::function<void()> cut);
+
+    std::size_t bytes() const { return m_bytes; }
+
+private:
+    friend class BodyMemory;
+
+    void release();
+
+    BodyMemory *m_memory;
+    std::size_t m_bytes = 0;
+    Instant m_sendingFrom;
+    std::function<void()> m_cut;
 };
 
-/// The same within the limits of `memory`, which has to outlive the call.
+/// The same within the limits of a memory; the body stays counted as long as `hold` lives.
 boost::asio::awaitable<CallResult<std::string>> readBody(HttpExchange &exchange, Instant deadline,
-                                                         BodyMemory &memory);
+                                                         BodyHold &hold);
 
 // ---- Session ------------------------------------------------------------------------------------
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -175,6 +175,7 @@
     bool callerLeft() const override { return m_callerLeft; }
     bool checkCallerLeft() override;
     bool begun() const override { return m_begun; }
+    void cut() override { m_stream.close(); }
 
 private:
     using Parser = http::request_parser<http::string_body>;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -95,6 +95,9 @@
 
     /// @return whether a header was sent already
     virtual bool begun() const = 0;
+
+    /// Ends the connection now, as if the caller had left: what is being sent fails.
+    virtual void cut() = 0;
 };
 
 // ---- Handler ------------------------------------------------------------------------------------
--- a/tests/adapter/test_requestflow.cpp
+++ b/tests/adapter/test_requestflow.cpp
@@ -46,6 +46,19 @@
     asio::io_context &io;
 };
 
+/// Takes nothing of an answer until it is cut off.
+struct NeverReads : public Caller
+{
+    asio::awaitable<bool> send(int answered, std::vector<HttpHeader>, std::string text) override
+    {
+        status = answered;
+        body = std::move(text);
+        while (!hasLeft)
+            co_await sleepFor(5ms);
+        co_return false;
+    }
+};
+
 /// Lists the first of the fixture's servers as the replica "r0".
 ReplicaInfo announceFirstServer(RequestFlowFixture &fixture)
 {
@@ -111,6 +124,42 @@
     CHECK_EQUAL(std::string("x"), *headerValue(caller.headers, "Server-Seal"));
 }
 
+// Answers that were read and not taken were not counted: callers that never read filled the memory.
+TEST(RequestFlow, AnAnswerIsCountedUntilTheCallerHasTakenIt)
+{
+    servers.push_back(std::make_unique<ScriptedServer>(io, std::vector { Good }));
+    announceFirstServer(*this);
+    NeverReads silent;
+    const HttpRequest request = callerRequest("/repeat/a");
+    RequestFlow flow(*state, nodes, request, silent);
+    bool done = false;
+    asio::co_spawn(io, flow.run(), [&done](const std::exception_ptr &) { done = true; });
+    const auto runUntil = [&](const auto &condition) {
+        const Instant end = steadyNow() + 3s;
+        while (!condition() && steadyNow() < end) {
+            io.run_for(5ms);
+            state->waiting.tick();
+        }
+        return condition();
+    };
+    CHECK(runUntil([&] { return silent.begun(); }));
+    CHECK_EQUAL(4U, state->answerMemory.used());
+
+    // The memory is needed for others: the caller that has not taken its answer for long is cut.
+    BodyHold other(state->answerMemory);
+    const std::size_t most = state->answerMemory.limits().maxBytes;
+    CHECK(other.tryAdd(most));
+    BodyHold further(state->answerMemory);
+    CHECK(!further.tryAdd(state->answerMemory.limits().maxBytesOfAll - most));
+    CHECK(!silent.hasLeft);
+    const Instant patience = steadyNow() + state->answerMemory.limits().sendTime;
+    CHECK(runUntil([&] { return steadyNow() > patience; }));
+    CHECK(further.tryAdd(state->answerMemory.limits().maxBytesOfAll - most));
+    CHECK(silent.hasLeft);
+    CHECK(runUntil([&] { return done; }));
+    CHECK_EQUAL(other.bytes() + further.bytes(), state->answerMemory.used());
+}
+
 TEST(RequestFlow, RepeatsWhatMayBeRepeated)
 {
     play("/repeat/a", { Lost, Good });
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -52,6 +52,7 @@
         return hasLeft;
     }
     bool begun() const override { return status != 0; }
+    void cut() override { hasLeft = true; }
 
     bool hasLeft = false; // its connection is closed, which is noticed by checkCallerLeft() only
     std::function<void()> leftCallback;
