Log lines for connections that are closed for others

Cause: connections closed for memory or for a place were counted, but no log line named the limit.

Change: one line at most each second with the reason and the counts, as for refused requests.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -109,6 +109,8 @@
     /// Closes the connection that has waited longest for a request, if there is any.
     /// @return whether there is a place for a new connection
     bool makePlace();
+    /// Counts a connection that was closed for others.
+    void noteClosed(std::uint64_t &count, const char *reason);
 
     asio::io_context &io;
     HttpLimits limits;
@@ -244,6 +246,15 @@
     }
 }
 
+void HttpServer::State::noteClosed(std::uint64_t &count, const char *reason)
+{
+    ++count;
+    LOG_EVERY_T(INFO, RefusalLogInterval.count())
+            << "closed a connection: " << reason << "; closed so far: idle, for memory "
+            << refusals.idle << ", for the place of a new one " << refusals.connections
+            << ", not accepted " << refusals.notAccepted;
+}
+
 bool HttpServer::State::makePlace()
 {
     if (static_cast<int>(connections.size()) < limits.maxConnections)
@@ -263,7 +274,7 @@
         return false;
     longest->giveUpPlace();
     connections.erase(longest);
-    refusals.connections++;
+    noteClosed(refusals.connections, "all places for connections are taken");
     return true;
 }
 
@@ -449,7 +460,7 @@
     m_held = 0;
     if (m_phase == Phase::Idle) {
         giveUpPlace();
-        m_server->refusals.idle++;
+        m_server->noteClosed(m_server->refusals.idle, "all requests together hold too much memory");
         return;
     }
     m_phase = Phase::Closing;
@@ -696,7 +707,7 @@
             continue;
         }
         if (!state->makePlace()) {
-            state->refusals.notAccepted++;
+            state->noteClosed(state->refusals.notAccepted, "no place is left for a new connection");
             continue;
         }
         auto connection = std::make_shared<HttpConnection>(state, std::move(socket));
