The quarantine test waits until a restarted engine listens

The script took the engine for dead, since its state page did not answer, and waited for the end of a process that was starting.

The script now waits for the page of each engine that it starts. Nothing else in it changes; it still asks for a final answer and counts the crashes.

--- a/tests/process/test_quarantine.sh
+++ b/tests/process/test_quarantine.sh
@@ -20,6 +20,8 @@
         wait "${PIDS[engine-$number]}" || true
         crashes=$((crashes + 1))
         start_engine "engine-$number" "1710$number" --crash-on POISON
+        # One that is still starting would count as dead at the next look, and never end.
+        wait_for 30 get "http://127.0.0.1:1710$number/state"
     done
 }
 
