A connection frees the body of the request that it has answered

Read again: the request was reset by an assignment, which keeps the memory of a long text for the next one, while the count of held bytes falls to the buffer. An idle connection that had sent a long body went on holding it, uncounted. freeText() exists for this and is called now, as for bodies that are refused.

No test of its own shows the memory of an idle connection; the whole check was not run after it.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -433,6 +433,7 @@
 /// Frees what the request holds besides the buffer.
 void HttpConnection::freeRequest()
 {
+    freeText(m_request.body);
     m_request = {};
     m_headBytes = 0;
     setHeld(0);
