--- a/review/9/scene.py
+++ b/review/9/scene.py
@@ -25,6 +25,7 @@
 class Replica(ModelReplica):
     crashes = []  # times
     all = []
+    is_crashed = False
 
     async def start(self):
         Replica.all.append(self)
@@ -38,6 +39,9 @@
         if request.headers.get("expect-instance", self.id) != self.id:
             return 421, {"Instance-Id": self.id, "Not-Executed": "1"}, b""
         await asyncio.sleep(0.05)
+        if self.is_crashed:
+            return None
+        self.is_crashed = True
         Replica.crashes.append(now())
         self.record("crash of", self.id, "by", request.headers.get("attempt-id"))
         self.crash()
@@ -92,8 +96,8 @@
         number = next(ids)
         sent = now()
         status, _, _ = await ask(node.front, "POST", "/chat/x", {
-            "Attempt-Id": f"{number:016x}", "Model": "m1", "Token-Count": "400,22", "Deadline-Ms": 8000,
-            "Prompt-Prefix": f"a1:100,b2:100,{third}:100,{number:x}f:100"}, f"text {number}".encode(), timeout=9)
+            "Attempt-Id": f"{number:016x}", "Model": "m1", "Token-Count": "2368,22", "Deadline-Ms": 8000,
+            "Prompt-Prefix": f"a1:200,b2:184,{third}:184,{number:x}f:1800"}, f"text {number}".encode(), timeout=9)
         record("poisoned" if third == POISON else "sound", number, "at", node.name, "->", status)
         if third != POISON:
             sound.append((sent, f"{number:016x}"))
@@ -108,7 +112,7 @@
     await asyncio.sleep(FIRST_S)
     if TROUBLE:
         await asyncio.sleep(0.55)  # between two sound requests
-        await asyncio.gather(*(send(node, POISON) for node in nodes * 2))
+        await asyncio.gather(*(send(node, POISON) for node in nodes * 3))
         while now() < began + RUN_S:
             await asyncio.sleep(3)
             await send(random.choice(nodes), POISON)
