--- a/review/bed.py
+++ b/review/10/bed.py
@@ -1,11 +1,13 @@
-"""Test bed: a store, replicas and callers that follow the users' pages, before real burdock-node processes."""
+"""Stand-ins of case 10: the platform's store, replicas of a model pool, callers, and the node processes.
+
+The store and the replicas follow the users' pages and do nothing that these do not name.
+"""
 import copy
 import http.client
 import json
 import os
 import random
 import shutil
-import signal
 import socket
 import subprocess
 import sys
@@ -13,7 +15,7 @@
 import threading
 import time
 
-ROOT = os.environ.get("BED_ROOT") or os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "shop.example"
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
           "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000,
@@ -135,8 +137,6 @@
         self.kinds = {}
         self.history = []
         self.oldest = 100
-        self.log = []  # (time, caller's ip, method, target, body, status)
-        self.hook = None  # hook(message, sock, peer) -> True when it has dealt with the call
         self.is_away = False
         self.copy = None
         self.server = Server(ip, port, self.answer)
@@ -182,9 +182,6 @@
     def answer(self, message, sock):
         if self.is_away:
             raise OSError("away")
-        peer = sock.getpeername()[0]
-        if self.hook and self.hook(message, sock, peer):
-            return None
         path, _, query = message.target.partition("?")
         params = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
         parts = path.split("/")
@@ -195,7 +192,6 @@
         else:
             with self.lock:
                 status, body = self.call(message, kind, name)
-        self.log.append((now(), peer, message.method, message.target, message.body, status))
         send_answer(sock, status, [("Content-Type", "application/json"), ("Store-Era", str(self.era))],
                     body.encode("latin-1"))
 
@@ -351,7 +347,7 @@
         send_answer(sock, 200, self.head(message), self.body(message))
         return None
 
-    def stream(self, message, sock, events=10, pause_ms=20):
+    def stream(self, message, sock, events=20, pause_ms=50):
         head = "HTTP/1.1 200 OK\r\n"
         for name, value in self.head(message) + [("Content-Type", "text/event-stream"),
                                                  ("Transfer-Encoding", "chunked")]:
@@ -473,7 +469,6 @@
         self.ips = {name: "%s.%d" % (self.net, 10 + number) for number, name in enumerate(self.names)}
         self.ports = self.free_ports()
         self.processes = {}
-        self.stopped = []  # processes that were suspended
         self.bounds = dict(BOUNDS)
         self.limits = {"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0,
                        "disk_mb": 0}
@@ -552,16 +547,12 @@
     def close(self, folder=None):
         for process in self.processes.values():
             if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
         if folder:
             with open(os.path.join(folder, "record.txt"), "w") as file:
                 file.write("\n".join(self.record) + "\n")
-        if os.environ.get("BED_KEEP"):
-            print("kept", self.folder)
-        else:
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRun(Exception):
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
     echo "Python 3.11 or later is needed" >&2
     exit 1
 }
-for file in fleet2.py [0-9]*/scene.py; do
+for file in fleet2.py [0-9]*/*.py; do
     case $file in
     [1-5]/*) continue ;; # of the earlier review
     esac
