Terms of the placement lease carry the store's era

Cause: the term is counted from the lease object and from the holder that other nodes name. An older copy takes the object back, and after a power loss no node is left to name anybody.

Change: all terms of an era are above those of earlier eras, within the integers that JSON readers keep exactly. A value of an earlier era, which a late write can bring back, names nobody and lends no term. Whether there was a holder before is said by the lease; it was read from "term 1".

Why it works: the era only rises and comes with each answer; within an era, conditional writes order the takeovers.

--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -6,6 +6,13 @@
 
 namespace burdock {
 
+namespace {
+
+/// Takeovers of an era count on from the version, below the terms of the next era.
+constexpr std::uint64_t MaxVersionInTerm = TermsPerEra / 2;
+
+} // namespace
+
 Lease::Lease(LeaseSettings settings, std::string node, std::uint64_t incarnation)
     : m_settings(settings)
     , m_node(std::move(node))
@@ -37,22 +44,34 @@
         scheduleRetry(now);
         return;
     }
-    if (isLost(result)) {
-        m_isLost = true;
-        m_lostUntil = now + m_settings.leaseTime;
-        m_termFloor = std::max(m_termFloor, m_value.term);
-        setHeld(false);
+    if (m_everRead && result.era < m_era) {
+        scheduleRetry(now); // of an era that is over
+        return;
     }
+    if (isLost(result))
+        lose(now);
     m_era = result.era;
     applyObject(result.version, result.value, now);
 }
 
+/// Gives up what the object said: a holder that it does not name may go on for the lease time.
+void Lease::lose(Instant now)
+{
+    m_isLost = true;
+    m_wasLost = true;
+    m_releasing = false;
+    m_lostUntil = now + m_settings.leaseTime;
+    m_termFloor = std::max(m_termFloor, m_value.term);
+    setHeld(false);
+}
+
 void Lease::onWritten(const LeaseWriteResult &result, Instant now)
 {
     if (m_call != Call::Write || result.callId != m_callId)
         return;
     m_call = Call::None;
-    switch (result.status) {
+    const bool isOutdated = m_pending.era < m_era; // the condition was one of an earlier era
+    switch (isOutdated ? WriteOutcome::Unknown : result.status) {
     case WriteOutcome::Done:
         applyObject(result.version, m_pending, now);
         break;
@@ -89,14 +108,17 @@
         sendRead(now);
         return;
     }
-    if (m_held && m_releasing)
+    if (m_held && m_releasing) {
         sendWrite(LeaseValue { "", m_incarnation, m_value.term, 0, 0 }, now);
-    else if (m_held)
+    } else if (m_held) {
+        m_hasPredecessor = m_hasPredecessor || renewalTerm() != m_value.term;
         sendWrite(LeaseValue { m_node, m_incarnation, renewalTerm(), 0, 0 }, now);
-    else if (canTake)
+    } else if (canTake) {
+        m_hasPredecessor = m_version != 0 || m_wasLost || m_termFloor != 0;
         sendWrite(LeaseValue { m_node, m_incarnation, takeoverTerm(), 0, 0 }, now);
-    else
+    } else {
         sendRead(now);
+    }
 }
 
 void Lease::release(Instant now)
@@ -148,12 +170,22 @@
 
 std::uint64_t Lease::renewalTerm() const
 {
-    return m_value.term > m_termFloor ? m_value.term : m_termFloor + 1;
+    return m_value.term > termFloor() ? m_value.term : termFloor() + 1;
 }
 
 std::uint64_t Lease::takeoverTerm() const
 {
-    return std::max(m_value.term, m_termFloor) + 1;
+    return std::max(m_value.term, termFloor()) + 1;
+}
+
+/// @return a term that may have been given out, while those above it were not
+std::uint64_t Lease::termFloor() const
+{
+    const std::uint64_t lowest = std::min(m_era, MaxTermEra) * TermsPerEra;
+    // A late write of an earlier era may have replaced a value of this one. Each takeover in this
+    // era raised the version, so no term above it was given out.
+    const bool isReplaced = m_value.era < m_era;
+    return std::max(m_termFloor, lowest + (isReplaced ? std::min(m_version, MaxVersionInTerm) : 0));
 }
 
 /// @return whether a holder may exist whom the object no longer names
@@ -162,7 +194,10 @@
     const bool isAbsent = read.version == 0;
     if (!m_everRead)
         return isAbsent ? read.hasKnownHolder : read.value.era < read.era;
-    return read.era != m_era || (isAbsent && m_version != 0);
+    // A late write of an earlier era may have met its condition, since versions are given out
+    // again.
+    const bool isOfEarlierEra = read.version != m_version && read.value.era < read.era;
+    return read.era != m_era || (isAbsent && m_version != 0) || (!isAbsent && isOfEarlierEra);
 }
 
 bool Lease::isOwnValue(const LeaseValue &value) const
--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -3,6 +3,7 @@
 // Index
 //   LeaseSettings                      durations and intervals
 //   LeaseValue                         the stored object
+//   TermsPerEra, MaxTermEra            how an era is part of a term
 //   LeaseRead, LeaseWrite              actions: calls that the caller makes to the Object API
 //   LeaseReadResult, LeaseWriteResult  their results
 //   LeaseEvent                         lease taken, lease lost
@@ -22,6 +23,10 @@
 // who held the lease last, and that holder does not know yet. The lease is then free for nobody,
 // its holder of before included, until the lease time has passed.
 //
+// Terms. An older copy has also lost the terms that were given out since, and after a power loss no
+// process may be left that knows them. So the era is part of the term: all terms of an era are
+// above all terms of the eras before.
+//
 // Limit. A process that is suspended between holds() and an effect acts late. Every effect must
 // therefore be fenced by the term: writes by conditional update, orders by their fencing number.
 #pragma once
@@ -57,13 +62,18 @@
 {
     std::string holder;            // node name of the holder; empty when the lease was released
     std::uint64_t incarnation = 0; // incarnation of the writing process
-    std::uint64_t term = 0;        // increases with each takeover
+    std::uint64_t term = 0;        // increases with each takeover and with each era
     std::uint64_t writeId = 0;     // number of the write among those of the writing process
     std::uint64_t era = 0;         // of the store in which it was written
 
     friend bool operator==(const LeaseValue &, const LeaseValue &) = default;
 };
 
+/// Terms that one era can hold. A term is written as a JSON integer, which many readers keep
+/// exactly only up to 2^53; eras up to MaxTermEra fit.
+constexpr std::uint64_t TermsPerEra = 10'000'000'000;
+constexpr std::uint64_t MaxTermEra = 900'000;
+
 struct LeaseRead
 {
     std::uint64_t callId = 0; // to be copied into the result
@@ -134,6 +144,10 @@
     /// @return whether the lease object, as last seen, names this process
     bool owns() const { return m_held; }
 
+    /// @return whether a process may have held the lease before the takeover of this one. False
+    ///         only if this process created the object, and nothing showed an earlier holder.
+    bool hasPredecessor() const { return m_hasPredecessor; }
+
     /// @return the term held; 0 when this process does not own the lease
     std::uint64_t term() const { return m_held ? m_value.term : 0; }
 
@@ -152,10 +166,12 @@
     void sendWrite(LeaseValue value, Instant now);
     void applyObject(std::uint64_t version, const LeaseValue &value, Instant now);
     bool isLost(const LeaseReadResult &read) const;
+    void lose(Instant now);
     void setHeld(bool held);
     void scheduleRetry(Instant now);
     std::uint64_t renewalTerm() const;
     std::uint64_t takeoverTerm() const;
+    std::uint64_t termFloor() const;
     bool isOwnValue(const LeaseValue &value) const;
     std::chrono::milliseconds readInterval() const;
 
@@ -170,6 +186,8 @@
     std::uint64_t m_era = 0;        // of the store when the object was last seen
     bool m_everRead = false;        // the object was seen at least once
     bool m_isLost = false;          // what the object said was lost, and it is not free yet
+    bool m_wasLost = false;         // this was so once
+    bool m_hasPredecessor = true;   // see hasPredecessor()
     Instant m_lostUntil;            // the lost lease is free from then on
     bool m_versionKnown = false;    // m_version may be current; false: read before the next write
     LeaseValue m_value;             // value of the object when last seen
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -181,7 +181,7 @@
         m_state.log.line("placement_holder")
                 .field("holds", holder ? "yes" : "no")
                 .field("term", m_lease.term());
-        m_placement.setHolder(holder, m_lease.term(), steadyNow());
+        m_placement.setHolder(holder, m_lease.term(), m_lease.hasPredecessor(), steadyNow());
     }
 }
 
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::uint64_t FirstTerm = 1;
-
 /// A model load counts as failed if the model is not listed within LoadTimeoutFactor times its
 /// duration from the weight store, plus LoadTimeoutMargin.
 constexpr int LoadTimeoutFactor = 4;
@@ -238,15 +236,15 @@
     engine.orderCountKnown = !report->busy;
 }
 
-void CopyPlacement::setHolder(bool isHolder, std::uint64_t term, Instant now)
+void CopyPlacement::setHolder(bool isHolder, std::uint64_t term, bool hasPredecessor, Instant now)
 {
-    if (isHolder && !m_isHolder && term != FirstTerm) {
+    if (isHolder && !m_isHolder && hasPredecessor) {
         m_demandKnownAt = now + m_settings.demandSettleTime;
         m_waitsKnownAt = now + m_settings.waitHandoverTime;
     }
     if (isHolder && (!m_isHolder || term != m_term)) {
         for (auto &[service, limiter] : m_loadLimiters)
-            limiter.reset(now, term == FirstTerm);
+            limiter.reset(now, !hasPredecessor);
         for (auto &[id, engine] : m_engines) {
             const ReplicaInfo info = engine.info;
             resetRecord(engine, info); // another holder may have issued orders since
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -258,8 +258,9 @@
                   Instant now);
 
     /// Sets whether this node is the holder.
-    /// @param term term of the lease; 1 is the first, before which no node has issued orders
-    void setHolder(bool isHolder, std::uint64_t term, Instant now);
+    /// @param term of the lease
+    /// @param hasPredecessor whether another holder may have issued orders before
+    void setHolder(bool isHolder, std::uint64_t term, bool hasPredecessor, Instant now);
 
     /// Expires old state, requests reports and issues orders. Does nothing unless this node is the
     /// holder.
--- a/tests/decide/test_lease.cpp
+++ b/tests/decide/test_lease.cpp
@@ -133,6 +133,63 @@
     CHECK(later.holds(now));
 }
 
+// Guards against two holders with one fencing token: a power loss ended all processes that knew the
+// latest term, and the store came back from a copy that lacked it.
+TEST(Lease, TermOfALostHolderIsNotGivenOutAgainInALaterEra)
+{
+    FakeLeaseObject object;
+    object.era = 1;
+    Instant now(1s);
+    Lease first = makeLease("node-1");
+    runLease(first, object, now, 5s);
+    FakeLeaseObject copy = object;
+    first.release(now);
+    runLease(first, object, now, 1s);
+    Lease second = makeLease("node-2");
+    runLease(second, object, now, 5s);
+    CHECK(second.holds(now));
+    const std::uint64_t lostTerm = second.term();
+
+    object = copy;
+    object.era = 2;
+    Lease third = makeLease("node-3"); // node-1 and node-2 no longer run
+    runLease(third, object, now, 20s);
+    CHECK(third.holds(now));
+    CHECK_COMPARE(third.term(), >, lostTerm);
+}
+
+// The same when the copy is older than the lease object itself.
+TEST(Lease, TermsOfALaterEraAreAboveThoseOfEarlierOnesWithoutTheLeaseObject)
+{
+    FakeLeaseObject object;
+    object.era = 1;
+    Instant now(1s);
+    Lease first = makeLease("node-1");
+    runLease(first, object, now, 5s);
+    object = {};
+    object.era = 2;
+    Lease second = makeLease("node-2");
+    runLease(second, object, now, 20s);
+    CHECK(second.holds(now));
+    CHECK_COMPARE(second.term(), >, first.lastSeen().term);
+    runLease(first, object, now, 1s);
+    CHECK(!first.holds(now));
+}
+
+TEST(Lease, TermsStayExactInJsonReadersHoweverHighTheEra)
+{
+    constexpr std::uint64_t MaxExactJsonInteger = std::uint64_t(1) << 53;
+    for (const std::uint64_t era : { std::uint64_t(1), MaxExactJsonInteger, ~std::uint64_t(0) }) {
+        FakeLeaseObject object;
+        object.era = era;
+        Instant now(1s);
+        Lease lease = makeLease("node-1");
+        runLease(lease, object, now, 20s);
+        CHECK(lease.holds(now));
+        CHECK_COMPARE(lease.term(), <, MaxExactJsonInteger);
+    }
+}
+
 TEST(Lease, NewProcessGoesOnWithTheLeaseOfItsNodeInTheSameEra)
 {
     FakeLeaseObject object;
@@ -211,9 +268,15 @@
 };
 
 // Three candidates on one object. Calls are delayed, responses are lost, and nodes are suspended.
+// With drills the store comes back from an older copy, at times after a power loss of all nodes.
 struct LeaseSimulation
 {
     FakeLeaseObject object;
+    FakeLeaseObject copy; // of the object, for the next drill
+    bool hasDrills = false;
+    LeaseSettings settings;
+    Instant poweredFrom;
+    bool hasKnownHolder = false; // a node has held the lease since the latest power loss
     std::vector<Lease> nodes;
     std::vector<Instant> suspendedUntil { 3 };
     std::vector<PendingCall> calls;
@@ -223,15 +286,40 @@
     int takeovers = 0;
     Random random;
 
-    LeaseSimulation(const LeaseSettings &settings, std::uint64_t seed)
-        : random(seed)
+    LeaseSimulation(const LeaseSettings &leaseSettings, std::uint64_t seed)
+        : settings(leaseSettings)
+        , random(seed)
     {
+        startNodes();
+    }
+
+    void startNodes()
+    {
+        nodes.clear();
         for (int number = 0; number < 3; ++number) {
             nodes.emplace_back(settings, "node-" + std::to_string(number), 1);
             nodes.back().setCandidate(true, Instant {});
         }
     }
 
+    /// Makes a copy of the store, or brings the latest one back in a new era.
+    void drill(Instant now)
+    {
+        if (random.below(3) != 0) {
+            copy = object;
+            return;
+        }
+        const std::uint64_t era = object.era + 1;
+        object = copy;
+        object.era = era;
+        if (random.below(2) == 0) {
+            calls.clear();
+            startNodes();
+            hasKnownHolder = false;
+            poweredFrom = now + settings.leaseTime; // no node is up for a lease time
+        }
+    }
+
     void run()
     {
         Instant now(1s);
@@ -239,7 +327,10 @@
             if (random.below(60) == 0)
                 suspendedUntil[random.below(3)] =
                         now + std::chrono::milliseconds(random.below(15'000));
-            step(now);
+            if (hasDrills && random.below(60) == 0)
+                drill(now);
+            if (now >= poweredFrom)
+                step(now);
         }
     }
 
@@ -274,11 +365,16 @@
         const bool delivered = call.responseDelivered && suspendedUntil[call.node] <= now;
         if (const auto *read = std::get_if<LeaseRead>(&call.action)) {
             if (delivered)
-                lease.onRead({ read->callId, true, object.version, object.value }, now);
+                lease.onRead({ read->callId, true, object.version, object.value, object.era,
+                               hasKnownHolder },
+                             now);
             return;
         }
         const auto &write = std::get<LeaseWrite>(call.action);
-        const WriteOutcome status = object.write(write);
+        // Its condition may be met by another object's revision of the new era.
+        const bool isOfEarlierEra = write.value.era < object.era;
+        const WriteOutcome met = object.write(write);
+        const WriteOutcome status = isOfEarlierEra ? WriteOutcome::Unknown : met;
         if (delivered)
             lease.onWritten({ write.callId, status, object.version }, now);
     }
@@ -290,6 +386,7 @@
             if (suspendedUntil[node] > now || !nodes[node].holds(now))
                 continue;
             ++holders;
+            hasKnownHolder = true;
             const auto [holder, newTerm] = firstHolderOfTerm.try_emplace(nodes[node].term(), node);
             takeovers += newTerm ? 1 : 0;
             sharedTerms += holder->second != node ? 1 : 0;
@@ -306,11 +403,12 @@
     int sharedTerms = 0;
 };
 
-LeaseCounts runSchedules(const LeaseSettings &settings, int schedules)
+LeaseCounts runSchedules(const LeaseSettings &settings, int schedules, bool hasDrills = false)
 {
     LeaseCounts counts;
     for (int seed = 1; seed <= schedules; ++seed) {
         LeaseSimulation simulation(settings, static_cast<std::uint64_t>(seed));
+        simulation.hasDrills = hasDrills;
         simulation.run();
         ++counts.schedules;
         counts.takeovers += simulation.takeovers;
@@ -334,6 +432,18 @@
     LONGS_EQUAL(0, counts.sharedTerms);
 }
 
+TEST(Lease, RunningHoldersNeverShareATermWhenTheStoreComesBackOlder)
+{
+    const LeaseCounts counts = runSchedules(LeaseSettings {}, 2'000, true);
+    UT_PRINT(StringFromFormat("seeds 1..%d: %d takeovers, %d overlaps, %d shared terms",
+                              counts.schedules, counts.takeovers, counts.overlappingHolders,
+                              counts.sharedTerms)
+                     .asCharString());
+    CHECK(counts.takeovers > counts.schedules);
+    LONGS_EQUAL(0, counts.overlappingHolders);
+    LONGS_EQUAL(0, counts.sharedTerms);
+}
+
 // Two holders overlap when a candidate takes over after a lease time shorter than the hold time of
 // the holder: here 9 s against 30 s. Shows that the simulation detects overlapping holders.
 TEST(Lease, CandidateWithLeaseTimeBelowHoldTimeOverlapsWithHolder)
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -160,7 +160,7 @@
             replica.models["m" + std::to_string(number % 2)];
             replicas.push_back(replica);
         }
-        placement->setHolder(true, 1, now);
+        placement->setHolder(true, 1, false, now);
     }
 
     FakeReplica &find(const std::string &id)
@@ -261,7 +261,7 @@
 {
     for (const FakeReplica &replica : replicas)
         placement.onReplica(replica.listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     for (const FakeReplica &replica : replicas)
         placement.onReport(replica.id, replica.report(Start + 3s), Start + 3s);
@@ -426,7 +426,7 @@
     free.models["m0"];
     for (const FakeReplica *replica : { &full, &free })
         placement.onReplica(replica->listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     for (const FakeReplica *replica : { &full, &free })
         placement.onReport(replica->id, replica->report(Start + 3s), Start + 3s);
@@ -463,7 +463,7 @@
     replica.loading = "m1";
     replica.busyUntil = Start + 2s;
     placement.onReplica(replica.listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     for (Instant now = Start; now < Start + 1'900ms; now += 100ms) {
         placement.tick(now);
         for (PlacingAction &action : placement.takeActions()) {
@@ -485,7 +485,7 @@
     replica.models["m0"] = { "a1", "a2", "a3" };
     replica.accepted = 5;
     placement.onReplica(replica.listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     EngineReport report = replica.report(Start + 3s);
     report.pendingAdapters = { "m0/a4" };
@@ -509,7 +509,7 @@
     replica.id = "r0";
     replica.models["m0"] = { "a1", "a2", "a3", "a4" };
     placement.onReplica(replica.listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     placement.onReport("r0", replica.report(Start + 3s), Start + 3s);
     placement.takeActions();
@@ -555,7 +555,7 @@
     replica.id = "r0";
     replica.models["m0"] = { "a1", "a2", "a3", "a4" };
     placement.onReplica(replica.listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     placement.onReport("r0", replica.report(Start + 3s), Start + 3s);
     placement.takeActions();
@@ -592,7 +592,7 @@
     plain.id = "p0";
     plain.service = "orders";
     placement.onReplica(plain, Start);
-    placement.setHolder(true, 1, Start);
+    placement.setHolder(true, 1, false, Start);
     placement.tick(Start + 1s);
     CHECK(placement.takeActions().empty());
 }
@@ -631,9 +631,9 @@
             simulation.placement->onCopyRequest(
                     "pool", "m0", "a" + std::to_string(*rc::gen::inRange(1, 7)), simulation.now);
             if (second % 13 == 12) { // a new holder continues without the state of the previous one
-                simulation.placement->setHolder(false, 0, simulation.now);
+                simulation.placement->setHolder(false, 0, true, simulation.now);
                 simulation.placement->setHolder(true, static_cast<std::uint64_t>(second),
-                                                simulation.now);
+                                                second != 1, simulation.now);
             }
             simulation.run(1s);
             RC_ASSERT(!simulation.anyOvercommitted());
@@ -644,7 +644,7 @@
 TEST(CopyPlacement, SendsNoOrderWithoutTheLease)
 {
     Simulation simulation(5);
-    simulation.placement->setHolder(false, 0, simulation.now);
+    simulation.placement->setHolder(false, 0, true, simulation.now);
     simulation.run(10s);
     CHECK_EQUAL(0, simulation.orders);
 }
@@ -676,7 +676,7 @@
 {
     CopyPlacement placement(onNode1());
     placement.onConfig(config());
-    placement.setHolder(true, 1, Start);
+    placement.setHolder(true, 1, false, Start);
     for (int number = 0; number < 4; ++number) {
         FakeReplica replica;
         replica.id = "r" + std::to_string(number);
@@ -708,7 +708,7 @@
         replicas.push_back(replica);
         placement.onReplica(replica.listing(), Start - 10s);
     }
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     for (Instant now = Start; now < Start + 500ms; now += 50ms) {
         placement.tick(now);
         for (const PlacingAction &action : placement.takeActions()) {
@@ -763,7 +763,7 @@
     other.models["m1"];
     for (const FakeReplica *replica : { &only, &other })
         placement.onReplica(replica->listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     for (const FakeReplica *replica : { &only, &other })
         placement.onReport(replica->id, replica->report(Start + 3s), Start + 3s);
@@ -843,7 +843,7 @@
     replicas[1].models["m1"];
     for (const FakeReplica &replica : replicas)
         placement.onReplica(replica.listing(), Start - 10s);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 50ms);
     for (const FakeReplica &replica : replicas)
         placement.onReport(replica.id, replica.report(Start + 50ms), Start + 50ms);
@@ -882,7 +882,7 @@
     only.id = "only";
     only.models["m0"];
     placement.onReplica(only.listing(), Start);
-    placement.setHolder(true, 2, Start);
+    placement.setHolder(true, 2, true, Start);
     placement.tick(Start + 3s);
     Instant loadedAt = Instant::max();
     int next = 0;
@@ -961,7 +961,7 @@
         replica.id = "r0";
         replica.models["m0"];
         placement.onReplica(replica.listing(), Start - 10s);
-        placement.setHolder(true, term, Start);
+        placement.setHolder(true, term, term != 1, Start);
         placement.tick(Start + 50ms);
         placement.onReport("r0", replica.report(Start + 50ms), Start + 50ms);
         placement.takeActions();
@@ -1007,7 +1007,7 @@
     ReplicaInfo info = replica.listing();
     info.startedMs = 2;
     placement.onReplica(info, Start);
-    placement.setHolder(true, 1, Start);
+    placement.setHolder(true, 1, false, Start);
     placement.onReplicaLeaving("r0", 1);
     placement.tick(Start + 2s);
     CHECK_EQUAL(1U, placement.takeActions().size()); // its report is requested
--- a/tests/placing/test_largefleet.cpp
+++ b/tests/placing/test_largefleet.cpp
@@ -67,7 +67,7 @@
             replicas["r" + std::to_string(1'000 + number)];
         for (auto &[id, replica] : replicas)
             placement->onReplica(listing(id, replica), now);
-        placement->setHolder(true, 1, now);
+        placement->setHolder(true, 1, false, now);
     }
 
     static ReplicaInfo listing(const std::string &id, const Replica &replica)
--- a/tests/support/placementday.h
+++ b/tests/support/placementday.h
@@ -240,7 +240,7 @@
         placeAtStart();
         for (const DayReplica &replica : replicas)
             placement->onReplica(replica.listing(), now);
-        placement->setHolder(true, ++m_term, now);
+        placement->setHolder(true, ++m_term, false, now);
     }
 
     /// Moves most requests to other models.
@@ -249,7 +249,7 @@
     /// From now on nobody may order, and, if the store is away, no listing arrives.
     void loseHolder(bool isStoreAway)
     {
-        placement->setHolder(false, 0, now);
+        placement->setHolder(false, 0, true, now);
         m_isHeld = false;
         m_storeAway = isStoreAway;
     }
@@ -264,7 +264,7 @@
         for (const std::string &id : m_gone)
             placement->onReplicaRemoved(id);
         m_gone.clear();
-        placement->setHolder(true, ++m_term, now);
+        placement->setHolder(true, ++m_term, true, now);
         m_isHeld = true;
         m_demandReportedFrom = now + 200ms;
     }
