A later era of the store ends the lease and the trust in listings at once

Cause: the list that brings the new era replaces what the placement knows of each replica, while the known number of orders stays; the lease learns of the era from its own next call, up to 0.7 s later. Also, a holder that had asked for reports drops them 2.5 s later at any listing, though the entry of a replica that does not reach the store is still the old one.

Change: the process, or the node, that sees a later era first ends the lease (any answer of the store, feeds, heartbeats, which state the era). Lease, term and era are asked right before an order's first byte leaves. What replicas hold is kept until they report themselves, and they get no order before; a report counts until the listing has changed since.

Why it works: no entry of a new era can be planned with before the lease is lost, and no order goes out under it.

--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -54,6 +54,13 @@
     applyObject(result.version, result.value, now);
 }
 
+void Lease::onNewEra(Instant now)
+{
+    lose(now);
+    m_versionKnown = false;
+    m_nextCallAt = std::min(m_nextCallAt, now);
+}
+
 /// Gives up what the object said: a holder that it does not name may go on for the lease time.
 void Lease::lose(Instant now)
 {
--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -21,7 +21,8 @@
 //
 // Lost objects. A store that comes back from an older copy, or an object that was deleted, has lost
 // who held the lease last, and that holder does not know yet. The lease is then free for nobody,
-// its holder of before included, until the lease time has passed.
+// its holder of before included, until the lease time has passed. Pass every new era to onEra() as
+// soon as anything shows it: the holder stops at once.
 //
 // Terms. An older copy has also lost the terms that were given out since, and after a power loss no
 // process may be left that knows them. So the era is part of the term: all terms of an era are
@@ -134,6 +135,10 @@
     /// so keep calling tick() and carrying out the actions.
     void release(Instant now);
 
+    /// Tells that the store is in a later era than it was: holds() is false at once. Call it once
+    /// for each era, whoever has seen it.
+    void onNewEra(Instant now);
+
     /// Makes the next renewal carry a term above `floor`. Call it when an object that this lease
     /// protects has a higher term, which happens after the lease object was deleted.
     void raiseTerm(std::uint64_t floor);
--- a/src/edge/beatlink.cpp
+++ b/src/edge/beatlink.cpp
@@ -81,14 +81,13 @@
                        demand,
                        message.beat.requestsPerSecond,
                        message.beat.storeReached };
-    if (!message.workTimeServices.empty()) {
-        json::array services;
-        for (const std::string &service : message.workTimeServices) {
-            if (services.size() < MaxWorkTimeServices)
-                services.emplace_back(service);
-        }
-        list.emplace_back(std::move(services));
+    json::array services;
+    for (const std::string &service : message.workTimeServices) {
+        if (services.size() < MaxWorkTimeServices)
+            services.emplace_back(service);
     }
+    list.emplace_back(std::move(services));
+    list.emplace_back(message.beat.storeEra);
     return list;
 }
 
@@ -209,6 +208,8 @@
         for (const auto &service : list.at(9).as_array())
             message.workTimeServices.emplace_back(service.as_string());
     }
+    if (list.size() > 10)
+        message.beat.storeEra = list.at(10).to_number<std::uint64_t>();
     return message;
 }
 
--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -192,7 +192,8 @@
 
 std::uint64_t FollowedStore::latestEra() const
 {
-    return std::max({ m_cache.revision().era, m_configRevision.era, m_configRevisionTold.era });
+    return std::max({ m_store.latestEra(), m_cache.revision().era, m_configRevision.era,
+                      m_configRevisionTold.era });
 }
 
 milliseconds FollowedStore::age() const
--- a/src/edge/changefeed.h
+++ b/src/edge/changefeed.h
@@ -127,6 +127,8 @@
                                                    StoreRevision expectedRevision,
                                                    boost::json::value content) override;
     boost::asio::awaitable<WriteOutcome> remove(ObjectKind kind, std::string name) override;
+    /// @return also what sources have named
+    std::uint64_t latestEra() const override;
 
     /// Answers another node's question.
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpReply &reply) override;
@@ -148,7 +150,6 @@
     std::optional<std::string> source();
     std::chrono::milliseconds age() const;
     void noteConfig(const std::vector<StoredItem> &items);
-    std::uint64_t latestEra() const;
     void wakeAskers();
 
     boost::asio::io_context &m_io;
--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -146,6 +146,18 @@
 
 // ---- Lease --------------------------------------------------------------------------------------
 
+void CopyShell::noteEra(std::uint64_t era)
+{
+    const bool isLater = m_storeEra != 0 && era > m_storeEra;
+    m_storeEra = std::max(m_storeEra, era);
+    if (!isLater)
+        return;
+    m_state.log.line("store_era").field("era", era).field("held", m_lease.owns() ? "yes" : "no");
+    m_placement.onSourceReverted(steadyNow());
+    m_lease.onNewEra(leaseNow());
+    tickLease();
+}
+
 void CopyShell::tick()
 {
     tickLease();
@@ -211,6 +223,7 @@
         if (read.version != 0 && read.value.term == 0)
             m_state.log.line("lease_unreadable").field("revision", read.version);
     }
+    noteEra(read.era);
     noteRelease(read, idle);
     m_lease.onRead(read, leaseNow());
     tickLease();
@@ -309,18 +322,40 @@
         m_link.send(*note, m_state.directory.ingressAddresses(steadyNow()));
 }
 
+/// Asks at the last moment whether this node still holds the lease that an order was decided under.
+/// Only its time keeps two holders apart where replicas do not check fencing tokens.
+class CopyShell::OrderCheck : public SendCheck
+{
+public:
+    OrderCheck(CopyShell &shell, std::uint64_t term)
+        : m_shell(shell)
+        , m_term(term)
+    {
+    }
+
+    bool mayStillSend() override
+    {
+        m_shell.noteEra(m_shell.m_state.ports.store.latestEra());
+        if (!m_shell.holds() || m_shell.m_lease.term() != m_term)
+            return false;
+        m_shell.m_lastOrderAt = leaseNow();
+        return true;
+    }
+
+private:
+    CopyShell &m_shell;
+    std::uint64_t m_term;
+};
+
 asio::awaitable<void> CopyShell::sendOrder(SendCommand action)
 {
     const auto endpoint = parseEndpoint(action.address);
     OrderAnswer answer { OrderResult::Conflict, {} }; // nothing was sent
     const SignalSource source = signalSource(action.command.replica);
-    // Only the lease's time keeps two holders apart where replicas do not check fencing tokens, so
-    // it is read at the last moment.
-    if (isOk(endpoint) && holds() && mayCommand(action.command.replica, CommandKind::Order)) {
-        m_lastOrderAt = leaseNow();
+    OrderCheck check(*this, action.command.term);
+    if (isOk(endpoint) && holds() && mayCommand(action.command.replica, CommandKind::Order))
         answer = co_await m_state.ports.engines.order(valueOf(endpoint), action.command,
-                                                      steadyNow() + OrderDeadline);
-    }
+                                                      steadyNow() + OrderDeadline, check);
     m_state.log.line("order")
             .field("replica", action.command.replica)
             .field("operation", action.command.load ? "load" : "unload")
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -36,12 +36,22 @@
 
     void onDemand(const std::string &node, const std::vector<CopyDemand> &demand);
 
+    /// Takes the era of the store that an answer or another node has named. A later one than before
+    /// ends the lease at once: the store has lost who holds it, and lists older copies.
+    /// @param era 0: none was named
+    void noteEra(std::uint64_t era);
+
+    /// @return the latest era noted; 0: none
+    std::uint64_t storeEra() const { return m_storeEra; }
+
     CopyPlacement &placement() { return m_placement; }
 
     /// @return whether this node may send orders now
     bool holds() const;
 
 private:
+    class OrderCheck;
+
     void carryOut(const LeaseAction &action);
     boost::asio::awaitable<void> readLease(LeaseRead action);
     boost::asio::awaitable<void> writeLease(LeaseWrite action);
@@ -61,6 +71,7 @@
     Instant m_candidateFrom;
     Instant m_nextPlan; // plans are not made more often
     bool m_wasHolder = false;
+    std::uint64_t m_storeEra = 0; // latest noted; 0: none
     // Times on the lease's clock:
     Instant m_lastOrderAt; // of this process, or its start: the process before it may have ordered
     Instant m_ordersAllowedFrom; // by the lease as read last: its holder has been silent long
--- a/src/edge/edgeprogram.cpp
+++ b/src/edge/edgeprogram.cpp
@@ -311,6 +311,7 @@
 /// In a new era the store lists an older state and has lost what was written since.
 void EdgeProgram::noteEra(std::uint64_t era)
 {
+    m_copies.noteEra(era);
     if (m_storeEra && era > *m_storeEra) {
         const Instant now = steadyNow();
         m_state.log.line("store_returned_older").field("era", era).field("earlier", *m_storeEra);
@@ -459,6 +460,7 @@
     const std::string &sender = message.beat.sender.name;
     const bool news = m_state.directory.onHeartbeat(message.beat, now);
     const bool isLive = m_state.directory.isLive(sender, now);
+    m_copies.noteEra(message.beat.storeEra);
     if (news) {
         m_state.log.line("node")
                 .field("name", sender)
@@ -555,6 +557,7 @@
     message.beat.holder = m_state.directory.holder();
     message.beat.requestsPerSecond = m_requestRate;
     message.beat.storeReached = !m_replicaWatch.disturbed(steadyNow());
+    message.beat.storeEra = m_copies.storeEra();
     return message;
 }
 
@@ -689,6 +692,7 @@
         m_nextSilenceCheck = now + SilenceCheckInterval;
         checkSilentAttempts(m_state);
     }
+    m_copies.noteEra(m_followed.latestEra());
     m_copies.tick();
     announceSpending();
     logQuotas(now);
--- a/src/edge/ports.h
+++ b/src/edge/ports.h
@@ -13,6 +13,7 @@
 #include "base/result.h"
 #include "decide/writeoutcome.h"
 #include "net/endpoint.h"
+#include "net/httpclient.h"
 #include "net/httptypes.h"
 #include "placing/enginetypes.h"
 #include "serving/replicatable.h"
@@ -115,6 +116,9 @@
 
     /// Removes an object, whatever its revision.
     virtual boost::asio::awaitable<WriteOutcome> remove(ObjectKind kind, std::string name) = 0;
+
+    /// @return the latest era that any answer has named so far; 0: none
+    virtual std::uint64_t latestEra() const = 0;
 };
 
 class ObjectDecoder
@@ -246,8 +250,9 @@
     virtual ~EngineControl() = default;
 
     /// Sends an order, once.
+    /// @param check has the last word before it leaves; withheld, it is answered as a conflict
     virtual boost::asio::awaitable<OrderAnswer> order(Endpoint replica, EngineCommand command,
-                                                      Instant deadline) = 0;
+                                                      Instant deadline, SendCheck &check) = 0;
 
     /// Asks a replica what it holds.
     virtual boost::asio::awaitable<ReportAnswer> report(Endpoint replica, std::string id,
--- a/src/fleet/nodedirectory.h
+++ b/src/fleet/nodedirectory.h
@@ -70,6 +70,7 @@
     std::vector<NodeInfo> others;   // some of the nodes that the sender knows to be live
     double requestsPerSecond = 0.0; // requests of callers to the sender, smoothed
     bool storeReached = true;       // the sender's recent calls to the store have not failed
+    std::uint64_t storeEra = 0;     // latest era of the store that the sender knows of; 0: none
 };
 
 struct HeartbeatTargets
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -532,9 +532,9 @@
 asio::awaitable<CallResult<HttpResponse>> readWholeAnswer(HttpExchange &exchange,
                                                           const HttpRequest &request,
                                                           Instant headDeadline, Instant deadline,
-                                                          std::size_t maxBytes)
+                                                          std::size_t maxBytes, SendCheck *check)
 {
-    auto head = co_await exchange.start(request, headDeadline, nullptr);
+    auto head = co_await exchange.start(request, headDeadline, check);
     if (const auto *failure = std::get_if<CallFailure>(&head))
         co_return *failure;
 
@@ -559,7 +559,8 @@
     asio::awaitable<CallResult<HttpResponse>> call(const HttpRequest &request,
                                                    Instant deadline) override
     {
-        co_return co_await readWholeAnswer(m_exchange, request, deadline, deadline, m_maxBodyBytes);
+        co_return co_await readWholeAnswer(m_exchange, request, deadline, deadline, m_maxBodyBytes,
+                                           nullptr);
     }
 
 private:
@@ -630,7 +631,7 @@
 {
     BeastExchange own(m_state, std::move(endpoint), ConnectionUse::Kept, options.usedSince);
     co_return co_await readWholeAnswer(own, request, std::min(deadline, options.headDeadline),
-                                       deadline, m_state->settings.maxBodyBytes);
+                                       deadline, m_state->settings.maxBodyBytes, options.check);
 }
 
 } // namespace burdock
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -211,6 +211,7 @@
 {
     Instant usedSince;                     // a kept connection was in use after it; zero: any
     Instant headDeadline = Instant::max(); // to give up without the head; the deadline if later
+    SendCheck *check = nullptr;            // has the last word before the request leaves
 };
 
 enum class ConnectOutcome {
--- a/src/placing/copyplacement.cpp
+++ b/src/placing/copyplacement.cpp
@@ -73,14 +73,26 @@
             claim.victim.clear();
     }
     std::erase_if(engine.evictableAt, [&](const auto &entry) { return now >= entry.second; });
-    if (now >= engine.reportExpiresAt)
-        engine.reported.clear();
+    if (engine.listedModels != info.models) {
+        engine.listedModels = info.models;
+        engine.listingChangedAt = now;
+    }
     std::erase_if(engine.pendingAdapters, [&](const auto &entry) {
         return now - entry.second >= m_settings.adapterListingTimeout
                 || holdsCopy(info.models, entry.first);
     });
 }
 
+void CopyPlacement::onSourceReverted(Instant now)
+{
+    for (auto &[id, engine] : m_engines) {
+        keepKnownCopies(engine);
+        engine.reportedAt = Instant::max();
+        engine.orderCountKnown = false;
+        engine.nextReportAt = now;
+    }
+}
+
 void CopyPlacement::onReplicaRemoved(const std::string &id)
 {
     m_engines.erase(id);
@@ -225,7 +237,7 @@
         return; // a stale report; a later one will include the accepted orders
     engine.ordersAccepted = report->ordersAccepted;
     engine.reported = report->models;
-    engine.reportExpiresAt = now + m_settings.maxListingLag;
+    engine.reportedAt = now;
     // Ordered by an earlier holder, or by an order that took effect late.
     for (const std::string &copy : report->pendingAdapters) {
         if (engine.pendingAdapters.try_emplace(copy, now).second)
@@ -296,6 +308,11 @@
         }
         std::erase_if(engine.slotClaims,
                       [&](const auto &entry) { return now >= entry.second.expiresAt; });
+        // A listing without a change since says nothing new: it may be that of an older copy, or of
+        // a replica that cannot reach the registry.
+        if (engine.listingChangedAt >= engine.reportedAt
+            && now >= engine.reportedAt + m_settings.maxListingLag)
+            engine.reported.clear();
         if (now >= engine.nextReportAt)
             engine.reportOpen = false;
         openReports += engine.reportOpen ? 1 : 0;
--- a/src/placing/copyplacement.h
+++ b/src/placing/copyplacement.h
@@ -118,7 +118,7 @@
     Duration staleReportWindow = std::chrono::milliseconds(1'500);
     /// Upper bound of the backoff between report requests to a replica that does not respond.
     Duration maxReportDelay = std::chrono::seconds(4);
-    /// A listing that arrives at least this long after a report shows what was reported.
+    /// This long after a report, a listing that has changed since shows what was reported.
     Duration maxListingLag = std::chrono::milliseconds(2'500);
     /// A request for a copy is kept this long after a node announced it.
     Duration requestLifetime = std::chrono::milliseconds(1'500);
@@ -234,6 +234,9 @@
     /// Takes the current listing of a replica; a new process under the same id starts empty.
     void onReplica(const ReplicaInfo &info, Instant now);
     void onReplicaRemoved(const std::string &id);
+    /// Records that the source of the listings came back from an older copy. What replicas are
+    /// known to hold stays known until they report themselves; before, they get no orders.
+    void onSourceReverted(Instant now);
     /// Records that a replica said in an answer that it is about to terminate; its listing may not
     /// show it yet. It gets no more orders, and its copies count as missing.
     /// @param startedMs start of its process; other processes are ignored
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -25,8 +25,34 @@
 
 void resetRecord(EngineRecord &engine, const ReplicaInfo &info)
 {
-    engine = EngineRecord {};
-    engine.info = info;
+    const bool isSameProcess = engine.info.startedMs == info.startedMs;
+    EngineRecord fresh;
+    fresh.info = info;
+    fresh.listedModels = isSameProcess ? std::move(engine.listedModels) : info.models;
+    engine = std::move(fresh);
+}
+
+void keepKnownCopies(EngineRecord &engine)
+{
+    const auto keep = [&](const std::string &model, const std::string &adapter) {
+        auto copy = std::find_if(engine.reported.begin(), engine.reported.end(),
+                                 [&](const ModelCopy &each) { return each.model == model; });
+        if (copy == engine.reported.end())
+            copy = engine.reported.insert(copy, ModelCopy { model, {} });
+        if (!adapter.empty() && !contains(copy->adapters, adapter))
+            copy->adapters.push_back(adapter);
+    };
+    for (const ModelCopy &copy : engine.info.models) {
+        keep(copy.model, "");
+        for (const std::string &adapter : copy.adapters)
+            keep(copy.model, adapter);
+    }
+    for (const auto &[model, expiresAt] : engine.loading)
+        keep(model, "");
+    for (const auto &[name, orderedAt] : engine.pendingAdapters) {
+        const auto slash = name.find('/');
+        keep(name.substr(0, slash), slash == std::string::npos ? "" : name.substr(slash + 1));
+    }
 }
 
 const ModelCopy *listedCopy(const EngineRecord &engine, const std::string &model)
--- a/src/placing/enginerecord.h
+++ b/src/placing/enginerecord.h
@@ -4,6 +4,7 @@
 //   ModelCatalog                             models of a service by name
 //   SlotClaim, EngineRecord                  the state
 //   resetRecord                              starts the record of a new process
+//   keepKnownCopies                          for when listings show an older state
 //   listedCopy, maxHeldAdapters, slotsClaimedByOthers   what the replica holds
 //   canTakeOrder, freeMemory, isProtected    whether the replica can take more, or give up a copy
 //   loadTime                                 cost of a load
@@ -57,7 +58,9 @@
     std::uint64_t ordersAccepted = 0; // by this incarnation of the replica
     bool orderCountKnown = false;     // ordersAccepted is certain: no order has an unknown outcome
     std::vector<ModelCopy> reported;  // models in the latest report; the listing may lag behind
-    Instant reportExpiresAt;          // listings from then on show what was reported
+    Instant reportedAt; // time of that report; the greatest: kept until the next report
+    std::vector<ModelCopy> listedModels; // as listed last
+    Instant listingChangedAt;            // since then
 
     std::optional<EngineCommand> openOrder; // order that was sent and has no response yet
     Instant openOrderDeadline;              // from then on the order counts as unanswered
@@ -91,6 +94,10 @@
 /// Resets the record: a new process of a replica has none of the orders of the previous one.
 void resetRecord(EngineRecord &engine, const ReplicaInfo &info);
 
+/// Adds what is listed or ordered to what the replica reported, so that a listing that shows less
+/// does not lower it.
+void keepKnownCopies(EngineRecord &engine);
+
 /// @return the listed copy of a model; null if there is none
 const ModelCopy *listedCopy(const EngineRecord &engine, const std::string &model);
 
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -48,6 +48,8 @@
 {
     std::string model;                 // name of the model
     std::vector<std::string> adapters; // names of the adapters loaded on top of it
+
+    friend bool operator==(const ModelCopy &, const ModelCopy &) = default;
 };
 
 struct ReplicaInfo
--- a/tests/adapter/test_replicacontrol.cpp
+++ b/tests/adapter/test_replicacontrol.cpp
@@ -21,6 +21,12 @@
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+struct FixedCheck : public SendCheck
+{
+    bool mayStillSend() override { return isAllowed; }
+    bool isAllowed = true;
+};
+
 } // namespace
 
 TEST_GROUP(ReplicaControl)
@@ -28,6 +34,7 @@
     asio::io_context io { 1 };
     HttpClient http { io };
     ReplicaControl control { http };
+    FixedCheck check;
 
     template <typename Answer>
     Answer play(const std::string &script,
@@ -47,7 +54,7 @@
     OrderAnswer order(const std::string &script)
     {
         return play<OrderAnswer>(script, [this](Endpoint replica, Instant deadline) {
-            return control.order(std::move(replica), EngineCommand {}, deadline);
+            return control.order(std::move(replica), EngineCommand {}, deadline, check);
         });
     }
 
@@ -69,6 +76,15 @@
     CHECK(*paused.signals.pause == 2s);
 }
 
+// Guards against orders of a holder that lost its lease while the connection was being opened.
+TEST(ReplicaControl, AnOrderIsWithheldWhenTheCheckSaysSoAtTheLastMoment)
+{
+    check.isAllowed = false;
+    CHECK(order(answer("202 Accepted", Signals, "{}")).result == OrderResult::Conflict);
+    check.isAllowed = true;
+    CHECK(order(answer("202 Accepted", Signals, "{}")).result == OrderResult::Accepted);
+}
+
 TEST(ReplicaControl, AReportBringsItToo)
 {
     const ReportAnswer read = report(answer("200 OK", Signals, R"({"sequence":3})"));
--- a/tests/edge/test_beatlink.cpp
+++ b/tests/edge/test_beatlink.cpp
@@ -20,6 +20,7 @@
     message.beat.others = { { "n3", "10.0.0.3", "z" } };
     message.demand = { { "pool", "m", "", 1'234.0 } };
     message.workTimeServices = { "pool" };
+    message.beat.storeEra = 7;
     const auto back = decodePeerMessage(encodePeerMessage(message));
     CHECK(back.has_value());
     const auto &beat = std::get<BeatMessage>(*back);
@@ -30,6 +31,7 @@
     CHECK_EQUAL(std::string("n3"), beat.beat.others.at(0).name);
     CHECK_EQUAL(std::string("m"), beat.demand.at(0).model);
     CHECK(beat.workTimeServices == message.workTimeServices);
+    CHECK_EQUAL(7U, beat.beat.storeEra);
 }
 
 // Nodes of two versions run side by side while a fleet is replaced.
@@ -40,6 +42,7 @@
     CHECK(beat.has_value());
     CHECK_EQUAL(0.0, std::get<BeatMessage>(*beat).beat.sender.capacity);
     CHECK(std::get<BeatMessage>(*beat).workTimeServices.empty());
+    CHECK_EQUAL(0U, std::get<BeatMessage>(*beat).beat.storeEra);
 }
 
 TEST(PeerMessages, NotesArriveAsTheyWereSent)
--- a/tests/placing/test_copyplacement.cpp
+++ b/tests/placing/test_copyplacement.cpp
@@ -619,6 +619,78 @@
     }));
 }
 
+namespace {
+
+/// A holder of a full replica, m0 and m1, whose listing shows m0 alone; requests wait for m2.
+struct ListedHalfEmpty
+{
+    ListedHalfEmpty()
+    {
+        placement.onConfig(config());
+        replica.id = "r0";
+        replica.models["m0"];
+        old = replica.listing();
+        replica.models["m1"];
+        replica.accepted = 1;
+    }
+
+    /// @return models that were ordered to be loaded meanwhile
+    std::vector<std::string> run(Duration span)
+    {
+        std::vector<std::string> loads;
+        for (const Instant end = now + span; now < end; now += 100ms) {
+            placement.onCopyRequest("pool", "m2", "", now);
+            placement.tick(now);
+            for (const PlacingAction &action : placement.takeActions()) {
+                const auto *send = std::get_if<SendCommand>(&action);
+                if (send != nullptr && send->command.load && send->command.adapter.empty())
+                    loads.push_back(send->command.model);
+                if (send != nullptr)
+                    placement.onOrderResult(send->command, OrderResult::Conflict, now);
+                if (std::holds_alternative<RequestReport>(action) && answersReports)
+                    placement.onReport("r0", replica.report(now), now);
+            }
+            placement.onReplica(old, now);
+        }
+        return loads;
+    }
+
+    CopyPlacement placement { onNode1() };
+    FakeReplica replica;
+    ReplicaInfo old; // its entry in an older copy
+    bool answersReports = true;
+    Instant now = Start;
+};
+
+} // namespace
+
+// Guards against orders by a listing that stays old: its replica does not reach the registry.
+TEST(CopyPlacement, ListingWithoutAChangeDoesNotReplaceAReport)
+{
+    ListedHalfEmpty fleet;
+    fleet.placement.onReplica(fleet.old, Start - 10s);
+    fleet.placement.setHolder(true, 2, true, Start);
+    CHECK(fleet.run(8s).empty());
+}
+
+// Guards against orders by the listing of an older copy, in a holder that knew better.
+TEST(CopyPlacement, ListingOfAnOlderCopyDoesNotLowerWhatAReplicaHolds)
+{
+    ListedHalfEmpty fleet;
+    fleet.placement.onReplica(fleet.replica.listing(), Start - 10s);
+    fleet.placement.setHolder(true, 2, true, Start);
+    fleet.placement.tick(Start);
+    fleet.placement.onReport("r0", fleet.replica.report(Start), Start);
+    fleet.placement.takeActions();
+    fleet.now = Start + 5s;
+    fleet.placement.onSourceReverted(fleet.now);
+    fleet.answersReports = false;
+    fleet.placement.onReplica(fleet.old, fleet.now);
+    CHECK(fleet.run(3s).empty());
+    fleet.answersReports = true;
+    CHECK(fleet.run(8s).empty());
+}
+
 TEST(CopyPlacement, ReplicasAreNotOvercommittedWhenOrdersAreLostOrLate)
 {
     CHECK(rc::check("no replica exceeds its memory or its adapter slots", [] {
--- a/tests/support/storefleet.h
+++ b/tests/support/storefleet.h
@@ -113,7 +113,8 @@
     Endpoint storeEndpoint { "127.0.0.1", 0 };
     StoreDecoder decoder;
     PlatformDialect dialect;
-    NoEngines engines;
+    NoEngines noEngines;
+    EngineControl *engines = &noEngines; // of nodes that are started from now on
     HttpClient http { io };
     std::map<std::string, std::unique_ptr<CountingReplica>> replicas;
     std::vector<std::unique_ptr<Node>> nodes;
@@ -220,7 +221,7 @@
             nodes.push_back(std::make_unique<Node>(io, storeEndpoint));
             Node &node = *nodes.back();
             node.program = std::make_unique<EdgeProgram>(
-                    io, profile, PlatformPorts { node.client, decoder, dialect, engines },
+                    io, profile, PlatformPorts { node.client, decoder, dialect, *engines },
                     [](EventLog &) {});
             CHECK(isOk(node.program->start()));
         }
--- a/tests/support/unreachablestore.h
+++ b/tests/support/unreachablestore.h
@@ -27,6 +27,7 @@
     {
         co_return WriteOutcome::Unknown;
     }
+    std::uint64_t latestEra() const override { return 0; }
 };
 
 } // namespace burdock
