A head that is understood only in part is no answer

On real sockets also 001, 099, 101, 600 and 999, interim answers that name the request (the final one behind them was dropped), and bodies under a coding that is not known, delivered with their frames.

Cause: the client passed on each head that the HTTP library parses. It takes any three digits for a status, a 1xx for an answer, and the end of the connection for the end of a body whose coding it does not know. The server side checked the framing of requests; the client checked nothing.

Change: one rule for the framing of requests and answers; statuses 200 to 599 are final, interim answers are passed over, anything else fails the call as one that may have run. All readers of HTTP answers use this client. A feed's page is read from status 200 only.

--- a/src/edge/changefeed.cpp
+++ b/src/edge/changefeed.cpp
@@ -338,7 +338,8 @@
 {
     auto result = co_await callSource(ip, revision);
     const auto *response = std::get_if<HttpResponse>(&result);
-    auto page = response == nullptr ? std::nullopt : decodeFeedPage(response->body);
+    const bool isAnswered = response != nullptr && response->head.status == StatusOk;
+    auto page = isAnswered ? decodeFeedPage(response->body) : std::nullopt;
     const bool isBehind = page && page->revision.era < latestEra();
     if (!page || isBehind || page->age > m_settings.mostAge) {
         m_log.line("feed_source_lost")
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "net/coroutines.h"
+#include "net/httpframing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -96,6 +97,29 @@
     return failure == asio::error::connection_refused;
 }
 
+constexpr int MaxInterimAnswers = 16; // before the final one
+
+bool isInterim(int status)
+{
+    constexpr int SwitchingProtocols = 101; // never asked for
+    return status >= 100 && status < 200 && status != SwitchingProtocols;
+}
+
+bool isFinal(int status)
+{
+    return status >= 200 && status < 600;
+}
+
+/// @return why the head is not that of an answer whose end can be told; null: it is
+template <typename Head>
+const char *headFault(const Head &head)
+{
+    const int status = static_cast<int>(head.result_int());
+    if (!isInterim(status) && !isFinal(status))
+        return "a status that no answer has";
+    return isFramedClearly(head) ? nullptr : "a framing that is not known";
+}
+
 bool isHopByHop(http::field field)
 {
     return field == http::field::content_length || field == http::field::connection
@@ -191,7 +215,9 @@
 
 private:
     asio::awaitable<std::optional<CallFailure>> connect(Instant deadline);
+    asio::awaitable<boost::system::error_code> readHead(bool isHead);
     HttpResponseHead takeHead();
+    CallFailure fault(const char *what);
     CallFailure failed(boost::system::error_code failure);
     CallFailure withhold(bool timedOut);
     void sendRequest(HttpRequest request);
@@ -241,6 +267,14 @@
              isRefusal(failure), std::move(message) };
 }
 
+/// Ends the exchange, whose answer is none.
+CallFailure BeastExchange::fault(const char *what)
+{
+    CallFailure failure = failed(http::error::bad_status);
+    failure.message = toText(m_endpoint) + ": the answer has " + what;
+    return failure;
+}
+
 /// Ends the exchange before a byte was sent.
 CallFailure BeastExchange::withhold(bool timedOut)
 {
@@ -303,6 +337,19 @@
     const bool isHead = request.method == "HEAD";
     sendRequest(std::move(request));
 
+    for (int interim = 0; interim <= MaxInterimAnswers; ++interim) {
+        if (const auto failure = co_await readHead(isHead))
+            co_return failed(failure);
+        if (const char *what = headFault(m_parser->get()))
+            co_return fault(what);
+        if (isFinal(static_cast<int>(m_parser->get().result_int())))
+            co_return takeHead();
+    }
+    co_return fault("interim answers without a final one");
+}
+
+asio::awaitable<boost::system::error_code> BeastExchange::readHead(bool isHead)
+{
     m_parser.emplace();
     m_parser->header_limit(MaxAnswerHeaderBytes);
     m_parser->body_limit(boost::none);
@@ -312,11 +359,9 @@
                                      withError(failure));
     if (m_cancelled && !failure)
         failure = asio::error::operation_aborted;
-    if (failure)
-        co_return failed(failure);
-    m_headRead = true;
-    m_aliveAt = steadyNow();
-    co_return takeHead();
+    m_headRead = m_headRead || !failure;
+    m_aliveAt = failure ? m_aliveAt : steadyNow();
+    co_return failure;
 }
 
 /// Writes while the answer is read: a server may answer before it has read a long body, and would
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -17,6 +17,12 @@
 // Servers in trouble send answers without end: every read ends by its deadline, also while bytes
 // keep arriving, and heads, whole bodies and what is buffered between them are bounded.
 //
+// Servers in trouble also send bytes that are no answer, and parts of one. A head counts only if
+// its status is that of a final answer and its framing is one that this client knows; interim
+// answers are passed over. A body that ends with its connection is whole only if the connection was
+// closed by its server after the whole request had been written: a reset looks like that end to a
+// read once a write has been told of it.
+//
 // A connection can go silent for good without a sign of it on the socket. So a time-out says
 // nothing about the server: it ends its own connection and all idle ones to that endpoint that have
 // not been in use since, and the next call opens a new one.
@@ -86,7 +92,8 @@
 public:
     virtual ~HttpExchange() = default;
 
-    /// Sends the request and reads the answer's head. Nothing is sent once the deadline has passed.
+    /// Sends the request and reads the final answer's head. Nothing is sent once the deadline has
+    /// passed.
     /// @param request what to send
     /// @param deadline when to give up
     /// @param check has the last word; null: the request is sent in any case
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "net/httpserver.h"
 
 #include "net/coroutines.h"
+#include "net/httpframing.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -68,25 +69,6 @@
             || field == http::field::keep_alive || field == http::field::expect;
 }
 
-bool isNumber(std::string_view text)
-{
-    return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
-}
-
-/// A body is framed by one length or by chunks alone; anything else may be read differently by the
-/// next server on the way.
-bool isFramedClearly(const http::request<http::string_body> &message)
-{
-    const auto codings = message.equal_range(http::field::transfer_encoding);
-    const auto lengths = message.equal_range(http::field::content_length);
-    const auto codingCount = std::distance(codings.first, codings.second);
-    const auto lengthCount = std::distance(lengths.first, lengths.second);
-    if (codingCount == 0)
-        return lengthCount == 0 || (lengthCount == 1 && isNumber(lengths.first->value()));
-    return codingCount == 1 && lengthCount == 0 && message.version() >= HttpVersion11
-            && beast::iequals(codings.first->value(), "chunked");
-}
-
 } // namespace
 
 // ---- Connection ---------------------------------------------------------------------------------
--- a/tests/entry/test_relay.cpp
+++ b/tests/entry/test_relay.cpp
@@ -1,6 +1,7 @@
 // A model's event stream, relayed to its caller by the product's own interface.
 #include "entry/relay.h"
 #include "support/caller.h"
+#include "support/oddanswers.h"
 #include "support/scriptedserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -157,6 +158,37 @@
     }
 }
 
+// Guards against bytes of an upstream in trouble that pass for an answer, or for the head of a
+// stream.
+TEST(StreamRelay, BytesThatAreNoAnswerAreLost)
+{
+    const std::string headers =
+            "X-Request-Id: " + RequestName + "\r\nContent-Type: text/event-stream\r\n";
+    for (const OddAnswer &odd : oddAnswers(headers)) {
+        Caller own;
+        StreamRelay ownRelay(own, RequestNumber, RequestName);
+        engine = std::make_unique<ScriptedServer>(io, std::vector { odd.text });
+        ScriptedServer second(io, { odd.text });
+        AttemptEnd stream = AttemptEnd::Done;
+        AttemptEnd whole = AttemptEnd::Done;
+        int done = 0;
+        const auto run = [&]() -> asio::awaitable<void> {
+            stream = co_await ownRelay.run(attemptAt(engine->endpoint()));
+            const HttpRequest request;
+            const WholeAnswer read = co_await readWhole(client.exchange(second.endpoint(), true),
+                                                        request, steadyNow() + 1s, memory);
+            whole = read.end;
+        };
+        asio::co_spawn(io, run(), [&done](const std::exception_ptr &) { done++; });
+        io.restart();
+        while (done == 0)
+            io.run_for(1ms);
+        CHECK_TEXT(stream == AttemptEnd::Lost, odd.name.c_str());
+        CHECK_TEXT(!own.begun(), odd.name.c_str());
+        CHECK_TEXT(whole == AttemptEnd::Lost, odd.name.c_str());
+    }
+}
+
 // Each answer had a bound of its own: a few dozen without end took all memory of the process.
 TEST(StreamRelay, WholeAnswersWithoutEndAreBoundedTogether)
 {
--- a/tests/net/test_httpserver.cpp
+++ b/tests/net/test_httpserver.cpp
@@ -280,6 +280,21 @@
     checkAllGivenBack();
 }
 
+// Guards against a name that this server and the next one on the way read differently.
+TEST(HttpServerLimits, NamesOfFieldsWithBlanksOrControlBytesAreRefused)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n";
+    const std::string lines[] = { "X Y: a",    "X\tY: a", "X\x01Y: a", "X\x7fY: a",
+                                  "X\x80Y: a", "X : a",   "X\t: a",    ": a",
+                                  "X",         "X(Y): a", "X: a\x7f",  "X: a\rb" };
+    for (const std::string &line : lines) {
+        const std::string received = answerTo({ head + line + "\r\n\r\nabc" });
+        CHECK_TEXT(received.starts_with("HTTP/1.1 400 "), line.c_str());
+    }
+    CHECK_EQUAL(0U, handler.requests.size());
+    checkAllGivenBack();
+}
+
 // A reset that overtakes the answer would take it from a caller that reads only after it has sent
 // all.
 TEST(HttpServerLimits, ABodyOverTheLimitIsRefusedSoThatTheCallerCanReadIt)
