The end of a connection ends a body only if it is shown to be a proper end

Cause: the kernel reports a reset once, to the operation that meets it first, here mostly the write; the read after it sees a clean end. The client dropped the write's failure and took that end for the end of the body.

Evidence: net.oddanswers on the code before: 60 of 108 plays give a whole answer; a reset after a short request never does.

Change: a body that ends with its connection is whole only if the request has been written whole, no write failed, and the socket is not in the state after a reset, whoever was told of it.

Why it works: an unfinished or failed write leaves its message as a mark; after a write that finished, the reset goes to the read, and the state of the socket shows it in any case.

Tests, on the code before: NoPartReachesTheCallerOfAnUploadThatIsReset "expected <502> but was <200>"; StreamRelay.APartIsLostWhenTheConnectionIsResetUnderTheRequest; OddAnswers.APartIsNoAnswerWhenTheConnectionIsResetUnderTheUpload 60 of 108. ABodyThatEndsByAResetIsNoRequest, of the server's side, holds before, too.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -120,6 +120,15 @@
     return isFramedClearly(head) ? nullptr : "a framing that is not known";
 }
 
+/// @return whether the other side has reset the connection, whoever was told of it
+bool wasReset(Tcp::socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+            && info.tcpi_state == TCP_CLOSE;
+}
+
 bool isHopByHop(http::field field)
 {
     return field == http::field::content_length || field == http::field::connection
@@ -217,6 +226,7 @@
     asio::awaitable<std::optional<CallFailure>> connect(Instant deadline);
     asio::awaitable<boost::system::error_code> readHead(bool isHead);
     HttpResponseHead takeHead();
+    bool isEndCertain() const;
     CallFailure fault(const char *what);
     CallFailure failed(boost::system::error_code failure);
     CallFailure withhold(bool timedOut);
@@ -377,7 +387,8 @@
     message.body() = std::move(request.body);
     message.prepare_payload();
     m_bytesSent = true;
-    // A failed write is seen by the read: the server may have answered before it closed.
+    // Whether a failed write is an end of the exchange, the read decides: the server may have
+    // answered before it closed. The message stays as a mark of it.
     http::async_write(m_connection->stream, message,
                       [connection = m_connection](boost::system::error_code failure, std::size_t) {
                           if (!failure)
@@ -428,6 +439,8 @@
             co_return failed(failure);
         part.assign(m_part.data(), m_part.size() - m_parser->get().body().size);
         m_aliveAt = steadyNow();
+        if (m_parser->is_done() && !isEndCertain())
+            co_return failed(asio::error::connection_reset);
     }
     if (!m_parser || (!m_connection && !m_parser->is_done()))
         co_return CallFailure { m_bytesSent, false, false, false,
@@ -437,6 +450,14 @@
     co_return part;
 }
 
+/// @return whether the body that was read is whole, not only its connection at its end
+bool BeastExchange::isEndCertain() const
+{
+    const bool isOwnEnd = m_parser->chunked() || !m_parser->need_eof();
+    const bool wasWritten = !m_connection->message.has_value();
+    return isOwnEnd || (wasWritten && !wasReset(m_connection->stream.socket()));
+}
+
 void BeastExchange::finish()
 {
     if (!m_connection)
--- a/tests/adapter/test_oddanswers.cpp
+++ b/tests/adapter/test_oddanswers.cpp
@@ -4,11 +4,13 @@
 #include "platform/storeclient.h"
 #include "support/oddanswers.h"
 #include "support/requestflowfixture.h"
+#include "support/resettingserver.h"
 
 using namespace burdock;
 
 namespace {
 
+constexpr std::size_t UploadBytes = 4 * 1024 * 1024;
 constexpr const char *Paths[] = { "/once/a", "/stream-once/a" };
 
 struct AlwaysSend : public SendCheck
@@ -77,6 +79,35 @@
     }
 }
 
+// Guards against a part of an answer reaching the caller as a whole one, after a reset under its
+// upload.
+TEST(OddAnswers, NoPartReachesTheCallerOfAnUploadThatIsReset)
+{
+    const std::string body(UploadBytes, 'u');
+    for (const ResettingPlay &play :
+         resetsUnderAnUpload("HTTP/1.1 200 OK\r\n" + Head, UploadBytes)) {
+        ResettingServer replica(io, play);
+        ReplicaInfo info;
+        info.id = "r0";
+        info.service = service;
+        info.address = toText(replica.endpoint());
+        info.startedMs = 1;
+        info.slots = 4;
+        caller = {};
+        state->replicas.onAnnounced(info, steadyNow());
+        HttpRequest request = callerRequest("/once/a");
+        request.body = body;
+        RequestFlow flow(*state, nodes, request, caller);
+        asio::co_spawn(io, flow.run(), asio::detached);
+        const Instant end = steadyNow() + 3s;
+        while (!caller.ended && steadyNow() < end)
+            io.run_for(5ms);
+        io.run_for(20ms);
+        CHECK_EQUAL(502, caller.status);
+        state->replicas.onDelisted("r0", {}, steadyNow());
+    }
+}
+
 // Guards against orders and reports that are answered by bytes which are no answer.
 TEST(OddAnswers, OrdersAndReportsTakeNone)
 {
--- a/tests/entry/test_relay.cpp
+++ b/tests/entry/test_relay.cpp
@@ -2,6 +2,7 @@
 #include "entry/relay.h"
 #include "support/caller.h"
 #include "support/oddanswers.h"
+#include "support/resettingserver.h"
 #include "support/scriptedserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -189,6 +190,30 @@
     }
 }
 
+// Guards against a part of an answer that passes for all of it, after a reset under the request.
+TEST(StreamRelay, APartIsLostWhenTheConnectionIsResetUnderTheRequest)
+{
+    constexpr std::size_t UploadBytes = 4 * 1024 * 1024;
+    for (const ResettingPlay &played : resetsUnderAnUpload("HTTP/1.1 200 OK\r\n", UploadBytes)) {
+        ResettingServer server(io, played);
+        AttemptEnd end = AttemptEnd::Done;
+        bool done = false;
+        const auto run = [&]() -> asio::awaitable<void> {
+            HttpRequest request;
+            request.method = "POST";
+            request.body.assign(UploadBytes, 'u');
+            const WholeAnswer read = co_await readWhole(client.exchange(server.endpoint(), true),
+                                                        request, steadyNow() + 2s, memory);
+            end = read.end;
+        };
+        asio::co_spawn(io, run(), [&done](const std::exception_ptr &) { done = true; });
+        io.restart();
+        while (!done)
+            io.run_for(1ms);
+        CHECK(end == AttemptEnd::Lost);
+    }
+}
+
 // Each answer had a bound of its own: a few dozen without end took all memory of the process.
 TEST(StreamRelay, WholeAnswersWithoutEndAreBoundedTogether)
 {
--- a/tests/net/test_httpserver.cpp
+++ b/tests/net/test_httpserver.cpp
@@ -295,6 +295,23 @@
     checkAllGivenBack();
 }
 
+// Guards against a part of a body that passes for all of it when its caller's connection is reset.
+TEST(HttpServerLimits, ABodyThatEndsByAResetIsNoRequest)
+{
+    const std::string parts[] = { post("/", std::string(1'000, 'x')).substr(0, 600),
+                                  Chunked + "\r\n3\r\nabc\r\n" };
+    for (const std::string &part : parts) {
+        RawCaller &caller = open({ part }, false);
+        CHECK(runUntil([&] { return server->bytesHeld() > 0; }));
+        boost::system::error_code ignored;
+        caller.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        caller.socket.close(ignored);
+        CHECK(runUntil([&] { return server->connections() == 0; }));
+    }
+    CHECK_EQUAL(0U, handler.requests.size());
+    checkAllGivenBack();
+}
+
 // A reset that overtakes the answer would take it from a caller that reads only after it has sent
 // all.
 TEST(HttpServerLimits, ABodyOverTheLimitIsRefusedSoThatTheCallerCanReadIt)
--- a/tests/net/test_oddanswers.cpp
+++ b/tests/net/test_oddanswers.cpp
@@ -2,6 +2,7 @@
 // take them for an answer.
 #include "net/httpclient.h"
 #include "support/oddanswers.h"
+#include "support/resettingserver.h"
 #include "support/scriptedserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -14,6 +15,9 @@
 
 namespace {
 
+constexpr std::size_t UploadBytes = 4 * 1024 * 1024;
+constexpr int RepeatsOfResets = 3; // which operation is told of a reset differs from run to run
+
 const std::string Final = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
 const std::string Interim = "HTTP/1.1 102 X\r\nAttempt-Id: q1\r\n\r\n";
 
@@ -79,3 +83,39 @@
     }
     CHECK(std::holds_alternative<CallFailure>(callScripted(interimAnswers(17) + Final)));
 }
+
+// Guards against a part of an answer being taken for all of it: the reset is told to the write, and
+// the read then sees a clean end.
+TEST(OddAnswers, APartIsNoAnswerWhenTheConnectionIsResetUnderTheUpload)
+{
+    for (const ResettingPlay &play : resetsUnderAnUpload("HTTP/1.1 200 OK\r\n", UploadBytes)) {
+        for (int repeat = 0; repeat < RepeatsOfResets; ++repeat) {
+            ResettingServer server(io, play);
+            const auto result = call(server.endpoint(), UploadBytes);
+            CHECK_TEXT(std::holds_alternative<CallFailure>(result),
+                       StringFromFormat("read %d, part %d, reset after %d ms", int(play.bytesRead),
+                                        int(play.answer.size()), int(play.resetAfter.count()))
+                               .asCharString());
+        }
+    }
+}
+
+// The same when the whole request has been written, to the kernel at least.
+TEST(OddAnswers, APartIsNoAnswerWhenTheConnectionIsResetAfterTheRequest)
+{
+    for (const auto resetAfter : { 0ms, 1ms, 20ms }) {
+        ResettingServer server(io, { 10, "HTTP/1.1 200 OK\r\n\r\npart", resetAfter, true });
+        CHECK(std::holds_alternative<CallFailure>(call(server.endpoint(), 1'000)));
+    }
+}
+
+TEST(OddAnswers, AnAnswerThatEndsWithItsConnectionIsWholeOnceTheRequestWasTakenIn)
+{
+    for (const std::size_t bytes : { std::size_t(100), UploadBytes }) {
+        ResettingServer server(io, { bytes, "HTTP/1.1 200 OK\r\n\r\nwhole", 20ms, false });
+        const auto result = call(server.endpoint(), bytes);
+        const auto *response = std::get_if<HttpResponse>(&result);
+        CHECK(response != nullptr);
+        CHECK_EQUAL(std::string("whole"), response->body);
+    }
+}
