The lease states for how long no other holder has ordered

Cause: from when on a holder may order was in its memory alone. A restarted process that found its own name in the lease ordered at once; a released lease stated the time since the last order of its last holder, which had given none.

Change: OrderTurn keeps the wait; each write of the lease states it, so that it outlives the process.

--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -115,14 +115,14 @@
     , m_lease(leaseSettings(state.profile.bounds), state.profile.name, NodeIncarnation)
     , m_placement(placementSettings(state.profile))
     , m_candidateFrom(steadyNow() + CandidateAfter)
-    , m_lastOrderAt(leaseNow())
+    , m_turn(state.profile.bounds.leaseTime + TurnMargin, leaseNow())
 {
 }
 
 bool CopyShell::holds() const
 {
     const Instant now = leaseNow();
-    return m_lease.holds(now) && now >= m_ordersFrom && !m_state.leaving;
+    return m_lease.holds(now) && m_turn.mayOrder(now) && !m_state.leaving;
 }
 
 void CopyShell::release()
@@ -179,7 +179,7 @@
         carryOut(action);
     for (const LeaseEvent event : m_lease.takeEvents()) {
         if (event == LeaseEvent::Taken)
-            m_ordersFrom = m_ordersAllowedFrom;
+            m_turn.onTaken(now);
         m_state.log.line("lease")
                 .field("change", event == LeaseEvent::Taken ? "taken" : "lost")
                 .field("term", m_lease.term())
@@ -210,7 +210,7 @@
     const ReadAnswer answer = co_await m_state.ports.store.read(ObjectKind::Leases, LeaseName);
     LeaseReadResult read;
     read.callId = action.callId;
-    Duration idle {}; // of its last holder, when it released the lease
+    Duration idle {}; // see OrderTurn
     read.hasKnownHolder = !m_state.directory.holder().name.empty();
     if (const auto *item = std::get_if<StoredItem>(&answer)) {
         read.available = true;
@@ -224,7 +224,7 @@
             m_state.log.line("lease_unreadable").field("revision", read.version);
     }
     noteEra(read.era);
-    noteRelease(read, idle);
+    noteTurn(read, idle);
     m_lease.onRead(read, leaseNow());
     tickLease();
 }
@@ -232,10 +232,11 @@
 asio::awaitable<void> CopyShell::writeLease(LeaseWrite action)
 {
     json::value content = leaseToJson(action.value);
-    if (action.value.holder.empty())
-        content.as_object()["idle_ms"] =
-                std::chrono::duration_cast<std::chrono::milliseconds>(leaseNow() - m_lastOrderAt)
-                        .count();
+    const Instant now = leaseNow();
+    const Duration idle =
+            action.value.holder.empty() ? m_turn.idle(now) : m_turn.othersIdle(m_lease.owns(), now);
+    content.as_object()["idle_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(idle).count();
     const StoreWriteAnswer answer = co_await m_state.ports.store.write(
             ObjectKind::Leases, LeaseName, { action.value.era, action.expectedVersion },
             std::move(content));
@@ -249,15 +250,15 @@
     tickLease();
 }
 
-/// A lease that lapsed was unchanged for longer than its holder may act; one that was released may
-/// have been used a moment before.
-void CopyShell::noteRelease(const LeaseReadResult &read, Duration idle)
+void CopyShell::noteTurn(const LeaseReadResult &read, Duration idle)
 {
-    if (!read.available || read.value.holder == m_state.profile.name)
+    if (!read.available)
         return;
-    const bool isReleased = read.version != 0 && read.value.holder.empty();
-    const Duration turn = m_state.profile.bounds.leaseTime + TurnMargin;
-    m_ordersAllowedFrom = isReleased ? firstOrderAfterRelease(leaseNow(), idle, turn) : Instant {};
+    const bool isOwn = read.value.holder == m_state.profile.name;
+    const bool isFree = read.version != 0 && (isOwn || read.value.holder.empty());
+    m_turn.onLeaseRead({ read.era, read.version },
+                       isFree ? OrderTurn::LeaseState::Free : OrderTurn::LeaseState::Lapses, idle,
+                       leaseNow());
 }
 
 // ---- Orders -------------------------------------------------------------------------------------
@@ -338,7 +339,7 @@
         m_shell.noteEra(m_shell.m_state.ports.store.latestEra());
         if (!m_shell.holds() || m_shell.m_lease.term() != m_term)
             return false;
-        m_shell.m_lastOrderAt = leaseNow();
+        m_shell.m_turn.onOrder(leaseNow());
         return true;
     }
 
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -4,21 +4,11 @@
 #include "decide/lease.h"
 #include "edge/beatlink.h"
 #include "edge/nodestate.h"
+#include "edge/orderturn.h"
 #include "placing/copyplacement.h"
 
-#include <algorithm>
-
 namespace burdock {
 
-/// @param readAt when the released lease was read
-/// @param idle for how long its holder had given no order when it released the lease
-/// @param turn shortest time between the orders of two holders
-/// @return from when on another holder may give orders
-inline Instant firstOrderAfterRelease(Instant readAt, Duration idle, Duration turn)
-{
-    return readAt + turn - std::min(idle, turn);
-}
-
 class CopyShell
 {
 public:
@@ -57,7 +47,7 @@
     boost::asio::awaitable<void> writeLease(LeaseWrite action);
     boost::asio::awaitable<void> sendOrder(SendCommand action);
     boost::asio::awaitable<void> askReport(RequestReport action);
-    void noteRelease(const LeaseReadResult &read, Duration idle);
+    void noteTurn(const LeaseReadResult &read, Duration idle);
     bool mayCommand(const std::string &replica, CommandKind kind);
     SignalSource signalSource(const std::string &replica) const;
     void takeSignals(const ReplicaSignals &signals, const SignalSource &source);
@@ -72,11 +62,7 @@
     Instant m_nextPlan; // plans are not made more often
     bool m_wasHolder = false;
     std::uint64_t m_storeEra = 0; // latest noted; 0: none
-    // Times on the lease's clock:
-    Instant m_lastOrderAt; // of this process, or its start: the process before it may have ordered
-    Instant m_ordersAllowedFrom; // by the lease as read last: its holder has been silent long
-                                 // enough
-    Instant m_ordersFrom;        // the same of the lease that this node has taken
+    OrderTurn m_turn;
 };
 
 /// The clock of leases: it also counts the time for which the machine was suspended.
