Each order has a connection of its own

A replica in trouble may send an earlier answer once more on a kept connection, late enough to stand where the next order's answer is due; the order then counts as accepted though it was refused, and the number of the replica's orders is believed too high.

--- a/tests/adapter/test_replicacontrol.cpp
+++ b/tests/adapter/test_replicacontrol.cpp
@@ -1,5 +1,6 @@
 // Orders and report requests to model replicas over HTTP.
 #include "net/httpclient.h"
+#include "net/httpserver.h"
 #include "platform/replicacontrol.h"
 #include "support/scriptedserver.h"
 
@@ -21,6 +22,14 @@
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+struct AcceptingReplica : public HttpHandler
+{
+    asio::awaitable<void> handle(const HttpRequest &, HttpReply &reply) override
+    {
+        co_await reply.send(202, {}, "{}");
+    }
+};
+
 struct FixedCheck : public SendCheck
 {
     bool mayStillSend() override { return isAllowed; }
@@ -85,6 +94,34 @@
     CHECK(order(answer("202 Accepted", Signals, "{}")).result == OrderResult::Accepted);
 }
 
+// Guards against an earlier order's answer that comes once more on a kept connection and passes for
+// that of the next order, which it does not name.
+TEST(ReplicaControl, EachOrderHasAConnectionOfItsOwn)
+{
+    AcceptingReplica handler;
+    HttpServer replica(io, {}, handler);
+    std::uint16_t port = 0;
+    do { // another process may take the free port first
+        asio::ip::tcp::acceptor free(io, { asio::ip::make_address("127.0.0.1"), 0 });
+        port = free.local_endpoint().port();
+    } while (!isOk(replica.listen({ "127.0.0.1", port })));
+    constexpr int Orders = 3;
+    int accepted = 0;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const EngineCommand command;
+        const Endpoint endpoint { "127.0.0.1", port };
+        for (int number = 0; number < Orders; ++number) {
+            const OrderAnswer answer =
+                    co_await control.order(endpoint, command, steadyNow() + 1s, check);
+            accepted += answer.result == OrderResult::Accepted ? 1 : 0;
+        }
+    };
+    asio::co_spawn(io, run(), asio::detached);
+    io.run_for(300ms);
+    CHECK_EQUAL(Orders, accepted);
+    CHECK_EQUAL(std::uint64_t(Orders), http.connectionsOpened());
+}
+
 TEST(ReplicaControl, AReportBringsItToo)
 {
     const ReportAnswer read = report(answer("200 OK", Signals, R"({"sequence":3})"));
