--- a/src/edge/copyshell.cpp
+++ b/src/edge/copyshell.cpp
@@ -193,7 +193,8 @@
         m_state.log.line("placement_holder")
                 .field("holds", holder ? "yes" : "no")
                 .field("term", m_lease.term());
-        m_placement.setHolder(holder, m_lease.term(), m_lease.hasPredecessor(), steadyNow());
+        m_placement.setHolder(holder, m_lease.term(),
+                              m_lease.hasPredecessor() || m_hasEarlierOrders, steadyNow());
     }
 }
 
@@ -386,7 +387,20 @@
             .field("answered", answer.report ? "yes" : "no")
             .field("orders", answer.report ? answer.report->ordersAccepted : 0);
     takeSignals(answer.signals, source);
+    noteEarlierOrders(answer);
     m_placement.onReport(action.replica, answer.report, steadyNow());
+    tickLease();
+}
+
+/// A node that found no lease and heard of no holder took itself for the first one.
+void CopyShell::noteEarlierOrders(const ReportAnswer &answer)
+{
+    const bool isFirst = !m_lease.hasPredecessor() && !m_hasEarlierOrders;
+    if (!isFirst || m_turn.hasOrdered() || !answer.report || answer.report->ordersAccepted == 0)
+        return;
+    m_hasEarlierOrders = true;
+    m_turn.onEarlierOrders(leaseNow());
+    m_state.log.line("earlier_orders").field("orders", answer.report->ordersAccepted);
 }
 
 } // namespace burdock
--- a/src/edge/copyshell.h
+++ b/src/edge/copyshell.h
@@ -47,6 +47,7 @@
     boost::asio::awaitable<void> writeLease(LeaseWrite action);
     boost::asio::awaitable<void> sendOrder(SendCommand action);
     boost::asio::awaitable<void> askReport(RequestReport action);
+    void noteEarlierOrders(const ReportAnswer &answer);
     void noteTurn(const LeaseReadResult &read, Duration idle);
     bool mayCommand(const std::string &replica, CommandKind kind);
     SignalSource signalSource(const std::string &replica) const;
@@ -63,6 +64,7 @@
     bool m_wasHolder = false;
     std::uint64_t m_storeEra = 0; // latest noted; 0: none
     OrderTurn m_turn;
+    bool m_hasEarlierOrders = false; // replicas have accepted orders before this first lease
 };
 
 /// The clock of leases: it also counts the time for which the machine was suspended.
--- a/src/edge/orderturn.h
+++ b/src/edge/orderturn.h
@@ -59,7 +59,18 @@
     /// This node has taken the lease that it read last.
     void onTaken(Instant now) { m_ordersFrom = std::max(m_readFrom, now); }
 
-    void onOrder(Instant now) { m_ownOrderAt = now; }
+    void onOrder(Instant now)
+    {
+        m_ownOrderAt = now;
+        m_hasOrdered = true;
+    }
+
+    /// A replica has accepted orders, of which the lease knows nothing: an older copy of the store
+    /// may have lost it with its holder.
+    void onEarlierOrders(Instant now) { m_ordersFrom = std::max(m_ordersFrom, now + m_turn); }
+
+    /// @return whether this process has given an order
+    bool hasOrdered() const { return m_hasOrdered; }
 
     /// @return whether a holder may give orders
     bool mayOrder(Instant now) const { return now >= m_ordersFrom; }
@@ -85,6 +96,7 @@
 
     Duration m_turn;
     Instant m_ownOrderAt; // last order of this node, or the start of its process
+    bool m_hasOrdered = false;
     std::pair<std::uint64_t, std::uint64_t> m_readRevision; // of the lease that was read last
     Instant m_readFrom;   // a node that takes that lease may give orders then
     Instant m_ordersFrom; // this holder may give orders from then on
--- a/tests/edge/test_orderturn.cpp
+++ b/tests/edge/test_orderturn.cpp
@@ -81,6 +81,19 @@
     CHECK(restarted.mayOrder(Start + 800ms));
 }
 
+// Guards against a holder that takes itself for the first one, since an older copy of the store has
+// no lease.
+TEST(OrderTurn, OrdersThatReplicasHadBeforeCostATurn)
+{
+    OrderTurn holder(Turn, Start);
+    holder.onLeaseRead({ 2, 0 }, LeaseState::Lapses, {}, Start);
+    holder.onTaken(Start);
+    CHECK(holder.mayOrder(Start));
+    holder.onEarlierOrders(Start + 100ms);
+    CHECK(!holder.mayOrder(Start + Turn));
+    CHECK(holder.mayOrder(Start + Turn + 100ms));
+}
+
 // A candidate that reads a released lease again and again waited from the last time.
 TEST(OrderTurn, ALeaseReadAgainSaysNothingNew)
 {
