--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -21,8 +21,8 @@
 //
 // Lost objects. A store that comes back from an older copy, or an object that was deleted, has lost
 // who held the lease last, and that holder does not know yet. The lease is then free for nobody,
-// its holder of before included, until the lease time has passed. Pass every new era to onEra() as
-// soon as anything shows it: the holder stops at once.
+// its holder of before included, until the lease time has passed. Call onNewEra() as soon as
+// anything shows it: the holder stops at once.
 //
 // Terms. An older copy has also lost the terms that were given out since, and after a power loss no
 // process may be left that knows them. So the era is part of the term: all terms of an era are
--- a/src/placing/enginerecord.cpp
+++ b/src/placing/enginerecord.cpp
@@ -28,7 +28,7 @@
     const bool isSameProcess = engine.info.startedMs == info.startedMs;
     EngineRecord fresh;
     fresh.info = info;
-    fresh.listedModels = isSameProcess ? std::move(engine.listedModels) : info.models;
+    fresh.listedModels = isSameProcess ? engine.listedModels : info.models;
     fresh.orders = std::move(engine.orders);
     fresh.orders.onNewProcess();
     engine = std::move(fresh);
--- a/tests/support/noengines.h
+++ b/tests/support/noengines.h
@@ -7,7 +7,8 @@
 
 struct NoEngines : public EngineControl
 {
-    boost::asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant, SendCheck &) override
+    boost::asio::awaitable<OrderAnswer> order(Endpoint, EngineCommand, Instant,
+                                              SendCheck &) override
     {
         co_return OrderAnswer {};
     }
--- a/tests/support/oddanswers.h
+++ b/tests/support/oddanswers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace burdock {
@@ -12,68 +13,100 @@
     std::string text;
 };
 
-/// @param headers lines of a sound answer's head, each with its line end
+/// Answers that are none, each with the headers of a sound one.
+class OddAnswers
+{
+public:
+    /// @param headers lines of a sound answer's head, each with its line end
+    explicit OddAnswers(std::string headers)
+        : m_headers(std::move(headers))
+    {
+        addStatuses();
+        addCodings();
+        addLengths();
+        addVersions();
+        addLines();
+    }
+
+    const std::vector<OddAnswer> &all() const { return m_answers; }
+
+private:
+    static constexpr const char *Ok = "HTTP/1.1 200 OK";
+    static constexpr const char *Length = "Content-Length: 5";
+    static constexpr const char *Body = "hello";
+    static constexpr const char *Chunks = "5\r\nhello\r\n0\r\n\r\n";
+
+    void add(const std::string &first, const std::vector<std::string> &lines,
+             const std::string &body)
+    {
+        OddAnswer answer;
+        answer.text = first;
+        answer.text.append("\r\n").append(m_headers);
+        answer.name = first;
+        for (const std::string &line : lines) {
+            answer.text.append(line).append("\r\n");
+            answer.name.append(", ").append(line);
+        }
+        answer.text.append("\r\n").append(body);
+        m_answers.push_back(std::move(answer));
+    }
+
+    void addStatuses()
+    {
+        for (const char *status : { "000", "001", "099", "101", "600", "999" })
+            add(std::string("HTTP/1.1 ").append(status), { Length }, Body);
+        add("HTTP/1.1 102 X", {}, ""); // interim, and nothing follows
+        add("HTTP/1.1 102 X", { Length }, Body);
+    }
+
+    void addCodings()
+    {
+        for (const char *coding : { "xchunked", "gzip, chunked", "chunked, chunked", "identity",
+                                    "gzip", "chunked;q=1", "" })
+            add(Ok, { std::string("Transfer-Encoding: ").append(coding) }, Chunks);
+        add(Ok, { "Transfer-Encoding: chunked", "Transfer-Encoding: gzip" }, Chunks);
+        add(Ok, { "Transfer-Encoding: chunked", Length }, Chunks);
+        add(Ok, { Length, "Transfer-Encoding: xchunked" }, Body);
+        add("HTTP/1.0 200 OK", { "Transfer-Encoding: chunked" }, Chunks);
+    }
+
+    void addLengths()
+    {
+        for (const char *value :
+             { "+5", "-5", "5, 5", "5 5", "0x5", "5a", "99999999999999999999", "" })
+            add(Ok, { std::string("Content-Length: ").append(value) }, Body);
+        add(Ok, { Length, "Content-Length: 4" }, Body);
+    }
+
+    void addVersions()
+    {
+        for (const char *version :
+             { "HTTP/2.0", "HTTP/0.9", "HTTP/1.2", "HTTP/11", "http/1.1", "HTTP" })
+            add(std::string(version).append(" 200 OK"), { Length }, Body);
+        add(" HTTP/1.1 200 OK", { Length }, Body);
+    }
+
+    /// Names of fields, and a few values, that no field has.
+    void addLines()
+    {
+        for (const char *line :
+             { "X Y: a", "X\tY: a", "X\x01Y: a", "X\x7fY: a", "X\x80Y: a", "X : a", "X\t: a", ": a",
+               "X", "X(Y): a", "X@Y: a", "\"X\": a", "X: a\x01z", "X: a\x7f", "X: a\rb" })
+            add(Ok, { line, Length }, Body);
+        const char zeroInName[] = "X\0Y: a";
+        const char zeroInValue[] = "X: a\0b";
+        add(Ok, { std::string(zeroInName, sizeof(zeroInName) - 1), Length }, Body);
+        add(Ok, { std::string(zeroInValue, sizeof(zeroInValue) - 1), Length }, Body);
+    }
+
+    std::string m_headers;
+    std::vector<OddAnswer> m_answers;
+};
+
 /// @return answers with these lines that are none; a connection is closed after each
 inline std::vector<OddAnswer> oddAnswers(const std::string &headers)
 {
-    const std::string end = "\r\n";
-    const std::string ok = "HTTP/1.1 200 OK" + end;
-    const std::string length = "Content-Length: 5" + end;
-    const std::string chunks = "5" + end + "hello" + end + "0" + end + end;
-    std::vector<OddAnswer> answers;
-    const auto add = [&](const std::string &name, const std::string &text) {
-        answers.push_back({ name, text });
-    };
-    for (const char *status : { "000", "001", "099", "101", "600", "999" })
-        add(std::string("status ") + status,
-            std::string("HTTP/1.1 ") + status + " X" + end + headers + length + end + "hello");
-    add("an interim answer alone", "HTTP/1.1 102 X" + end + headers + end);
-    add("an interim answer with a body", "HTTP/1.1 102 X" + end + headers + length + end + "hello");
-    for (const char *coding :
-         { "xchunked", "gzip, chunked", "chunked, chunked", "identity", "gzip", "chunked;q=1", "" })
-        add(std::string("coding ") + coding,
-            ok + headers + "Transfer-Encoding: " + coding + end + end + chunks);
-    add("two codings",
-        ok + headers + "Transfer-Encoding: chunked" + end + "Transfer-Encoding: gzip" + end + end
-                + chunks);
-    add("a coding and a length",
-        ok + headers + "Transfer-Encoding: chunked" + end + length + end + chunks);
-    add("a length and a coding",
-        ok + headers + length + "Transfer-Encoding: xchunked" + end + end + "hello");
-    add("chunks in version 1.0",
-        "HTTP/1.0 200 OK" + end + headers + "Transfer-Encoding: chunked" + end + end + chunks);
-    for (const char *value : { "+5", "-5", "5, 5", "5 5", "0x5", "5a", "99999999999999999999", "" })
-        add(std::string("length ") + value,
-            ok + headers + "Content-Length: " + value + end + end + "hello");
-    add("two lengths", ok + headers + length + "Content-Length: 4" + end + end + "hello");
-    for (const char *version :
-         { "HTTP/2.0", "HTTP/0.9", "HTTP/1.2", "HTTP/11", "http/1.1", "HTTP" })
-        add(std::string("version ") + version,
-            std::string(version) + " 200 OK" + end + headers + length + end + "hello");
-    const std::string names[] = { "X Y: a",
-                                  "X\tY: a",
-                                  "X\x01Y: a",
-                                  "X\x7fY: a",
-                                  "X\x80Y: a",
-                                  "X : a",
-                                  "X\t: a",
-                                  ": a",
-                                  "X",
-                                  "X(Y): a",
-                                  "X: a\x01"
-                                  "b",
-                                  "X: a\x7f",
-                                  "X: a\rb",
-                                  "X@Y: a",
-                                  "\"X\": a" };
-    for (const std::string &line : names)
-        add("line " + line, ok + headers + line + end + length + end + "hello");
-    add("a zero byte in a name",
-        ok + headers + "X" + std::string(1, '\0') + "Y: a" + end + length + end + "hello");
-    add("a zero byte in a value",
-        ok + headers + "X: a" + std::string(1, '\0') + end + length + end + "hello");
-    add("a blank before the first line", " " + ok + headers + length + end + "hello");
-    return answers;
+    return OddAnswers(headers).all();
 }
 
 } // namespace burdock
