--- a/review/common-3/bench3.py
+++ b/review/common-3/bench3.py
@@ -251,8 +251,9 @@
         self.record, self.store, self.service = record, store, service
         self.name, self.zone, self.slots = name, zone, slots
         self.arrivals = []  # (time, node, Attempt-Id)
+        self.running = set()  # Attempt-Ids
         self.is_serving = False
-        self.work_s = 0.02
+        self.work_s = 0.06
         self.beats = None
 
     async def start(self, address, port=0):
@@ -301,7 +302,11 @@
         await self.run(head, body, writer, headers)
 
     async def run(self, head, body, writer, headers):
-        await asyncio.sleep(self.work_s)
+        self.running.add(head.value("Attempt-Id"))
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running.discard(head.value("Attempt-Id"))
         headers = headers + [("Server-Seal", f"{self.name}.1"), ("Instance-Load", f"1,0,{self.slots}")]
         writer.write(answer_bytes(200, headers, b"answer of " + self.name.encode()))
 
