--- a/review/common-3/bench3.py
+++ b/review/common-3/bench3.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import resource
 import shlex
 import signal
 import socket
@@ -322,6 +323,7 @@
         self.zones = zones
         self.store = store
         self.extra = extra or {}
+        self.descriptors = None  # limit of each process; None: as it is
         self.processes = {}
         self.started = {}
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
@@ -378,10 +380,15 @@
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                        "LANG": "C", "BURDOCKREEL_CONFIG": str(path)}
         self.processes[name] = subprocess.Popen(
-            self.command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+            self.command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=self.limit if self.descriptors else None)
         self.started[name] = now()
         self.record.line(f"node {name} started, pid {self.processes[name].pid}")
 
+    def limit(self):
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, hard))
+
     def start_all(self, bootstrap=True):
         for name in self.names:
             self.start(name, bootstrap)
