--- a/review/common-3/bench3.py
+++ b/review/common-3/bench3.py
@@ -308,7 +308,8 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running.discard(head.value("Attempt-Id"))
-        headers = headers + [("Server-Seal", f"{self.name}.1"), ("Instance-Load", f"1,0,{self.slots}")]
+        headers = headers + [("Server-Seal", f"{self.name}.1"), ("Instance-Load", f"1,0,{self.slots}"),
+                             ("Content-Type", "text/plain")]
         writer.write(answer_bytes(200, headers, b"answer of " + self.name.encode()))
 
 
