--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,9 +1,10 @@
-"""A request that crashes its replicas, before and after all processes of the system were killed. See claim.txt.
+"""A part in the seventieth place of a prompt of eighty crashes replicas. See claim.txt.
 
-Environment: TROUBLE=0 kills no process.
+Environment: TROUBLE=0 sends no such request. PLACE: of the part in the prompt (default 70, the first is 1).
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -13,32 +14,42 @@
 
 NETWORK = "127.83.14"
 CONTACT_S = 3.0
-DOWN_S = 2.0  # a killed machine's process starts again after this
 BACK_S = 3.0  # a crashed replica is back after this
-POISON = b"an order that no replica bears"
+POISON = "bad0bad0"
+PARTS = 80
+PLACE = int(os.environ.get("PLACE", "70"))
 ALLOWED = 3
-REPLICAS = 4
+REPLICAS = 8
+
+
+def prompt(own, poisoned):
+    parts = [f"{0x5C1E0000 + place:x}:25" for place in range(1, PARTS)]
+    if poisoned:
+        parts[PLACE - 1] = f"{POISON}:25"
+    return ",".join(parts + [f"{own:x}:100"])
 
 
 class FragileReplica(Replica):
-    """Crashes when it begins to run the poisoned request, and is back after some seconds."""
+    """Crashes as it begins to write an answer on the part, and is back after some seconds."""
 
-    crashes = []  # (time, Attempt-Id, node)
-    cut = []  # (time, Attempt-Id) of sound requests that were running on a replica that crashed
+    arrivals_of_part = []  # (time, Attempt-Id, node)
+    crashes = []  # times
+    cut = []  # Attempt-Ids of sound requests that were running on a replica that crashed
 
     async def run(self, head, body, writer, headers):
-        if body != POISON:
+        if POISON not in head.value("Prompt-Prefix"):
             await super().run(head, body, writer, headers)
             return
-        FragileReplica.crashes.append((now(), head.value("Attempt-Id"), head.value("X-Node")))
-        self.record.say(f"crash {len(FragileReplica.crashes)}: {self.name} runs the poisoned request, "
-                        f"sent to {head.value('X-Node')}")
+        FragileReplica.arrivals_of_part.append((now(), head.value("Attempt-Id"), head.value("X-Node")))
+        await asyncio.sleep(self.work_s)
+        FragileReplica.crashes.append(now())
+        self.record.say(f"crash {len(FragileReplica.crashes)}: {self.name}, sent by {head.value('X-Node')}")
         asyncio.get_running_loop().create_task(self.crash())
         await asyncio.sleep(60)
 
     async def crash(self):
         earlier, port = self.name, self.port
-        FragileReplica.cut += [(now(), attempt) for attempt in self.running]
+        FragileReplica.cut += self.running
         self.end()
         self.running.clear()
         self.name = f"{earlier.split('.')[0]}.{len(FragileReplica.crashes)}"
@@ -51,48 +62,65 @@
 async def main(record, folder):
     store = Store(record)
     await store.listen(f"{NETWORK}.1", 0)
-    replicas = [FragileReplica(record, store, "orders", f"i-{number}", f"z-{number % 3 + 1}")
+    replicas = [FragileReplica(record, store, "pool", f"i-{number}", f"z-{number % 3 + 1}", 64)
                 for number in range(REPLICAS)]
-    nodes = Nodes(record, folder, NETWORK, 4, store)
+    nodes = Nodes(record, folder, NETWORK, 3, store)
+    statuses = {}
+    tasks = set()
+    numbers = iter(range(1, 1 << 30))
     traffic = None
+
+    async def one(node, poisoned):
+        number = next(numbers)
+        headers = [("Prompt-Prefix", prompt(0xF0000000 + number, poisoned)), ("Token-Count", "2075,40")]
+        attempt, answer = await ask(record, nodes, node, f"/draft/{number}", deadline_ms=4000, headers=headers,
+                                    label="poisoned request" if poisoned else "request")
+        if not poisoned:
+            statuses[attempt] = answer.status if answer else 0
+
+    def start(node, poisoned):
+        task = asyncio.create_task(one(node, poisoned))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    async def sound_traffic():
+        while True:
+            for node in nodes.names:
+                start(node, False)
+                await asyncio.sleep(0.05)
+
     try:
         for replica in replicas:
+            replica.work_s = 0.3
             await replica.start(f"{NETWORK}.2")
         store.put("config", "main", config(7, [
-            route("stock", "/stock/", "orders"), route("order", "/order/", "orders", "non_idempotent")],
-            [{"name": "orders"}]))
+            route("draft", "/draft/", "pool", "streaming", attempts=1, timeout_ms=4000, latency_goal_ms=1200)],
+            [{"name": "pool", "max_conns": 360}]))
         nodes.start_all()
         for name in nodes.names:
             if not await nodes.until_ready(name):
                 raise RuntimeError(f"{name} is not ready")
         await asyncio.sleep(8)
-        traffic = asyncio.create_task(sound_traffic(record, nodes))
-        await asyncio.sleep(3)
-        # Comes again, with the same path, caller and body, at any machine.
-        await poison(record, nodes, 12.0)
+        traffic = asyncio.create_task(sound_traffic())
+        await asyncio.sleep(4)
+        if list(statuses.values()).count(200) < 20:
+            raise RuntimeError("not served before the disruption")
+        until = now() + 40
+        turn = 0
+        while now() < until:
+            turn += 1
+            if TROUBLE:
+                start(nodes.names[turn % len(nodes.names)], True)
+            await asyncio.sleep(1.0)
+        traffic.cancel()
+        await asyncio.sleep(1)
         crashes = FragileReplica.crashes
-        if len(crashes) < 3:
-            raise RuntimeError("the request has not crashed three replicas")
-        third = crashes[2][0]
-        if TROUBLE:
-            record.say("all processes of the system are killed")
-            for name in list(nodes.processes):
-                nodes.kill(name)
-            await asyncio.sleep(DOWN_S)
-            for name in nodes.names:
-                nodes.start(name)
-            record.say("they start again")
-        # Until all machines have run for more than contact_ms.
-        await asyncio.sleep(CONTACT_S + 3.0)
-        in_touch_from = now()
-        await poison(record, nodes, 50.0)
-        later = [each for each in crashes if each[0] > third + CONTACT_S
-                 and (not TROUBLE or bench3.sent_at[each[1]] >= in_touch_from)]
-        record.say(f"later than contact_ms after the third crash, {len(later)} retries reached replicas, sent by "
-                   f"machines in touch; {ALLOWED} are allowed")
-        lost = [attempt for time, attempt in FragileReplica.cut
-                if later and time >= later[0][0] and statuses.get(attempt) != 200]
-        record.say(f"with these, {len(lost)} sound requests were lost at the replicas that ran them")
+        later = [each for each in FragileReplica.arrivals_of_part
+                 if len(crashes) >= 5 and bench3.sent_at[each[1]] > crashes[4] + CONTACT_S]
+        lost = [attempt for attempt in FragileReplica.cut if statuses.get(attempt) != 200]
+        record.say(f"{len(crashes)} crashes; later than contact_ms after the fifth, {len(later)} requests with the part "
+                   f"reached replicas, {ALLOWED} are allowed; {len(lost)} sound requests were lost at replicas that "
+                   f"crashed; of {len(statuses)} sound ones {list(statuses.values()).count(200)} were served")
         return BROKEN if len(later) > ALLOWED else HELD
     finally:
         if traffic:
@@ -103,39 +131,4 @@
         store.end()
 
 
-async def poison(record, nodes, seconds):
-    """One client that sends the request again every 2 s, at each machine in turn."""
-    until = now() + seconds
-    turn = 0
-    while now() < until:
-        turn += 1
-        node = nodes.names[turn % len(nodes.names)]
-        # One attempt of the client. Its replica does not answer.
-        await ask(record, nodes, node, "/stock/poison", POISON, 1500, label="poisoned request")
-        await asyncio.sleep(1.5)
-
-
-statuses = {}  # of sound requests, by Attempt-Id
-
-
-async def sound_traffic(record, nodes):
-    """Orders and look-ups, as often as on the sheet of Lachance."""
-
-    async def one(node, path):
-        attempt, answer = await ask(record, nodes, node, path)
-        statuses[attempt] = answer.status if answer else 0
-
-    number = 0
-    running = set()
-    while True:
-        number += 1
-        node = nodes.names[number % len(nodes.names)]
-        if node in nodes.processes:
-            path = f"/stock/{number}" if number % 5 < 2 else f"/order/{number}"
-            task = asyncio.create_task(one(node, path))
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.sleep(0.05)
-
-
 bench3.play(pathlib.Path(__file__).parent, main)
