--- a/review/14/case.py
+++ b/review/14/case.py
@@ -8,9 +8,9 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-3"))
-import bench3
-from bench3 import BROKEN, HELD, TROUBLE, Nodes, Replica, Store, ask, config, now, route
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import fleet3
+from fleet3 import BROKEN, HELD, TROUBLE, Nodes, Replica, Store, ask, config, now, route
 
 NETWORK = "127.83.14"
 CONTACT_S = 3.0
@@ -116,7 +116,7 @@
         await asyncio.sleep(1)
         crashes = FragileReplica.crashes
         later = [each for each in FragileReplica.arrivals_of_part
-                 if len(crashes) >= 5 and bench3.sent_at[each[1]] > crashes[4] + CONTACT_S]
+                 if len(crashes) >= 5 and fleet3.sent_at[each[1]] > crashes[4] + CONTACT_S]
         lost = [attempt for attempt in FragileReplica.cut if statuses.get(attempt) != 200]
         record.say(f"{len(crashes)} crashes; later than contact_ms after the fifth, {len(later)} requests with the part "
                    f"reached replicas, {ALLOWED} are allowed; {len(lost)} sound requests were lost at replicas that "
@@ -131,4 +131,4 @@
         store.end()
 
 
-bench3.play(pathlib.Path(__file__).parent, main)
+fleet3.play(pathlib.Path(__file__).parent, main)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -7,9 +7,9 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-3"))
-import bench3
-from bench3 import BROKEN, HELD, TROUBLE, Nodes, Replica, Store, ask, config, now, route
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import fleet3
+from fleet3 import BROKEN, HELD, TROUBLE, Nodes, Replica, Store, ask, config, now, route
 
 NETWORK = "127.83.15"
 CONTACT_S = 3.0
@@ -87,7 +87,7 @@
         in_touch_from = now()
         await poison(record, nodes, 50.0)
         later = [each for each in crashes if each[0] > third + CONTACT_S
-                 and (not TROUBLE or bench3.sent_at[each[1]] >= in_touch_from)]
+                 and (not TROUBLE or fleet3.sent_at[each[1]] >= in_touch_from)]
         record.say(f"later than contact_ms after the third crash, {len(later)} retries reached replicas, sent by "
                    f"machines in touch; {ALLOWED} are allowed")
         lost = [attempt for time, attempt in FragileReplica.cut
@@ -138,4 +138,4 @@
         await asyncio.sleep(0.05)
 
 
-bench3.play(pathlib.Path(__file__).parent, main)
+fleet3.play(pathlib.Path(__file__).parent, main)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 import sys
 assert sys.version_info >= (3, 11), "the cases need Python 3.11"
 CHECK
-for file in common-3/*.py 1[1-5]/*.py; do
+for file in fleet3.py 1[1-5]/*.py; do
     [ -e "$file" ] || continue
     python3 -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/common-3/bench3.py
+++ b/review/fleet3.py
@@ -22,7 +22,7 @@
 import tomllib
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "shop.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
